--- /dev/null
+++ b/crates/catalog/src/class.rs
@@ -0,0 +1,61 @@
+//! Request classes.
+
+use crate::Reader;
+
+/// A request class: its place in the order, its targets and what it is owed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// The class's name, unique in a release.
+    pub name: String,
+    /// Place in the order; 0 goes first. Two classes may share a rank.
+    pub rank: u8,
+    /// Urgent requests are never shed or preempted for a lesser class.
+    pub urgent: bool,
+    /// Target for the first token (or a plain service's answer), in milliseconds from arrival.
+    pub first_token_ms: u64,
+    /// Target between tokens, in milliseconds.
+    pub between_tokens_ms: u64,
+    /// Share of a shard's slots that the class may always use while it has work, 0 to 1.
+    pub floor: f64,
+    /// Age in milliseconds after which a waiting request passes the higher ranks once; 0 means never.
+    pub pass_after_ms: u64,
+    /// Running requests may be stopped for an urgent one and resumed later.
+    pub preemptible: bool,
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Self {
+            name: String::new(),
+            rank: 0,
+            urgent: false,
+            first_token_ms: 560,
+            between_tokens_ms: 45,
+            floor: 0.0,
+            pass_after_ms: 0,
+            preemptible: false,
+        }
+    }
+}
+
+impl Class {
+    pub(crate) fn read(reader: &mut Reader<'_>) -> Self {
+        let class = Self {
+            name: reader.name("name"),
+            rank: reader.integer("rank", &(0..=255)) as u8,
+            urgent: reader.flag("urgent", false),
+            first_token_ms: reader.integer("first_token_ms", &(1..=86_400_000)),
+            between_tokens_ms: reader.integer_opt("between_tokens_ms", &(1..=3_600_000)).unwrap_or(45),
+            floor: reader.share("floor", 0.0),
+            pass_after_ms: reader.integer_opt("pass_after_ms", &(0..=86_400_000)).unwrap_or(0),
+            preemptible: reader.flag("preemptible", false),
+        };
+        if class.urgent && class.preemptible {
+            reader.fault("preemptible", "an urgent class can't be preemptible");
+        }
+        if !class.urgent && class.floor == 0.0 && class.pass_after_ms == 0 {
+            reader.fault("floor", "a class that isn't urgent needs a floor or pass_after_ms, or it could starve");
+        }
+        class
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/id.rs
@@ -0,0 +1,51 @@
+//! Short names between boxes: 32-bit hashes, the same on every box whatever its release.
+
+use crate::Digest;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+macro_rules! ids {
+    ($($(#[doc = $doc:literal])+ $name:ident;)+) => {$(
+        $(#[doc = $doc])+
+        #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Default)]
+        pub struct $name(pub u32);
+
+        impl $name {
+            /// The short name of what is called `name`.
+            #[must_use]
+            pub fn of(name: &str) -> Self {
+                Self(short(name))
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}:{:08x}", stringify!($name), self.0)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:08x}", self.0)
+            }
+        }
+    )+};
+}
+
+ids! {
+    /// A box.
+    BoxId;
+    /// A class.
+    ClassId;
+    /// A customer.
+    CustomerId;
+    /// A server, that is one upstream.
+    ServerId;
+    /// A part of a pool that one box owns.
+    ShardId;
+}
+
+fn short(name: &str) -> u32 {
+    let digest = Digest::of(name.as_bytes());
+    u32::from_le_bytes([digest.0[0], digest.0[1], digest.0[2], digest.0[3]])
+}
--- /dev/null
+++ b/crates/cleatshelf/src/command.rs
@@ -0,0 +1,315 @@
+//! The command line.
+
+use crate::status::{Explanation, Status};
+use crate::{serve, Settings};
+use argh::FromArgs;
+use catalog::{Catalog, Digest, Fault, Key, Manifest, Release};
+use eyre::WrapErr;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Exit status for faults in files or settings.
+const FAULTS: u8 = 2;
+
+/// A router for language-model traffic with service levels and priorities.
+#[derive(FromArgs)]
+pub struct Command {
+    #[argh(subcommand)]
+    what: What,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum What {
+    Serve(ServeArgs),
+    Check(CheckArgs),
+    Pack(PackArgs),
+    Status(StatusArgs),
+    Explain(ExplainArgs),
+    Key(KeyArgs),
+    Version(VersionArgs),
+}
+
+/// run one box
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct ServeArgs {
+    /// the box's settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+/// check settings, operators' files or a packed release; prints every fault
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct CheckArgs {
+    /// a box's settings file
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// a folder with classes.toml, customers.toml and upstreams.toml
+    #[argh(option)]
+    files: Option<PathBuf>,
+    /// a folder made by `pack`
+    #[argh(option)]
+    release: Option<PathBuf>,
+    /// a folder made by `pack` that is in force now
+    #[argh(option)]
+    against: Option<PathBuf>,
+}
+
+/// make a release of the operators' files, for your own tools to publish
+#[derive(FromArgs)]
+#[argh(subcommand, name = "pack")]
+struct PackArgs {
+    /// a folder with classes.toml, customers.toml and upstreams.toml
+    #[argh(option)]
+    files: PathBuf,
+    /// the release number, above the one in force
+    #[argh(option)]
+    number: u64,
+    /// the folder to write
+    #[argh(option)]
+    out: PathBuf,
+}
+
+/// show a box's release, peers, ownership, queues and upstreams
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+struct StatusArgs {
+    /// the box's address for operators
+    #[argh(positional)]
+    address: SocketAddr,
+    /// as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// show what would happen to a request now
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct ExplainArgs {
+    /// the box's address for operators
+    #[argh(positional)]
+    address: SocketAddr,
+    /// the customer's name
+    #[argh(option)]
+    customer: String,
+    /// the class; the customer's default if left out
+    #[argh(option)]
+    class: Option<String>,
+    /// the model or plain service
+    #[argh(option)]
+    serves: String,
+    /// as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// print the hash under which an API key (read from standard input) stands in a customers file
+#[derive(FromArgs)]
+#[argh(subcommand, name = "key")]
+struct KeyArgs {
+    /// the classes file's key_salt
+    #[argh(option)]
+    salt: String,
+}
+
+/// print the version
+#[derive(FromArgs)]
+#[argh(subcommand, name = "version")]
+struct VersionArgs {}
+
+/// Runs a command; the exit status is 0, 1 for a failure, 2 for faults in files or settings.
+#[must_use]
+pub fn run(command: Command) -> ExitCode {
+    let done = match command.what {
+        What::Serve(args) => run_box(&args.settings),
+        What::Check(args) => check(&args),
+        What::Pack(args) => pack(&args),
+        What::Status(args) => status(&args),
+        What::Explain(args) => explain(&args),
+        What::Key(args) => key(&args),
+        What::Version(_) => {
+            println!(
+                "cleatshelf {} (release format {}, wire {})",
+                env!("CARGO_PKG_VERSION"),
+                catalog::FORMAT,
+                wire::VERSION
+            );
+            Ok(ExitCode::SUCCESS)
+        }
+    };
+    done.unwrap_or_else(|error| {
+        eprintln!("cleatshelf: {error:#}");
+        ExitCode::FAILURE
+    })
+}
+
+fn report(faults: &[Fault]) -> ExitCode {
+    for fault in faults {
+        eprintln!("{fault}");
+    }
+    eprintln!("{} faults", faults.len());
+    ExitCode::from(FAULTS)
+}
+
+fn read(path: &Path) -> eyre::Result<String> {
+    std::fs::read_to_string(path).wrap_err_with(|| format!("can't read {}", path.display()))
+}
+
+fn read_settings(path: &Path) -> eyre::Result<Result<Settings, Vec<Fault>>> {
+    let text = read(path)?;
+    Ok(Settings::parse(&path.display().to_string(), &text))
+}
+
+fn run_box(path: &Path) -> eyre::Result<ExitCode> {
+    let settings = match read_settings(path)? {
+        Ok(settings) => settings,
+        Err(faults) => return Ok(report(&faults)),
+    };
+    let env = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(env).format_timestamp_millis().init();
+    let clean = serve(settings)?;
+    Ok(if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+// ----------------------------------------------------------------------------
+// Files and releases
+
+/// The operators' three files, as texts.
+struct Files {
+    classes: String,
+    customers: String,
+    upstreams: String,
+}
+
+fn read_files(folder: &Path) -> eyre::Result<Files> {
+    Ok(Files {
+        classes: read(&folder.join("classes.toml"))?,
+        customers: read(&folder.join("customers.toml"))?,
+        upstreams: read(&folder.join("upstreams.toml"))?,
+    })
+}
+
+fn read_release(folder: &Path) -> eyre::Result<Result<Release, Vec<Fault>>> {
+    let text = read(&folder.join("manifest"))?;
+    let manifest = match Manifest::parse(&text) {
+        Ok(manifest) => manifest,
+        Err(faults) => return Ok(Err(faults)),
+    };
+    let mut parts: BTreeMap<Digest, Vec<u8>> = BTreeMap::new();
+    for digest in manifest.parts.values() {
+        if let Ok(bytes) = std::fs::read(folder.join("part").join(digest.to_string())) {
+            parts.insert(*digest, bytes);
+        }
+    }
+    Ok(Ok(Release { manifest, text, parts }))
+}
+
+fn check(args: &CheckArgs) -> eyre::Result<ExitCode> {
+    let mut faults = Vec::new();
+    if let Some(path) = &args.settings {
+        faults.extend(read_settings(path)?.err().unwrap_or_default());
+    }
+    if let Some(folder) = &args.files {
+        let files = read_files(folder)?;
+        let parts = [("classes", files.classes), ("customers", files.customers), ("upstreams", files.upstreams)];
+        let parts: Vec<(&str, &str)> = parts.iter().map(|(name, text)| (*name, text.as_str())).collect();
+        faults.extend(Catalog::parse(&parts).err().unwrap_or_default());
+    }
+    if let Some(folder) = &args.release {
+        faults.extend(check_release(folder, args.against.as_deref())?);
+    }
+    if args.settings.is_none() && args.files.is_none() && args.release.is_none() {
+        eyre::bail!("nothing to check: give --settings, --files or --release");
+    }
+    if faults.is_empty() {
+        println!("ok");
+        return Ok(ExitCode::SUCCESS);
+    }
+    Ok(report(&faults))
+}
+
+fn check_release(folder: &Path, against: Option<&Path>) -> eyre::Result<Vec<Fault>> {
+    let release = match read_release(folder)? {
+        Ok(release) => release,
+        Err(faults) => return Ok(faults),
+    };
+    let mut faults = release.check().err().unwrap_or_default();
+    if let Some(against) = against {
+        match read_release(against)? {
+            Ok(current) => faults.extend(release.check_against(&current)),
+            Err(more) => faults.extend(more),
+        }
+    }
+    Ok(faults)
+}
+
+fn pack(args: &PackArgs) -> eyre::Result<ExitCode> {
+    let files = read_files(&args.files)?;
+    let packed = Release::pack(args.number, &files.classes, &files.customers, &files.upstreams);
+    let release = match packed {
+        Ok(release) => release,
+        Err(faults) => return Ok(report(&faults)),
+    };
+    let parts = args.out.join("part");
+    std::fs::create_dir_all(&parts).wrap_err_with(|| format!("can't make {}", parts.display()))?;
+    for (digest, bytes) in &release.parts {
+        std::fs::write(parts.join(digest.to_string()), bytes)?;
+    }
+    // The manifest last: publish in the same order, so that no reader finds a part missing.
+    std::fs::write(args.out.join("manifest"), &release.text)?;
+    println!("release {} {} with {} parts", args.number, release.order().digest, release.parts.len());
+    Ok(ExitCode::SUCCESS)
+}
+
+fn key(args: &KeyArgs) -> eyre::Result<ExitCode> {
+    let mut line = String::new();
+    std::io::stdin().read_line(&mut line)?;
+    println!("{}", Key::new(&args.salt).hash(line.trim()));
+    Ok(ExitCode::SUCCESS)
+}
+
+// ----------------------------------------------------------------------------
+// Asking a box
+
+fn ask(address: SocketAddr, path: &str) -> eyre::Result<(u16, Vec<u8>)> {
+    let url = format!("http://{address}{path}");
+    actix::System::new().block_on(async move {
+        let client = awc::Client::default();
+        let mut response = client.get(&url).send().await.map_err(|e| eyre::eyre!("{url}: {e}"))?;
+        let body = response.body().limit(64 << 20).await.map_err(|e| eyre::eyre!("{url}: {e}"))?;
+        Ok((response.status().as_u16(), body.to_vec()))
+    })
+}
+
+fn status(args: &StatusArgs) -> eyre::Result<ExitCode> {
+    let (_, body) = ask(args.address, "/status")?;
+    if args.json {
+        println!("{}", String::from_utf8_lossy(&body));
+    } else {
+        let status: Status = serde_json::from_slice(&body)?;
+        println!("{}", status.table());
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn explain(args: &ExplainArgs) -> eyre::Result<ExitCode> {
+    let class = args.class.as_ref().map_or_else(String::new, |c| format!("&class={c}"));
+    let (code, body) =
+        ask(args.address, &format!("/explain?customer={}&serves={}{class}", args.customer, args.serves))?;
+    if args.json || code != 200 {
+        println!("{}", String::from_utf8_lossy(&body));
+        return Ok(if code == 200 { ExitCode::SUCCESS } else { ExitCode::FAILURE });
+    }
+    let explanation: Explanation = serde_json::from_slice(&body)?;
+    println!("class {} rank {} target {} ms", explanation.class, explanation.rank, explanation.first_token_ms);
+    for row in &explanation.route {
+        let wait = row.wait_ms.map_or_else(|| "-".to_owned(), |ms| format!("{ms} ms"));
+        println!("{:<12} {:<20} owner {:<20} wait {wait}", row.shard, row.hall, row.owner);
+    }
+    println!("{}", explanation.verdict);
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/cleatshelf/src/main.rs
@@ -0,0 +1,5 @@
+//! The one binary.
+
+fn main() -> std::process::ExitCode {
+    cleatshelf::run(argh::from_env())
+}
--- /dev/null
+++ b/crates/cleatshelf/src/settings.rs
@@ -0,0 +1,148 @@
+//! A box's settings, checked as a whole.
+
+use catalog::{Fault, Reader};
+use fleet::Peer;
+use gateway::Limits;
+use policy::{Discipline, Way};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Shortest secret between boxes.
+const KEY_LEAST: usize = 16;
+
+/// How boxes prove themselves to each other.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Link {
+    /// The secret that all boxes share, at least 16 bytes.
+    pub key: String,
+}
+
+impl std::fmt::Debug for Link {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Link { key: .. }")
+    }
+}
+
+/// A box's settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Who this box is and where it listens for other boxes.
+    pub me: Peer,
+    /// Where callers come.
+    pub callers: SocketAddr,
+    /// Where operators ask for status and metrics.
+    pub operators: SocketAddr,
+    /// The platform's configuration service.
+    pub config: SocketAddr,
+    /// The platform's membership list.
+    pub members: SocketAddr,
+    /// How boxes prove themselves to each other.
+    pub link: Link,
+    /// Boxes known from the start. May contain this one.
+    pub peers: Vec<Peer>,
+    /// Traffic threads, 1 to 64.
+    pub traffic_threads: usize,
+    /// Bounds on what callers can make grow.
+    pub limits: Limits,
+    /// How requests find a server.
+    pub way: Way,
+    /// Longest time that a planned stop waits for running requests.
+    pub stop_time: Duration,
+}
+
+fn address(reader: &mut Reader<'_>, key: &str) -> SocketAddr {
+    let parsed = reader.parsed_opt(key, "an IP address with a port, such as 10.0.0.5:7000");
+    if parsed.is_none() {
+        reader.fault(key, "an IP address with a port is needed");
+    }
+    parsed.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
+}
+
+fn read_peer(reader: &mut Reader<'_>) -> Peer {
+    Peer { name: reader.name("name"), hall: reader.name("hall"), address: address(reader, "address") }
+}
+
+fn read_limits(reader: &mut Reader<'_>) -> Limits {
+    let base = Limits::default();
+    let mut seconds =
+        |key: &str, base: Duration| reader.integer_opt(key, &(1..=86_400)).map_or(base, Duration::from_secs);
+    let body_time = seconds("body_seconds", base.body_time);
+    let unread_time = seconds("unread_seconds", base.unread_time);
+    let request_time = seconds("request_seconds", base.request_time);
+    let mut number =
+        |key: &str, base: usize, most: u64| reader.integer_opt(key, &(1..=most)).map_or(base, |n| n as usize);
+    Limits {
+        body_most: number("body_bytes", base.body_most, 1 << 30),
+        body_time,
+        requests_most: number("requests", base.requests_most, 1_000_000),
+        unread_time,
+        key_most: number("request_key_bytes", base.key_most, 4_096),
+        request_time,
+    }
+}
+
+fn read_way(reader: &mut Reader<'_>) -> Way {
+    match reader.text_opt("way").as_deref() {
+        None | Some("owner") => Way::Owner,
+        Some("alone-arrival") => Way::Alone(Discipline::Arrival),
+        Some("alone-class") => Way::Alone(Discipline::Class),
+        Some(other) => {
+            reader.fault("way", format!("'{other}' is not owner, alone-arrival or alone-class"));
+            Way::Owner
+        }
+    }
+}
+
+impl Settings {
+    /// Reads settings from the text of `file`.
+    ///
+    /// # Errors
+    /// Every fault at once, unknown keys included.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
+        let mut reader = Reader::parse(file, text);
+        let me = Peer {
+            name: reader.name("name"),
+            hall: reader.name("hall"),
+            address: address(&mut reader, "listen_boxes"),
+        };
+        let settings = Self {
+            me,
+            callers: address(&mut reader, "listen_callers"),
+            operators: address(&mut reader, "listen_operators"),
+            config: address(&mut reader, "platform_config"),
+            members: address(&mut reader, "platform_members"),
+            link: Link { key: reader.text("link_key") },
+            peers: reader.tables("peer", read_peer),
+            traffic_threads: reader.integer_opt("traffic_threads", &(1..=64)).unwrap_or(2) as usize,
+            limits: read_limits(&mut reader),
+            way: read_way(&mut reader),
+            stop_time: Duration::from_secs(reader.integer_opt("stop_seconds", &(1..=86_400)).unwrap_or(120)),
+        };
+        settings.check(&mut reader);
+        let faults = reader.finish();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(faults)
+        }
+    }
+
+    fn check(&self, reader: &mut Reader<'_>) {
+        if !self.link.key.is_empty() && self.link.key.len() < KEY_LEAST {
+            reader.fault("link_key", format!("must have at least {KEY_LEAST} bytes"));
+        }
+        let own = [self.me.address, self.callers, self.operators];
+        if own[0] == own[1] || own[0] == own[2] || own[1] == own[2] {
+            reader.fault("listen_boxes", "the three listen addresses must differ");
+        }
+        for (i, peer) in self.peers.iter().enumerate() {
+            let key = format!("peer[{i}].name");
+            if self.peers[..i].iter().any(|p| p.name == peer.name) {
+                reader.fault(&key, format!("'{}' stands there twice", peer.name));
+            }
+            if peer.name == self.me.name && peer != &self.me {
+                reader.fault(&key, "is this box, but with another hall or address");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/probe.rs
@@ -0,0 +1,475 @@
+//! Who is alive: probes in turn, help from others before a suspicion, and changes that ride along.
+
+use crate::{Action, Change, Member, Message, Peer, State};
+use catalog::{BoxId, Order, ServerId};
+use policy::Time;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, VecDeque};
+use telemetry::Event;
+
+/// Most changes on one probe.
+const CHANGES_MOST: usize = 6;
+
+/// Boxes asked to probe on this box's behalf.
+const HELPERS: usize = 2;
+
+/// Every so many probes one goes to another hall.
+const FAR_EVERY: u32 = 4;
+
+/// The times of probing.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Between two probes, in milliseconds.
+    pub interval_ms: u64,
+    /// Until others are asked to help, in milliseconds.
+    pub ack_ms: u64,
+    /// Until a box is suspect although others tried, in milliseconds after the probe.
+    pub suspect_ms: u64,
+    /// From suspect to dead, in milliseconds.
+    pub dead_ms: u64,
+    /// After waking from a pause nobody is suspected for this long, in milliseconds.
+    pub distrust_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self { interval_ms: 250, ack_ms: 200, suspect_ms: 500, dead_ms: 600, distrust_ms: 1_000 }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Outstanding {
+    to: BoxId,
+    sent: Time,
+    helped: bool,
+}
+
+/// Something that still has to be told.
+#[derive(Clone, Debug)]
+struct Rumour {
+    change: Change,
+    left: u32,
+}
+
+/// Who is alive, as this box sees it.
+pub struct Probe {
+    me: Peer,
+    timing: Timing,
+    incarnation: u32,
+    leaving: bool,
+    members: BTreeMap<BoxId, Member>,
+    /// What the list last said of servers, with its revision.
+    upstreams: BTreeMap<ServerId, (u64, bool)>,
+    near: Vec<BoxId>,
+    far: Vec<BoxId>,
+    count: u32,
+    outstanding: BTreeMap<u32, Outstanding>,
+    /// Pings made for others: who asked, and their number.
+    helping: BTreeMap<u32, (BoxId, u32)>,
+    rumours: VecDeque<Rumour>,
+    probed: Time,
+    ticked: Time,
+    trust_after: Time,
+    random: ChaCha8Rng,
+    out: Vec<Action>,
+}
+
+impl Probe {
+    /// A box that knows `peers` from its settings. `incarnation` must rise with each start.
+    #[must_use]
+    pub fn new(me: Peer, peers: &[Peer], incarnation: u32, timing: Timing, now: Time) -> Self {
+        let random = ChaCha8Rng::seed_from_u64(u64::from(me.id().0) ^ u64::from(incarnation));
+        let mut probe = Self {
+            me,
+            timing,
+            incarnation,
+            leaving: false,
+            members: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            near: Vec::new(),
+            far: Vec::new(),
+            count: 0,
+            outstanding: BTreeMap::new(),
+            helping: BTreeMap::new(),
+            rumours: VecDeque::new(),
+            probed: Time(0),
+            ticked: now,
+            trust_after: now,
+            random,
+            out: Vec::new(),
+        };
+        for peer in peers {
+            probe.add(peer.clone(), 0, now);
+        }
+        probe.spread_self();
+        probe
+    }
+
+    fn add(&mut self, peer: Peer, incarnation: u32, now: Time) {
+        if peer.id() == self.me.id() || self.members.contains_key(&peer.id()) {
+            return;
+        }
+        let member = Member { state: State::Alive, incarnation, since: now, heard: false, peer };
+        self.members.insert(member.peer.id(), member);
+        self.out.push(Action::View);
+    }
+
+    fn spread_self(&mut self) {
+        let state = if self.leaving { State::Leaving } else { State::Alive };
+        let change =
+            Change::Box { id: self.me.id(), state, incarnation: self.incarnation, peer: Some(self.me.clone()) };
+        self.spread(change);
+    }
+
+    /// A change is told about three times the logarithm of the fleet's size.
+    fn spread(&mut self, change: Change) {
+        let same = |r: &Rumour| match (&r.change, &change) {
+            (Change::Box { id: a, .. }, Change::Box { id: b, .. }) => a == b,
+            (Change::Upstream { id: a, .. }, Change::Upstream { id: b, .. }) => a == b,
+            _ => false,
+        };
+        self.rumours.retain(|r| !same(r));
+        let size = self.members.len() as u32 + 2;
+        self.rumours.push_front(Rumour { change, left: 3 * (32 - size.leading_zeros()) });
+    }
+
+    fn take_changes(&mut self) -> Vec<Change> {
+        let mut taken = Vec::new();
+        for _ in 0..self.rumours.len().min(CHANGES_MOST) {
+            let Some(mut rumour) = self.rumours.pop_front() else { break };
+            taken.push(rumour.change.clone());
+            rumour.left -= 1;
+            if rumour.left > 0 {
+                self.rumours.push_back(rumour);
+            }
+        }
+        taken
+    }
+
+    // ------------------------------------------------------------------------
+    // What others say
+
+    /// A box was heard from, whatever it said.
+    pub fn heard(&mut self, from: BoxId, now: Time) {
+        let Some(member) = self.members.get_mut(&from) else { return };
+        member.heard = true;
+        if member.state != State::Suspect && member.state != State::Dead {
+            return;
+        }
+        // Direct word beats a belief: it is alive. Others learn it by its own, higher incarnation.
+        let died = member.state == State::Dead;
+        member.state = State::Alive;
+        member.since = now;
+        if died {
+            let detail = format!("box={}", member.peer.name);
+            self.out.push(Action::Note(Event::PeerAlive, detail));
+            self.out.push(Action::View);
+        }
+    }
+
+    /// A message about who is alive came in. Messages about releases are left to [`crate::Spread`].
+    pub fn receive(&mut self, from: BoxId, message: &Message, order: Option<Order>, now: Time) -> Vec<Action> {
+        match message {
+            Message::Ping { number, changes, .. } => {
+                self.take_in(changes, now);
+                self.heard(from, now);
+                let changes = self.take_changes();
+                self.out.push(Action::Send(from, Message::Ack { number: *number, order, changes }));
+            }
+            Message::Ack { number, changes, .. } => {
+                self.take_in(changes, now);
+                self.heard(from, now);
+                self.outstanding.remove(number);
+                if let Some((asker, theirs)) = self.helping.remove(number) {
+                    self.out.push(Action::Send(asker, Message::AckFor(theirs, from)));
+                }
+            }
+            Message::PingFor(theirs, target) => {
+                let number = self.next_number();
+                self.helping.insert(number, (from, *theirs));
+                let changes = self.take_changes();
+                self.out.push(Action::Send(*target, Message::Ping { number, order, changes }));
+            }
+            Message::AckFor(number, _) => {
+                self.outstanding.remove(number);
+            }
+            _ => self.heard(from, now),
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn take_in(&mut self, changes: &[Change], now: Time) {
+        for change in changes {
+            match change {
+                Change::Box { id, state, incarnation, peer } => {
+                    if let Some(peer) = peer {
+                        self.add(peer.clone(), *incarnation, now);
+                    }
+                    self.believe(*id, *state, *incarnation, now);
+                }
+                Change::Upstream { id, leaving, revision } => self.upstream(*id, *leaving, *revision),
+            }
+        }
+    }
+
+    fn believe(&mut self, id: BoxId, state: State, incarnation: u32, now: Time) {
+        if id == self.me.id() {
+            self.speak_up(state, incarnation);
+            return;
+        }
+        let Some(member) = self.members.get_mut(&id) else { return };
+        let newer = (incarnation, state) > (member.incarnation, member.state);
+        if !newer {
+            return;
+        }
+        member.incarnation = incarnation;
+        let change = Change::Box { id, state, incarnation, peer: Some(member.peer.clone()) };
+        self.enter(id, state, now);
+        self.spread(change);
+    }
+
+    /// Others believe something wrong of this box: say so, with a higher incarnation.
+    fn speak_up(&mut self, state: State, incarnation: u32) {
+        let own = if self.leaving { State::Leaving } else { State::Alive };
+        if incarnation < self.incarnation || (incarnation == self.incarnation && state <= own) {
+            return;
+        }
+        self.incarnation = incarnation + 1;
+        self.spread_self();
+    }
+
+    fn enter(&mut self, id: BoxId, state: State, now: Time) {
+        let Some(member) = self.members.get_mut(&id) else { return };
+        if member.state == state {
+            return;
+        }
+        member.state = state;
+        member.since = now;
+        let event = match state {
+            State::Alive => Event::PeerAlive,
+            State::Suspect => Event::PeerSuspect,
+            State::Dead => Event::PeerDead,
+            State::Leaving => Event::PeerLeaving,
+        };
+        self.out.push(Action::Note(event, format!("box={}", member.peer.name)));
+        self.out.push(Action::View);
+    }
+
+    fn upstream(&mut self, id: ServerId, leaving: bool, revision: u64) {
+        let known = self.upstreams.get(&id).copied();
+        if known.is_some_and(|(seen, _)| seen >= revision) {
+            return;
+        }
+        self.upstreams.insert(id, (revision, leaving));
+        if known.is_none_or(|(_, was)| was != leaving) {
+            self.out.push(Action::Upstream(id, leaving));
+            self.spread(Change::Upstream { id, leaving, revision });
+        }
+    }
+
+    // ------------------------------------------------------------------------
+    // What the platform's list says
+
+    /// The list was read: boxes with their leaving flag, and servers with theirs.
+    ///
+    /// The list lags. It adds boxes and it says who is leaving; it never brings back a box that
+    /// doesn't answer, and a box that it no longer names stays while it answers.
+    pub fn listed(
+        &mut self,
+        boxes: &[(Peer, bool)],
+        upstreams: &[(ServerId, bool)],
+        revision: u64,
+        now: Time,
+    ) -> Vec<Action> {
+        for (peer, leaving) in boxes {
+            self.add(peer.clone(), 0, now);
+            let id = peer.id();
+            if *leaving && id != self.me.id() {
+                let incarnation = self.members.get(&id).map_or(0, |m| m.incarnation);
+                self.believe(id, State::Leaving, incarnation, now);
+            }
+        }
+        for (id, leaving) in upstreams {
+            self.upstream(*id, *leaving, revision);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// This box begins to leave: nobody is to count on it any more.
+    pub fn leave(&mut self) -> Vec<Action> {
+        self.leaving = true;
+        self.incarnation += 1;
+        self.spread_self();
+        self.out.push(Action::View);
+        // This hall's boxes must all know at once; others learn it as they learn any change.
+        let near = |m: &&Member| m.peer.hall == self.me.hall && m.state != State::Dead;
+        let ids: Vec<BoxId> = self.members.values().filter(near).map(|m| m.peer.id()).collect();
+        let change = Change::Box {
+            id: self.me.id(),
+            state: State::Leaving,
+            incarnation: self.incarnation,
+            peer: Some(self.me.clone()),
+        };
+        for to in ids {
+            let number = self.next_number();
+            let changes = vec![change.clone()];
+            self.out.push(Action::Send(to, Message::Ping { number, order: None, changes }));
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    // ------------------------------------------------------------------------
+    // Time
+
+    fn next_number(&mut self) -> u32 {
+        self.count = self.count.wrapping_add(1);
+        self.count
+    }
+
+    fn ping(&mut self, to: BoxId, order: Option<Order>, now: Time) {
+        let number = self.next_number();
+        let changes = self.take_changes();
+        self.outstanding.insert(number, Outstanding { to, sent: now, helped: false });
+        self.out.push(Action::Send(to, Message::Ping { number, order, changes }));
+    }
+
+    /// The link to a box broke: don't wait for probes to find out.
+    pub fn unreachable(&mut self, id: BoxId, now: Time) -> Vec<Action> {
+        let alive = self.members.get(&id).is_some_and(|m| m.state == State::Alive && m.heard);
+        if alive && now >= self.trust_after {
+            self.suspect(id, now);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn suspect(&mut self, id: BoxId, now: Time) {
+        let Some(member) = self.members.get(&id) else { return };
+        if member.state != State::Alive {
+            return;
+        }
+        let change = Change::Box { id, state: State::Suspect, incarnation: member.incarnation, peer: None };
+        self.enter(id, State::Suspect, now);
+        self.spread(change);
+    }
+
+    /// Time has passed. `order` is the release in force here.
+    pub fn tick(&mut self, order: Option<Order>, now: Time) -> Vec<Action> {
+        if now.since(self.ticked) >= policy::PAUSE_MS {
+            // It was this box that was away, so nobody's silence means anything.
+            self.outstanding.clear();
+            self.trust_after = now.after(self.timing.distrust_ms);
+        }
+        self.ticked = now;
+        self.judge(now);
+        self.bury(now);
+        if now.since(self.probed) >= self.timing.interval_ms {
+            self.probed = now;
+            self.probe_next(order, now);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn probe_next(&mut self, order: Option<Order>, now: Time) {
+        let far = self.count.is_multiple_of(FAR_EVERY);
+        if let Some(to) = self.next_target(far).or_else(|| self.next_target(!far)) {
+            self.ping(to, order, now);
+        }
+        if self.helping.len() > 1_000 {
+            self.helping.clear();
+        }
+    }
+
+    /// The next box in a shuffled round, so that each one is probed within a bounded time.
+    fn next_target(&mut self, far: bool) -> Option<BoxId> {
+        let empty = if far { self.far.is_empty() } else { self.near.is_empty() };
+        if empty {
+            let is_far = |m: &&Member| (m.peer.hall != self.me.hall) == far;
+            // Dead boxes are probed too: that is how a healed cut is found.
+            let mut round: Vec<BoxId> = self.members.values().filter(is_far).map(|m| m.peer.id()).collect();
+            round.shuffle(&mut self.random);
+            *(if far { &mut self.far } else { &mut self.near }) = round;
+        }
+        (if far { &mut self.far } else { &mut self.near }).pop()
+    }
+
+    fn judge(&mut self, now: Time) {
+        let mut help = Vec::new();
+        let mut late = Vec::new();
+        for (number, probe) in &mut self.outstanding {
+            let waited = now.since(probe.sent);
+            if waited >= self.timing.suspect_ms {
+                late.push((*number, probe.to));
+            } else if waited >= self.timing.ack_ms && !probe.helped {
+                probe.helped = true;
+                help.push((*number, probe.to));
+            }
+        }
+        for (number, target) in help {
+            self.ask_help(number, target);
+        }
+        for (number, target) in late {
+            self.outstanding.remove(&number);
+            if now >= self.trust_after {
+                self.suspect(target, now);
+            }
+        }
+    }
+
+    fn ask_help(&mut self, number: u32, target: BoxId) {
+        let alive = |m: &&Member| m.state == State::Alive && m.peer.id() != target;
+        let mut helpers: Vec<BoxId> = self.members.values().filter(alive).map(|m| m.peer.id()).collect();
+        helpers.shuffle(&mut self.random);
+        for helper in helpers.into_iter().take(HELPERS) {
+            self.out.push(Action::Send(helper, Message::PingFor(number, target)));
+        }
+    }
+
+    fn bury(&mut self, now: Time) {
+        let old = |m: &&Member| m.state == State::Suspect && now.since(m.since) >= self.timing.dead_ms;
+        let dead: Vec<(BoxId, u32)> = self.members.values().filter(old).map(|m| (m.peer.id(), m.incarnation)).collect();
+        for (id, incarnation) in dead {
+            self.enter(id, State::Dead, now);
+            self.spread(Change::Box { id, state: State::Dead, incarnation, peer: None });
+        }
+    }
+
+    // ------------------------------------------------------------------------
+    // The view
+
+    /// Boxes that may own something, by hall: this one unless it is leaving, and all neither dead nor leaving.
+    #[must_use]
+    pub fn boxes(&self) -> BTreeMap<String, Vec<BoxId>> {
+        let mut halls: BTreeMap<String, Vec<BoxId>> = BTreeMap::new();
+        if !self.leaving {
+            halls.entry(self.me.hall.clone()).or_default().push(self.me.id());
+        }
+        let counts = |m: &&Member| matches!(m.state, State::Alive | State::Suspect);
+        for member in self.members.values().filter(counts) {
+            halls.entry(member.peer.hall.clone()).or_default().push(member.peer.id());
+        }
+        halls.values_mut().for_each(|ids| ids.sort_unstable());
+        halls
+    }
+
+    /// Every other box that was ever heard of.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Where a box listens.
+    #[must_use]
+    pub fn peer(&self, id: BoxId) -> Option<&Peer> {
+        self.members.get(&id).map(|m| &m.peer)
+    }
+
+    /// Some living boxes, this hall's first, to hand a new release to.
+    pub fn some_alive(&mut self, most: usize) -> Vec<BoxId> {
+        let alive = self.members.values().filter(|m| m.state == State::Alive);
+        let mut ids: Vec<(bool, u32, BoxId)> = alive.map(|m| (m.peer.hall != self.me.hall, 0, m.peer.id())).collect();
+        ids.iter_mut().for_each(|id| id.1 = self.random.random());
+        ids.sort_unstable();
+        ids.into_iter().take(most).map(|(_, _, id)| id).collect()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/app.rs
@@ -0,0 +1,130 @@
+//! The routes, and what every handler shares.
+
+use crate::{completion, service, Code, Desk, Limits, Problem, Snapshot};
+use actix_web::web::{self, Data, Payload, ServiceConfig};
+use actix_web::{HttpRequest, HttpResponse};
+use serde_json::json;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use upstream::{Endpoint, Engine, Plain};
+
+/// What every handler of one traffic thread shares.
+#[derive(Clone)]
+pub struct App {
+    /// The control thread.
+    pub desk: Arc<dyn Desk>,
+    /// The way to engines.
+    pub engine: Rc<dyn Engine>,
+    /// The way to plain services.
+    pub plain: Rc<dyn Plain>,
+    /// Bounds.
+    pub limits: Arc<Limits>,
+    /// The box's name, which begins each answer's id.
+    pub name: Arc<str>,
+    /// Requests now in this box, over all traffic threads.
+    pub running: Arc<AtomicUsize>,
+    /// Numbers answers, over all traffic threads.
+    pub numbers: Arc<AtomicU64>,
+}
+
+/// One request's place among those that the box takes at once.
+pub struct Place(Arc<AtomicUsize>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl App {
+    /// A place for one more request, if there is room.
+    pub(crate) fn place(&self) -> Option<Place> {
+        let before = self.running.fetch_add(1, Ordering::Relaxed);
+        let place = Place(Arc::clone(&self.running));
+        (before < self.limits.requests_most).then_some(place)
+    }
+
+    /// The problem of a box that has no room.
+    pub(crate) fn full(&self) -> Problem {
+        let message = format!("this box already has {} requests", self.limits.requests_most);
+        Problem::before(Code::NotReady, message).retry(1_000)
+    }
+
+    /// The snapshot, if this box takes requests.
+    pub(crate) fn ready_snapshot(&self) -> Result<Arc<Snapshot>, Problem> {
+        let snapshot = self.desk.snapshot();
+        if snapshot.stopping {
+            return Err(Problem::before(Code::NotReady, "this box is stopping").retry(1_000));
+        }
+        if !snapshot.ready {
+            return Err(Problem::before(Code::NotReady, "this box has no configuration yet").retry(1_000));
+        }
+        Ok(snapshot)
+    }
+
+    /// The name of a new answer.
+    pub(crate) fn answer_id(&self) -> String {
+        format!("cmpl-{}-{}", self.name, self.numbers.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
+/// Adds the routes for callers.
+pub fn configure(config: &mut ServiceConfig) {
+    config
+        .route("/v1/chat/completions", web::post().to(chat))
+        .route("/v1/completions", web::post().to(text))
+        .route("/v1/models", web::get().to(models))
+        .route("/services/{name}/{rest:.*}", web::route().to(plain))
+        .route("/health", web::get().to(health))
+        .route("/ready", web::get().to(ready))
+        .default_service(web::route().to(nowhere));
+}
+
+async fn chat(app: Data<App>, request: HttpRequest, payload: Payload) -> HttpResponse {
+    completion::serve(&app, &request, payload, Endpoint::Chat).await
+}
+
+async fn text(app: Data<App>, request: HttpRequest, payload: Payload) -> HttpResponse {
+    completion::serve(&app, &request, payload, Endpoint::Text).await
+}
+
+async fn models(app: Data<App>, request: HttpRequest) -> HttpResponse {
+    let found = app.ready_snapshot().and_then(|snapshot| {
+        crate::caller::Caller::identify(request.headers(), &snapshot, &app.limits).map(|_| snapshot)
+    });
+    match found {
+        Ok(snapshot) => {
+            let data: Vec<_> = snapshot.catalog.models().iter().map(|m| json!({"id": m, "object": "model"})).collect();
+            HttpResponse::Ok().json(json!({"object": "list", "data": data}))
+        }
+        Err(problem) => problem.response(),
+    }
+}
+
+async fn plain(
+    app: Data<App>,
+    request: HttpRequest,
+    path: web::Path<(String, String)>,
+    payload: Payload,
+) -> HttpResponse {
+    service::serve(&app, &request, &path.0, &path.1, payload).await
+}
+
+async fn health() -> HttpResponse {
+    HttpResponse::Ok().json(json!({"alive": true}))
+}
+
+async fn ready(app: Data<App>) -> HttpResponse {
+    let snapshot = app.desk.snapshot();
+    let body = json!({"ready": snapshot.ready && !snapshot.stopping, "release": snapshot.number});
+    if snapshot.ready && !snapshot.stopping {
+        HttpResponse::Ok().json(body)
+    } else {
+        HttpResponse::ServiceUnavailable().json(body)
+    }
+}
+
+async fn nowhere() -> HttpResponse {
+    Problem::before(Code::NotFound, "there is nothing at this path").response()
+}
--- /dev/null
+++ b/crates/gateway/src/body.rs
@@ -0,0 +1,26 @@
+//! Takes in a request's body within its bounds.
+
+use crate::{Code, Limits, Problem};
+use actix_web::web::{Bytes, BytesMut, Payload};
+use futures_util::StreamExt;
+
+/// The whole body.
+///
+/// # Errors
+/// A [`Problem`] for a body that is too large, too slow or broken off.
+pub async fn read(mut payload: Payload, limits: &Limits) -> Result<Bytes, Problem> {
+    let all = async {
+        let mut body = BytesMut::new();
+        while let Some(part) = payload.next().await {
+            let part = part.map_err(|e| Problem::before(Code::InvalidRequest, format!("the body broke off: {e}")))?;
+            if body.len() + part.len() > limits.body_most {
+                let message = format!("the body has more than {} bytes", limits.body_most);
+                return Err(Problem::before(Code::BodyTooLarge, message));
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(body.freeze())
+    };
+    let slow = || Problem::before(Code::BodyTooSlow, "the body didn't come in time");
+    tokio::time::timeout(limits.body_time, all).await.unwrap_or_else(|_| Err(slow()))
+}
--- /dev/null
+++ b/crates/gateway/src/completion.rs
@@ -0,0 +1,188 @@
+//! `POST /v1/chat/completions` and `/v1/completions`.
+
+use crate::caller::Caller;
+use crate::drive::{Drive, Part};
+use crate::whole::Whole;
+use crate::{body, App, Code, Outcome, Problem, Snapshot};
+use actix_web::web::{Bytes, Payload};
+use actix_web::{HttpRequest, HttpResponse};
+use catalog::{Digest, Kind};
+use serde_json::Value;
+use tokio::sync::mpsc;
+use upstream::{Call, Endpoint, Passed};
+
+/// Events that may wait for a slow caller.
+const UNREAD_MOST: usize = 64;
+
+/// Bytes of the prompt that name its beginning.
+const PREFIX_BYTES: usize = 1_024;
+
+/// Tokens expected when the caller sets no bound, and the most that are ever expected.
+const TOKENS_GUESS: u32 = 128;
+const TOKENS_GUESS_MOST: u64 = 4_096;
+
+/// Serves one request.
+pub async fn serve(app: &App, request: &HttpRequest, payload: Payload, endpoint: Endpoint) -> HttpResponse {
+    let Some(place) = app.place() else { return app.full().response() };
+    match prepare(app, request, payload, endpoint).await {
+        Ok((drive, streamed)) => {
+            let (out, parts) = mpsc::channel(UNREAD_MOST);
+            // A task of its own: the answer goes on when the handler has returned its head.
+            actix_rt::spawn(async move {
+                drive.run(out).await;
+                drop(place);
+            });
+            answer(parts, streamed).await
+        }
+        Err(problem) => {
+            app.count_early(&problem);
+            problem.response()
+        }
+    }
+}
+
+async fn prepare(
+    app: &App,
+    request: &HttpRequest,
+    payload: Payload,
+    endpoint: Endpoint,
+) -> Result<(Drive, bool), Problem> {
+    let arrived = app.desk.now();
+    let snapshot = app.ready_snapshot()?;
+    let caller = Caller::identify(request.headers(), &snapshot, &app.limits)?;
+    let bytes = body::read(payload, &app.limits).await?;
+    let body: Value = serde_json::from_slice(&bytes)
+        .map_err(|e| Problem::before(Code::InvalidJson, format!("the body is no JSON: {e}")))?;
+    let model = model_of(&body, &snapshot)?;
+    let prompt = prompt_of(&body, endpoint)?;
+    let resumable = resumable(&snapshot, &model);
+    let streamed = body["stream"].as_bool().unwrap_or(false);
+    let tokens = expected_tokens(&body);
+    let call = Call {
+        endpoint,
+        body,
+        id: app.answer_id(),
+        priority: caller.class.rank,
+        repeatable: caller.repeatable,
+        passed: Passed::default(),
+    };
+    let drive = Drive {
+        desk: std::sync::Arc::clone(&app.desk),
+        engine: std::rc::Rc::clone(&app.engine),
+        limits: std::sync::Arc::clone(&app.limits),
+        caller,
+        call,
+        model,
+        tokens,
+        prefix: prefix_of(&prompt),
+        resumable,
+        arrived,
+    };
+    Ok((drive, streamed))
+}
+
+fn model_of(body: &Value, snapshot: &Snapshot) -> Result<String, Problem> {
+    let Some(model) = body["model"].as_str() else {
+        return Err(Problem::before(Code::InvalidRequest, "the body names no model"));
+    };
+    if !snapshot.catalog.models().contains(&model) {
+        return Err(Problem::before(Code::NotFound, format!("no upstream serves the model '{model}'")));
+    }
+    Ok(model.to_owned())
+}
+
+fn prompt_of(body: &Value, endpoint: Endpoint) -> Result<String, Problem> {
+    let (field, fits) = match endpoint {
+        Endpoint::Chat => ("messages", body["messages"].as_array().is_some_and(|m| !m.is_empty())),
+        Endpoint::Text => ("prompt", body["prompt"].is_string() || body["prompt"].is_array()),
+    };
+    if !fits {
+        return Err(Problem::before(Code::InvalidRequest, format!("'{field}' is missing or of the wrong kind")));
+    }
+    Ok(body[field].to_string())
+}
+
+fn prefix_of(prompt: &str) -> u32 {
+    if prompt.len() < PREFIX_BYTES {
+        return 0;
+    }
+    let digest = Digest::of(&prompt.as_bytes()[..PREFIX_BYTES]);
+    u32::from_le_bytes([digest.0[0], digest.0[1], digest.0[2], digest.0[3]])
+}
+
+fn expected_tokens(body: &Value) -> u32 {
+    let bound = body["max_completion_tokens"].as_u64().or_else(|| body["max_tokens"].as_u64());
+    bound.map_or(TOKENS_GUESS, |n| n.clamp(1, TOKENS_GUESS_MOST) as u32)
+}
+
+/// True when every engine of the model can go on with another one's answer.
+fn resumable(snapshot: &Snapshot, model: &str) -> bool {
+    let pools = snapshot.catalog.pools.iter().filter(|(pool, _)| pool.serves == model);
+    pools.flat_map(|(_, servers)| servers).all(|u| u.kind == Kind::Engine && u.resume)
+}
+
+async fn answer(mut parts: mpsc::Receiver<Part>, streamed: bool) -> HttpResponse {
+    let first = match parts.recv().await {
+        Some(Ok(event)) => event,
+        Some(Err(problem)) => return problem.response(),
+        None => return broken_off().response(),
+    };
+    if streamed {
+        let stream = futures_util::stream::unfold(Some((Some(first), parts)), next_part);
+        return HttpResponse::Ok()
+            .content_type("text/event-stream")
+            .insert_header(("cache-control", "no-cache"))
+            .streaming(stream);
+    }
+    let mut whole = Whole::default();
+    let mut event = first;
+    while !upstream::Events::is_done(&event) {
+        whole.take(&event);
+        event = match parts.recv().await {
+            Some(Ok(next)) => next,
+            Some(Err(problem)) => return problem.response(),
+            None => return broken_off().response(),
+        };
+    }
+    HttpResponse::Ok().json(whole.finish())
+}
+
+/// The task that drives the request ended without a word; that is never a whole answer.
+fn broken_off() -> Problem {
+    Problem::after(Code::UpstreamFailed, "the request was cut off", policy::Ran::Unknown)
+}
+
+type Rest = Option<(Option<Bytes>, mpsc::Receiver<Part>)>;
+
+/// The next bytes of a streamed answer. A problem is told, and then the connection is broken off,
+/// so that the answer never looks whole.
+async fn next_part(rest: Rest) -> Option<(Result<Bytes, std::io::Error>, Rest)> {
+    let cut = || std::io::Error::other("the answer broke off");
+    let (first, mut parts) = rest?;
+    if let Some(first) = first {
+        return Some((Ok(first), Some((None, parts))));
+    }
+    match parts.recv().await {
+        Some(Ok(event)) => {
+            let done = upstream::Events::is_done(&event);
+            Some((Ok(event), (!done).then_some((None, parts))))
+        }
+        Some(Err(problem)) => {
+            // The closed channel makes the next call break the connection.
+            parts.close();
+            Some((Ok(Bytes::from(problem.event())), Some((None, parts))))
+        }
+        None => Some((Err(cut()), None)),
+    }
+}
+
+impl App {
+    /// Counts a request that ended before it could be driven.
+    fn count_early(&self, problem: &Problem) {
+        let outcome = problem.outcome();
+        debug_assert_ne!(outcome, Outcome::Whole);
+        let labels = [("class", "none".to_owned()), ("outcome", outcome.word().to_owned())];
+        metrics::counter!("cleatshelf_requests_total", &labels).increment(1);
+        metrics::counter!("cleatshelf_problems_total", "code" => problem.code.word()).increment(1);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/drive.rs
@@ -0,0 +1,369 @@
+//! Drives one model request from its first wish for a slot to its last token.
+
+use crate::caller::Caller;
+use crate::journal::Journal;
+use crate::stage::Stage;
+use crate::visit::{Claim, Lease, Visit};
+use crate::{Code, Desk, Limits, Outcome, Problem};
+use bytes::Bytes;
+use catalog::ServerId;
+use policy::{Acquire, Cause, Ran, Sent, Time, Unsent};
+use serde_json::Value;
+use std::sync::Arc;
+use std::time::Instant;
+use telemetry::Event;
+use tokio::sync::mpsc;
+use upstream::{Call, Engine, Events, Failure, Passed, Tokens};
+
+/// Tries of one request, the first included.
+const TRIES_MOST: u32 = 4;
+
+/// A request recalled this often is no longer asked to step back.
+const RECALLS_MOST: u32 = 3;
+
+/// What the caller's side gets: whole events, or the one problem that ends it.
+pub type Part = Result<Bytes, Problem>;
+
+/// One model request.
+pub struct Drive {
+    /// The control thread.
+    pub desk: Arc<dyn Desk>,
+    /// The way to engines.
+    pub engine: std::rc::Rc<dyn Engine>,
+    /// Bounds.
+    pub limits: Arc<Limits>,
+    /// Who calls.
+    pub caller: Caller,
+    /// What is asked.
+    pub call: Call,
+    /// The model.
+    pub model: String,
+    /// Tokens expected.
+    pub tokens: u32,
+    /// Hash of the prompt's beginning.
+    pub prefix: u32,
+    /// Every engine of the model can resume.
+    pub resumable: bool,
+    /// When the call came in.
+    pub arrived: Time,
+}
+
+/// Why a try ended without the whole answer.
+enum Stop {
+    /// The caller is gone.
+    Gone,
+    /// The owner wants the slot back.
+    Recalled(Sent),
+    /// No byte of this try reached the engine.
+    Unreached(Sent),
+    /// The engine failed or broke off.
+    Broken(Sent, String),
+    /// The engine said no.
+    Refused(Sent, u16, Vec<u8>),
+}
+
+/// What is passed on so far.
+struct Passing {
+    out: mpsc::Sender<Part>,
+    /// Events passed on, kept while the answer may have to be resumed.
+    events: Vec<Bytes>,
+    keep: bool,
+    journal: Journal,
+    visit: Visit,
+}
+
+impl Passing {
+    fn note(&mut self, event: &Bytes) {
+        self.journal.token();
+        self.visit.tokens += 1;
+        if self.keep {
+            self.events.push(event.clone());
+        }
+    }
+}
+
+impl Drive {
+    /// Runs the request to its end; everything the caller gets goes to `out`.
+    pub async fn run(mut self, out: mpsc::Sender<Part>) {
+        let journal = Journal::open(&self.caller.class.name, &self.caller.label);
+        let gone = out.clone();
+        let whole = tokio::select! {
+            ended = self.attempt(out.clone(), journal) => ended,
+            () = gone.closed() => return,
+        };
+        let Err((problem, journal)) = whole else { return };
+        journal.close(problem.outcome());
+        if problem.ran == Ran::Unknown && problem.code != Code::KeyUsed {
+            let detail = format_args!("class={} code={}", self.caller.class.name, problem.code.word());
+            telemetry::emit(Event::OutcomeUnknown, detail);
+        }
+        // The caller may be gone; then nobody needs to be told.
+        let _ = out.send(Err(problem)).await;
+    }
+
+    async fn attempt(&mut self, out: mpsc::Sender<Part>, journal: Journal) -> Result<(), (Problem, Journal)> {
+        let unsent = Unsent::new(self.caller.repeatable);
+        let mut claim = match self.claim().await {
+            Ok(claim) => claim,
+            Err(problem) => return Err((problem, journal)),
+        };
+        let visit = match Visit::enter(&self.desk, self.caller.customer).await {
+            Ok(visit) => visit,
+            Err(refusal) => return Err((Problem::refused(refusal, unsent.refuse()), journal)),
+        };
+        let keep = self.caller.repeatable;
+        let mut passing = Passing { out, events: Vec::new(), keep, journal, visit };
+        let ended = self.tries(Stage::Unsent(unsent), &mut passing, &mut claim).await;
+        match ended {
+            Ok(()) => {
+                passing.journal.close(Outcome::Whole);
+                Ok(())
+            }
+            Err(Some(problem)) => Err((problem, passing.journal)),
+            // The caller is gone; the journal counts that when it is dropped.
+            Err(None) => Ok(()),
+        }
+    }
+
+    async fn claim(&self) -> Result<Option<Claim>, Problem> {
+        match self.caller.key.filter(|_| !self.caller.repeatable) {
+            Some(key) => Claim::make(&self.desk, key.hash, key.age_ms).await.map(Some),
+            None => Ok(None),
+        }
+    }
+
+    /// Tries until the answer is whole. `Err(None)` says that the caller is gone.
+    async fn tries(
+        &mut self,
+        mut stage: Stage,
+        passing: &mut Passing,
+        claim: &mut Option<Claim>,
+    ) -> Result<(), Option<Problem>> {
+        let mut cause = Cause::First;
+        let mut avoid = None;
+        let (mut failures, mut recalls) = (0, 0);
+        loop {
+            let acquire = self.wish(cause, avoid, recalls);
+            let (lease, permit) = match Lease::acquire(&self.desk, acquire).await {
+                Ok(granted) => granted,
+                Err(refusal) => return Err(Some(Problem::refused(refusal, stage.refuse()))),
+            };
+            let server = ServerId::of(&lease.server.name);
+            let sent = match stage.send(permit, self.desk.now()) {
+                Ok(sent) => sent,
+                Err(same) => {
+                    // We woke late: the slot may be somebody else's by now.
+                    (stage, cause) = (same, Cause::Recall);
+                    continue;
+                }
+            };
+            if let Some(claim) = claim {
+                claim.ran = true;
+            }
+            let stop = match self.one_try(lease, sent, passing).await {
+                Ok(()) => return Ok(()),
+                Err(stop) => stop,
+            };
+            let was_recalled = matches!(stop, Stop::Recalled(_));
+            if matches!(stop, Stop::Unreached(_)) {
+                if let Some(claim) = claim {
+                    claim.ran = false;
+                }
+            }
+            failures += u32::from(!was_recalled);
+            recalls += u32::from(was_recalled);
+            stage = next_stage(stop, failures)?;
+            cause = if was_recalled { Cause::Recall } else { Cause::Failure };
+            avoid = (!was_recalled).then_some(server);
+            self.take_up(passing)?;
+        }
+    }
+
+    fn wish(&self, cause: Cause, avoid: Option<ServerId>, recalls: u32) -> Acquire {
+        Acquire {
+            serves: self.model.clone(),
+            class: self.caller.class_id(),
+            customer: self.caller.customer,
+            tokens: self.tokens.saturating_sub(self.call.passed.tokens).max(1),
+            prefix: self.prefix,
+            resumable: self.caller.repeatable && self.resumable && recalls < RECALLS_MOST,
+            // After a recall the wait begins anew: the class's target was met or missed before.
+            arrived: if self.call.passed.tokens == 0 { self.arrived } else { self.desk.now() },
+            cause,
+            avoid,
+        }
+    }
+
+    /// Notes what the caller already has, so that the next engine goes on from there.
+    fn take_up(&mut self, passing: &Passing) -> Result<(), Option<Problem>> {
+        if passing.events.is_empty() {
+            return Ok(());
+        }
+        if !self.resumable {
+            let message = "the engine broke off and no engine can resume the answer";
+            return Err(Some(Problem::after(Code::UpstreamFailed, message, Ran::Yes)));
+        }
+        self.call.passed = passed(&passing.events);
+        let detail = format_args!("class={} tokens={}", self.caller.class.name, self.call.passed.tokens);
+        telemetry::emit(Event::StreamResumed, detail);
+        Ok(())
+    }
+
+    async fn one_try(&mut self, mut lease: Lease, sent: Sent, passing: &mut Passing) -> Result<(), Stop> {
+        lease.mark_used();
+        let began = Instant::now();
+        let tokens = tokio::select! {
+            started = self.engine.start(lease.server.address, &self.call) => started,
+            Ok(()) = &mut lease.recalled => return Err(Stop::Recalled(sent)),
+        };
+        match tokens {
+            Ok(tokens) => self.pass_on(tokens, lease, sent, passing, began).await,
+            Err(Failure::Unreached(_)) => {
+                lease.report.failed = true;
+                Err(Stop::Unreached(sent))
+            }
+            Err(Failure::Refused { status, body }) => {
+                // A caller's mistake says nothing about the engine.
+                lease.report.failed = status >= 500;
+                Err(Stop::Refused(sent, status, body))
+            }
+            Err(Failure::Broken(why)) => {
+                lease.report.failed = true;
+                Err(Stop::Broken(sent, why))
+            }
+        }
+    }
+
+    async fn pass_on(
+        &self,
+        mut tokens: Box<dyn Tokens>,
+        mut lease: Lease,
+        sent: Sent,
+        passing: &mut Passing,
+        began: Instant,
+    ) -> Result<(), Stop> {
+        let mut pace = Pace::new(began);
+        loop {
+            let event = tokio::select! {
+                event = tokens.next() => event,
+                Ok(()) = &mut lease.recalled => return Err(Stop::Recalled(sent)),
+            };
+            match event {
+                Ok(Some(event)) if Events::is_done(&event) => {
+                    // With this the caller's side may end at once; nothing must wait after it.
+                    return if self.hand_over(&passing.out, event).await { Ok(()) } else { Err(Stop::Gone) };
+                }
+                Ok(Some(event)) => {
+                    pace.token();
+                    pace.write(&mut lease);
+                    passing.note(&event);
+                    if !self.hand_over(&passing.out, event).await {
+                        return Err(Stop::Gone);
+                    }
+                }
+                Ok(None) => return Err(Stop::Broken(sent, "the answer had no end".to_owned())),
+                Err(why) => {
+                    lease.report.failed = true;
+                    return Err(Stop::Broken(sent, why.to_string()));
+                }
+            }
+        }
+    }
+
+    /// False when the caller is gone or leaves its answer unread.
+    async fn hand_over(&self, out: &mpsc::Sender<Part>, event: Bytes) -> bool {
+        match out.try_send(Ok(event)) {
+            Ok(()) => true,
+            Err(mpsc::error::TrySendError::Closed(_)) => false,
+            Err(mpsc::error::TrySendError::Full(event)) => {
+                matches!(tokio::time::timeout(self.limits.unread_time, out.send(event)).await, Ok(Ok(())))
+            }
+        }
+    }
+}
+
+/// Times between an engine's tokens.
+struct Pace {
+    began: Instant,
+    first: Option<Instant>,
+    last: Instant,
+    count: u32,
+}
+
+impl Pace {
+    fn new(began: Instant) -> Self {
+        Self { began, first: None, last: began, count: 0 }
+    }
+
+    fn token(&mut self) {
+        self.last = Instant::now();
+        self.first.get_or_insert(self.last);
+        self.count += 1;
+    }
+
+    fn write(&self, lease: &mut Lease) {
+        let first = self.first.unwrap_or(self.last);
+        lease.report.tokens = self.count;
+        lease.report.first_ms = (first.duration_since(self.began).as_millis() as u32).max(1);
+        if self.count > 1 {
+            let tenths = self.last.duration_since(first).as_micros() / 100 / u128::from(self.count - 1);
+            lease.report.between_tenths = (tenths as u32).max(1);
+        }
+    }
+}
+
+/// What follows from a try that ended early: another stage, or the end with what is true of it.
+fn next_stage(stop: Stop, failures: u32) -> Result<Stage, Option<Problem>> {
+    let spent = failures >= TRIES_MOST;
+    match stop {
+        Stop::Gone => Err(None),
+        Stop::Recalled(sent) => again(sent, "the request can't be resumed"),
+        Stop::Unreached(sent) => {
+            let stage = Stage::unreached(sent);
+            if spent {
+                let message = "no upstream could be reached";
+                return Err(Some(Problem::after(Code::NoServer, message, stage.refuse()).retry(1_000)));
+            }
+            Ok(stage)
+        }
+        Stop::Broken(sent, why) if spent => Err(Some(failed(&why, sent.close(false)))),
+        Stop::Broken(sent, why) => again(sent, &why),
+        Stop::Refused(sent, status, body) => {
+            if (500..600).contains(&status) && !spent {
+                return match sent.again() {
+                    Ok(resend) => Ok(Stage::Resend(resend)),
+                    Err(sent) => Err(Some(passed_on(status, body, sent.close(false)))),
+                };
+            }
+            Err(Some(passed_on(status, body, sent.close(status < 500))))
+        }
+    }
+}
+
+fn again(sent: Sent, why: &str) -> Result<Stage, Option<Problem>> {
+    sent.again().map(Stage::Resend).map_err(|sent| Some(failed(why, sent.close(false))))
+}
+
+fn failed(why: &str, ran: Ran) -> Problem {
+    Problem::after(Code::UpstreamFailed, format!("the upstream failed: {why}"), ran)
+}
+
+fn passed_on(status: u16, body: Vec<u8>, ran: Ran) -> Problem {
+    let problem = Problem::after(Code::UpstreamRefused, format!("the upstream answered {status}"), ran);
+    Problem { passed_on: Some((status, body)), ..problem }
+}
+
+/// The tokens and the text of events.
+fn passed(events: &[Bytes]) -> Passed {
+    let mut passed = Passed::default();
+    for event in events {
+        let Ok(value) = serde_json::from_slice::<Value>(Events::data(event)) else { continue };
+        let choice = &value["choices"][0];
+        let text = choice["delta"]["content"].as_str().or_else(|| choice["text"].as_str()).unwrap_or_default();
+        if !text.is_empty() {
+            passed.tokens += 1;
+            passed.text.push_str(text);
+        }
+    }
+    passed
+}
--- /dev/null
+++ b/crates/gateway/src/service.rs
@@ -0,0 +1,138 @@
+//! `/services/NAME/…`: plain services, any method and body.
+
+use crate::caller::Caller;
+use crate::journal::Journal;
+use crate::stage::Stage;
+use crate::visit::{Claim, Lease, Visit};
+use crate::{body, App, Code, Outcome, Problem, RAN_HEADER};
+use actix_web::http::StatusCode;
+use actix_web::web::Payload;
+use actix_web::{HttpRequest, HttpResponse};
+use catalog::ServerId;
+use policy::{Acquire, Cause, Ran, Sent, Time, Unsent};
+use std::time::Instant;
+use upstream::{Answer, Failure, Plea};
+
+/// Tries of one request, the first included.
+const TRIES_MOST: u32 = 3;
+
+/// Headers of the caller that concern this box and not the service.
+const KEPT_BACK: [&str; 6] =
+    ["host", "connection", "authorization", "content-length", "transfer-encoding", "x-api-key"];
+
+/// Serves one request.
+pub async fn serve(app: &App, request: &HttpRequest, name: &str, rest: &str, payload: Payload) -> HttpResponse {
+    let Some(_place) = app.place() else { return app.full().response() };
+    match run(app, request, name, rest, payload).await {
+        Ok(answer) => pass_on(&answer),
+        Err(problem) => {
+            metrics::counter!("cleatshelf_problems_total", "code" => problem.code.word()).increment(1);
+            problem.response()
+        }
+    }
+}
+
+fn pass_on(answer: &Answer) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    for (name, value) in &answer.headers {
+        builder.insert_header((name.as_str(), value.as_str()));
+    }
+    builder.insert_header((RAN_HEADER, Ran::Yes.word()));
+    builder.body(answer.body.clone())
+}
+
+async fn run(app: &App, request: &HttpRequest, name: &str, rest: &str, payload: Payload) -> Result<Answer, Problem> {
+    let arrived = app.desk.now();
+    let snapshot = app.ready_snapshot()?;
+    let mut caller = Caller::identify(request.headers(), &snapshot, &app.limits)?;
+    let Some(service) = snapshot.catalog.services.get(name) else {
+        return Err(Problem::before(Code::NotFound, format!("there is no service '{name}'")));
+    };
+    let method = request.method().as_str().to_owned();
+    caller.repeatable &= service.repeatable.contains(&method);
+    let body = body::read(payload, &app.limits).await?;
+    let query = request.query_string();
+    let target = if query.is_empty() { format!("/{rest}") } else { format!("/{rest}?{query}") };
+    let kept = request.headers().iter().filter(|(name, _)| !KEPT_BACK.contains(&name.as_str()));
+    let headers = kept.filter_map(|(n, v)| Some((n.as_str().to_owned(), v.to_str().ok()?.to_owned())));
+    let plea = Plea { method, target, headers: headers.collect(), body, repeatable: caller.repeatable };
+    let journal = Journal::open(&caller.class.name, &caller.label);
+    let ended = attempt(app, &caller, name, &plea, arrived).await;
+    match &ended {
+        Ok(_) => journal.close(Outcome::Whole),
+        Err(problem) => journal.close(problem.outcome()),
+    }
+    ended
+}
+
+async fn attempt(app: &App, caller: &Caller, name: &str, plea: &Plea, arrived: Time) -> Result<Answer, Problem> {
+    let unsent = Unsent::new(caller.repeatable);
+    let mut claim = match caller.key.filter(|_| !caller.repeatable) {
+        Some(key) => Some(Claim::make(&app.desk, key.hash, key.age_ms).await?),
+        None => None,
+    };
+    let mut visit = match Visit::enter(&app.desk, caller.customer).await {
+        Ok(visit) => visit,
+        Err(refusal) => return Err(Problem::refused(refusal, unsent.refuse())),
+    };
+    let mut stage = Stage::Unsent(unsent);
+    let mut acquire = Acquire {
+        serves: name.to_owned(),
+        class: caller.class_id(),
+        customer: caller.customer,
+        tokens: 1,
+        prefix: 0,
+        resumable: false,
+        arrived,
+        cause: Cause::First,
+        avoid: None,
+    };
+    for last in (0..TRIES_MOST).rev() {
+        let (mut lease, permit) = match Lease::acquire(&app.desk, acquire.clone()).await {
+            Ok(granted) => granted,
+            Err(refusal) => return Err(Problem::refused(refusal, stage.refuse())),
+        };
+        let sent = match stage.send(permit, app.desk.now()) {
+            Ok(sent) => sent,
+            Err(same) => {
+                (stage, acquire.cause) = (same, Cause::Recall);
+                continue;
+            }
+        };
+        if let Some(claim) = &mut claim {
+            claim.ran = true;
+        }
+        lease.mark_used();
+        let began = Instant::now();
+        match app.plain.ask(lease.server.address, plea).await {
+            Ok(answer) => {
+                lease.report.first_ms = (began.elapsed().as_millis() as u32).max(1);
+                visit.tokens = 1;
+                return Ok(answer);
+            }
+            Err(failure) => {
+                lease.report.failed = true;
+                if let (Failure::Unreached(_), Some(claim)) = (&failure, &mut claim) {
+                    claim.ran = false;
+                }
+                stage = after(sent, &failure, last == 0)?;
+                acquire.cause = Cause::Failure;
+                acquire.avoid = Some(ServerId::of(&lease.server.name));
+            }
+        }
+    }
+    Err(Problem::after(Code::NoServer, "no server could be reached", stage.refuse()).retry(1_000))
+}
+
+/// What follows from a failure: another try, or the end with what is true of it.
+fn after(sent: Sent, failure: &Failure, last: bool) -> Result<Stage, Problem> {
+    let failed = |ran| Problem::after(Code::UpstreamFailed, format!("the service failed: {failure}"), ran);
+    if matches!(failure, Failure::Unreached(_)) {
+        return Ok(Stage::unreached(sent));
+    }
+    if last {
+        return Err(failed(sent.close(false)));
+    }
+    sent.again().map(Stage::Resend).map_err(|sent| failed(sent.close(false)))
+}
--- /dev/null
+++ b/crates/gateway/src/visit.rs
@@ -0,0 +1,146 @@
+//! Guards for what a request holds: its place in the customer's limit, its wish, its lease, its claim.
+//!
+//! Each tells the control thread when it is dropped, so a caller that goes away leaks nothing.
+
+use crate::{Code, Desk, Offer, Problem, Request};
+use catalog::{CustomerId, Upstream};
+use policy::{Acquire, Permit, Reason, Refusal, Report, Verdict};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+static NEXT: AtomicU64 = AtomicU64::new(1);
+
+fn number() -> u64 {
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+/// A request within its customer's limit.
+pub struct Visit {
+    desk: Arc<dyn Desk>,
+    number: u64,
+    /// Tokens passed on so far.
+    pub tokens: u64,
+}
+
+impl Visit {
+    /// Enters, unless the customer's limit is reached.
+    ///
+    /// # Errors
+    /// The refusal.
+    pub async fn enter(desk: &Arc<dyn Desk>, customer: CustomerId) -> Result<Self, Refusal> {
+        let visit = Self { desk: Arc::clone(desk), number: number(), tokens: 0 };
+        let (reply, answer) = oneshot::channel();
+        desk.submit(Request::Enter { number: visit.number, customer, reply });
+        match answer.await {
+            Ok(true) => Ok(visit),
+            Ok(false) => Err(Refusal { reason: Reason::Limit, retry_ms: 1_000 }),
+            Err(_) => Err(Refusal { reason: Reason::NotReady, retry_ms: 1_000 }),
+        }
+    }
+}
+
+impl Drop for Visit {
+    fn drop(&mut self) {
+        self.desk.submit(Request::Leave { number: self.number, tokens: self.tokens });
+    }
+}
+
+/// A wish for a slot; given up when dropped before [`Wish::keep`].
+struct Wish {
+    desk: Arc<dyn Desk>,
+    number: u64,
+    kept: bool,
+}
+
+impl Drop for Wish {
+    fn drop(&mut self) {
+        if !self.kept {
+            self.desk.submit(Request::Abandon(self.number));
+        }
+    }
+}
+
+/// A lease on a slot; given back when dropped.
+pub struct Lease {
+    desk: Arc<dyn Desk>,
+    number: u64,
+    /// The server that the lease is for.
+    pub server: Upstream,
+    /// Fires when the request is to be stopped and asked for again.
+    pub recalled: oneshot::Receiver<()>,
+    /// What the server showed so far.
+    pub report: Report,
+    used: bool,
+}
+
+impl Lease {
+    /// Waits for a lease and the permit to send once under it.
+    ///
+    /// # Errors
+    /// The refusal.
+    pub async fn acquire(desk: &Arc<dyn Desk>, acquire: Acquire) -> Result<(Self, Permit), Refusal> {
+        let mut wish = Wish { desk: Arc::clone(desk), number: number(), kept: false };
+        let (reply, answer) = oneshot::channel();
+        desk.submit(Request::Acquire { number: wish.number, acquire, reply });
+        let gone = Refusal { reason: Reason::NotReady, retry_ms: 1_000 };
+        let answer = answer.await.unwrap_or(Err(gone));
+        // From here on either the lease gives itself back, or there is nothing to give up.
+        wish.kept = true;
+        let Offer { server, permit, recalled } = answer?;
+        let report = Report::default();
+        let lease = Self { desk: Arc::clone(desk), number: wish.number, server, recalled, report, used: false };
+        Ok((lease, permit))
+    }
+
+    /// The request goes out now.
+    pub fn mark_used(&mut self) {
+        self.used = true;
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        let request =
+            if self.used { Request::GiveBack(self.number, self.report) } else { Request::Abandon(self.number) };
+        self.desk.submit(request);
+    }
+}
+
+/// A claim on a request key; the key is free again if the request certainly did not run.
+pub struct Claim {
+    desk: Arc<dyn Desk>,
+    number: u64,
+    /// The request may have run, so the key stays used.
+    pub ran: bool,
+}
+
+impl Claim {
+    /// Claims a key.
+    ///
+    /// # Errors
+    /// A [`Problem`] when the key was used before, or nobody can say.
+    pub async fn make(desk: &Arc<dyn Desk>, key: u64, age_ms: Option<u64>) -> Result<Self, Problem> {
+        let claim = Self { desk: Arc::clone(desk), number: number(), ran: false };
+        let (reply, answer) = oneshot::channel();
+        desk.submit(Request::Claim { number: claim.number, key, age_ms, reply });
+        match answer.await {
+            Ok(Verdict::Fresh) => Ok(claim),
+            Ok(Verdict::Repeat) => {
+                let message = "a request with this key was delivered before; it is running, has run or may have run";
+                Err(Problem::after(Code::KeyUsed, message, policy::Ran::Unknown))
+            }
+            Ok(Verdict::Unproved) | Err(_) => {
+                let message =
+                    "nobody can say whether this key was used before; a UUID of version 7 made anew can be told";
+                Err(Problem::after(Code::KeyUnproved, message, policy::Ran::Unknown).retry(1_000))
+            }
+        }
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.desk.submit(Request::EndClaim(self.number, self.ran));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/answer.rs
@@ -0,0 +1,12 @@
+//! What an engine stand-in answers: a pure function of the prompt, so that a test knows it beforehand.
+
+/// The tokens of the answer to `prompt`, at most `most` of them. The length is the prompt's secret.
+#[must_use]
+pub fn answer(prompt: &str, most: u32) -> Vec<String> {
+    let hash = blake3::hash(prompt.as_bytes());
+    let bytes = hash.as_bytes();
+    let share = f64::from(u16::from_le_bytes([bytes[0], bytes[1]])) / f64::from(u16::MAX);
+    let count = (f64::from(most) * (0.25 + 0.75 * share)).ceil().max(1.0) as u32;
+    let seed = u32::from_le_bytes([bytes[2], bytes[3], bytes[4], bytes[5]]);
+    (0..count).map(|i| format!(" {:x}", seed.wrapping_mul(i.wrapping_mul(2_654_435_761) | 1) >> 8)).collect()
+}
--- /dev/null
+++ b/crates/lab/src/client.rs
@@ -0,0 +1,209 @@
+//! A caller: sends one request and says truthfully what came back.
+
+use crate::example::{key_of, MODEL};
+use awc::error::SendRequestError;
+use awc::{Client, Connector};
+use futures_util::StreamExt;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use upstream::Events;
+
+/// How a request ended, as the caller saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Stop {
+    /// The whole answer came.
+    Whole,
+    /// A proper error came instead of an answer.
+    Refused {
+        /// The HTTP status.
+        status: u16,
+        /// The error's code.
+        code: String,
+        /// The header that says whether it ran.
+        ran: String,
+        /// When to come back, in milliseconds.
+        retry_ms: Option<u64>,
+    },
+    /// The answer broke off.
+    Broken,
+    /// The box couldn't be reached.
+    Unreached,
+}
+
+/// What came back.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// How it ended.
+    pub stop: Stop,
+    /// The text that came.
+    pub text: String,
+    /// When each token came.
+    pub times: Vec<Instant>,
+}
+
+/// A caller with one customer's key.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client,
+    /// The customer's name.
+    pub customer: String,
+    /// The class, or the customer's default.
+    pub class: Option<String>,
+    /// Marks requests as not to be repeated.
+    pub once: bool,
+    /// The request key.
+    pub key: Option<String>,
+}
+
+impl Caller {
+    /// A caller of `customer`.
+    #[must_use]
+    pub fn new(customer: &str) -> Self {
+        // Many callers are one process here, so idle connections are closed before a server would.
+        let connector =
+            Connector::new().limit(0).timeout(Duration::from_secs(1)).conn_keep_alive(Duration::from_secs(1));
+        let client = Client::builder().connector(connector).timeout(Duration::from_secs(600)).finish();
+        Self { client, customer: customer.to_owned(), class: None, once: false, key: None }
+    }
+
+    /// With this class.
+    #[must_use]
+    pub fn class(mut self, class: &str) -> Self {
+        self.class = Some(class.to_owned());
+        self
+    }
+
+    /// With requests that aren't to be repeated.
+    #[must_use]
+    pub fn once(mut self) -> Self {
+        self.once = true;
+        self
+    }
+
+    /// With this request key.
+    #[must_use]
+    pub fn key(mut self, key: &str) -> Self {
+        self.key = Some(key.to_owned());
+        self
+    }
+
+    fn headers(&self) -> Vec<(&'static str, String)> {
+        let mut headers = vec![("authorization", format!("Bearer {}", key_of(&self.customer)))];
+        if let Some(class) = &self.class {
+            headers.push((gateway::CLASS_HEADER, class.clone()));
+        }
+        if self.once {
+            headers.push((gateway::REPEATABLE_HEADER, "no".to_owned()));
+        }
+        if let Some(key) = &self.key {
+            headers.push((gateway::KEY_HEADER, key.clone()));
+        }
+        headers
+    }
+
+    /// Asks the model `prompt` at the box `door` and takes the streamed answer.
+    pub async fn ask(&self, door: SocketAddr, prompt: &str, most: u32) -> Reply {
+        let body = json!({"model": MODEL, "stream": true, "max_tokens": most,
+            "messages": [{"role": "user", "content": prompt}]});
+        self.post(door, "/v1/chat/completions", &body).await
+    }
+
+    /// Sends `body` and takes what comes, streamed or in one piece.
+    pub async fn post(&self, door: SocketAddr, path: &str, body: &Value) -> Reply {
+        let mut request = self.client.post(format!("http://{door}{path}"));
+        for (name, value) in self.headers() {
+            request = request.insert_header((name, value));
+        }
+        let none = |stop| Reply { stop, text: String::new(), times: Vec::new() };
+        let response = match request.send_json(body).await {
+            Ok(response) => response,
+            Err(SendRequestError::Connect(_)) => return none(Stop::Unreached),
+            Err(_) => return none(Stop::Broken),
+        };
+        if response.status() != 200 {
+            return none(refused(response).await);
+        }
+        if body["stream"] == json!(true) {
+            return streamed(response).await;
+        }
+        let mut response = response.timeout(Duration::from_secs(600));
+        match response.json::<Value>().limit(64 << 20).await {
+            Ok(value) => Reply { stop: Stop::Whole, text: text_of(&value), times: vec![Instant::now()] },
+            Err(_) => none(Stop::Broken),
+        }
+    }
+
+    /// Calls a plain service.
+    pub async fn call(&self, door: SocketAddr, method: &str, path: &str, body: &str) -> Reply {
+        let method = awc::http::Method::from_bytes(method.as_bytes()).unwrap_or(awc::http::Method::GET);
+        let mut request = self.client.request(method, format!("http://{door}{path}"));
+        for (name, value) in self.headers() {
+            request = request.insert_header((name, value));
+        }
+        let none = |stop| Reply { stop, text: String::new(), times: Vec::new() };
+        let mut response = match request.send_body(body.to_owned()).await {
+            Ok(response) => response,
+            Err(SendRequestError::Connect(_)) => return none(Stop::Unreached),
+            Err(_) => return none(Stop::Broken),
+        };
+        if response.status() != 200 {
+            return none(refused(response).await);
+        }
+        match response.body().limit(64 << 20).await {
+            Ok(bytes) => {
+                let text = String::from_utf8_lossy(&bytes).into_owned();
+                Reply { stop: Stop::Whole, text, times: vec![Instant::now()] }
+            }
+            Err(_) => none(Stop::Broken),
+        }
+    }
+}
+
+fn text_of(value: &Value) -> String {
+    let choice = &value["choices"][0];
+    let chat = choice["message"]["content"].as_str().or_else(|| choice["delta"]["content"].as_str());
+    chat.or_else(|| choice["text"].as_str()).unwrap_or_default().to_owned()
+}
+
+type Response<S> = awc::ClientResponse<S>;
+
+async fn refused<S>(mut response: Response<S>) -> Stop
+where
+    S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let status = response.status().as_u16();
+    let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
+    let ran = header(gateway::RAN_HEADER).unwrap_or_default();
+    let retry_ms = header("retry-after-ms").and_then(|v| v.parse().ok());
+    let body: Value = response.json().await.unwrap_or_default();
+    let code = body["error"]["code"].as_str().unwrap_or_default().to_owned();
+    Stop::Refused { status, code, ran, retry_ms }
+}
+
+async fn streamed<S>(response: Response<S>) -> Reply
+where
+    S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let mut body = response.timeout(Duration::from_secs(600));
+    let mut events = Events::default();
+    let mut reply = Reply { stop: Stop::Broken, text: String::new(), times: Vec::new() };
+    while let Some(Ok(bytes)) = body.next().await {
+        if !events.feed(&bytes) {
+            return reply;
+        }
+        while let Some(event) = events.next_event() {
+            if Events::is_done(&event) {
+                reply.stop = Stop::Whole;
+                continue;
+            }
+            let value: Value = serde_json::from_slice(Events::data(&event)).unwrap_or_default();
+            let text = text_of(&value);
+            if !text.is_empty() {
+                reply.text.push_str(&text);
+                reply.times.push(Instant::now());
+            }
+        }
+    }
+    reply
+}
--- /dev/null
+++ b/crates/lab/src/example.rs
@@ -0,0 +1,105 @@
+//! The users' deployments of today as files, with the stand-ins' addresses filled in.
+
+use crate::{Engine, Plain};
+use catalog::{Digest, Fault, Key, Release};
+use std::fmt::Write as _;
+
+const LAKES_CLASSES: &str = include_str!("../../../examples/lakes/classes.toml");
+const HIMALKOSH_CLASSES: &str = include_str!("../../../examples/himalkosh/classes.toml");
+
+/// Which of the two users' classes, and what stands behind the boxes.
+pub struct Sizes<'a> {
+    /// Himalkosh's classes instead of the oversight agency's.
+    pub himalkosh: bool,
+    /// Engines with the hall of each.
+    pub engines: &'a [(String, Engine)],
+    /// Plain services: hall, service name, stand-in.
+    pub plains: &'a [(String, String, Plain)],
+    /// Slots by the file, of each engine.
+    pub slots: u32,
+    /// Names of engines that the file says are leaving.
+    pub leaving: &'a [String],
+}
+
+/// The model that all engines serve.
+pub const MODEL: &str = "examiner-large";
+
+/// Customers: name, weight, most requests at once.
+const CUSTOMERS: [(&str, u32, u32); 10] = [
+    ("large-1", 4, 0),
+    ("large-2", 4, 0),
+    ("large-3", 2, 0),
+    ("small-1", 1, 0),
+    ("small-2", 1, 0),
+    ("small-3", 1, 0),
+    ("small-4", 1, 0),
+    ("small-5", 1, 0),
+    ("small-6", 1, 0),
+    ("limited", 1, 6),
+];
+
+/// The API key of a customer of [`lakes`].
+#[must_use]
+pub fn key_of(customer: &str) -> String {
+    format!("key-of-{customer}-0123456789")
+}
+
+/// The names of the customers of [`lakes`].
+pub fn customers() -> impl Iterator<Item = &'static str> {
+    CUSTOMERS.iter().map(|(name, _, _)| *name)
+}
+
+/// A release for stand-ins.
+///
+/// # Errors
+/// Every fault; none unless the stand-ins' names clash.
+pub fn lakes(number: u64, sizes: &Sizes<'_>) -> Result<Release, Vec<Fault>> {
+    let classes = if sizes.himalkosh { HIMALKOSH_CLASSES } else { LAKES_CLASSES };
+    Release::pack(number, classes, &customers_file(classes), &upstreams_file(sizes))
+}
+
+fn customers_file(classes: &str) -> String {
+    let table: toml::Table = classes.parse().unwrap_or_default();
+    let salt = table["key_salt"].as_str().unwrap_or_default();
+    let names: Vec<&str> = table["class"].as_array().into_iter().flatten().filter_map(|c| c["name"].as_str()).collect();
+    let key = Key::new(salt);
+    let mut text = String::new();
+    for (name, weight, concurrent) in CUSTOMERS {
+        let hash: Digest = key.hash(&key_of(name));
+        // Writing to a String can't fail.
+        let _ = write!(
+            text,
+            "[[customer]]\nname = \"{name}\"\nkey_hash = \"{hash}\"\nclasses = {names:?}\nweight = {weight}\nconcurrent = {concurrent}\n\n"
+        );
+    }
+    text
+}
+
+fn upstreams_file(sizes: &Sizes<'_>) -> String {
+    let mut text = String::new();
+    let mut services: Vec<&str> = sizes.plains.iter().map(|(_, service, _)| service.as_str()).collect();
+    services.sort_unstable();
+    services.dedup();
+    for service in services {
+        let _ = write!(text, "[[service]]\nname = \"{service}\"\nrepeatable = [\"GET\"]\n\n");
+    }
+    for (hall, engine) in sizes.engines {
+        let leaving = sizes.leaving.iter().any(|name| name == engine.name());
+        let _ = write!(
+            text,
+            "[[upstream]]\nname = \"{}\"\nhall = \"{hall}\"\nmodel = \"{MODEL}\"\naddress = \"{}\"\nslots = {}\nresume = true\nleaving = {leaving}\n\n",
+            engine.name(),
+            engine.address(),
+            sizes.slots
+        );
+    }
+    for (hall, service, plain) in sizes.plains {
+        let _ = write!(
+            text,
+            "[[upstream]]\nname = \"{}\"\nhall = \"{hall}\"\nservice = \"{service}\"\naddress = \"{}\"\nslots = 64\n\n",
+            plain.name(),
+            plain.address()
+        );
+    }
+    text
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,37 @@
+//! Stand-ins for everything outside cleatshelf, a load tool, and measurements.
+//!
+//! Engines, plain services, the platform and links are faked in small, so that boxes can be tried as
+//! real processes: killed, frozen, cut off. The stand-ins count what ran. This isn't a cluster
+//! simulator, and nothing here is part of a box's serving path.
+
+mod answer;
+mod client;
+mod compare;
+mod deployment;
+mod engine;
+mod example;
+mod load;
+mod plain;
+mod platform;
+mod plot;
+mod profile;
+mod relay;
+mod report;
+mod serving;
+mod slopes;
+
+pub use answer::answer;
+pub use client::{Caller, Reply, Stop};
+pub use compare::{account, compare, Case};
+pub use deployment::{BoxProcess, Deployment, Plan};
+pub use engine::{Engine, EngineSpec, Run};
+pub use example::{customers, key_of, lakes, Sizes, MODEL};
+pub use load::{run_load, Load};
+pub use plain::Plain;
+pub use platform::Platform;
+pub use plot::plot;
+pub use profile::{Profile, Stream};
+pub use relay::{Mode, Relay};
+pub use report::{Report, Row};
+pub use serving::Serving;
+pub use slopes::slopes;
--- /dev/null
+++ b/crates/lab/src/load.rs
@@ -0,0 +1,266 @@
+//! Open-loop load: requests come when they come, however slow the answers are.
+
+use crate::client::{Caller, Reply, Stop};
+use crate::example::customers;
+use crate::{answer, Profile, Report, Row, Stream};
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// A run of load against some boxes.
+pub struct Load<'a> {
+    /// What the report is called.
+    pub name: &'a str,
+    /// The profile.
+    pub profile: &'a Profile,
+    /// Where callers come; asked at random, as a balancer would.
+    pub doors: Vec<SocketAddr>,
+    /// Shows progress on standard error.
+    pub progress: bool,
+}
+
+struct Tally {
+    row: Row,
+    first: Histogram<u64>,
+    between: Histogram<u64>,
+    tokens_whole: u64,
+    tokens_in_time: u64,
+    codes: BTreeMap<String, u64>,
+}
+
+impl Tally {
+    fn new(class: &str) -> Self {
+        let histogram = || Histogram::new_with_max(3_600_000, 3).expect("valid bounds");
+        Self {
+            row: Row { class: class.to_owned(), ..Row::default() },
+            first: histogram(),
+            between: histogram(),
+            tokens_whole: 0,
+            tokens_in_time: 0,
+            codes: BTreeMap::new(),
+        }
+    }
+
+    fn close(mut self) -> (Row, Self) {
+        let at = |h: &Histogram<u64>, q| h.value_at_quantile(q);
+        self.row.first_ms = (at(&self.first, 0.5), at(&self.first, 0.99), self.first.max());
+        self.row.between_p95_ms = at(&self.between, 0.95) as f64 / 10.0;
+        (self.row.clone(), self)
+    }
+}
+
+type Shared = Rc<RefCell<Tally>>;
+
+/// One intended request.
+struct Shot {
+    stream: Rc<Stream>,
+    caller: Caller,
+    prompt: String,
+    doors: Rc<Vec<SocketAddr>>,
+    intended: Instant,
+    random: ChaCha8Rng,
+}
+
+/// Runs the load and waits for its answers; wasted work and broken invariants are the caller's to add.
+pub async fn run_load(load: Load<'_>) -> Report {
+    let began = Instant::now();
+    let doors = Rc::new(load.doors);
+    let mut tallies = Vec::new();
+    let mut feeds = Vec::new();
+    for (index, stream) in load.profile.streams.iter().enumerate() {
+        let tally: Shared = Rc::new(RefCell::new(Tally::new(&stream.class)));
+        tallies.push(Rc::clone(&tally));
+        let seed = load.profile.seed.wrapping_mul(1_000).wrapping_add(index as u64);
+        let feed = feed(Rc::new(stream.clone()), seed, load.profile.seconds, Rc::clone(&doors), tally, began);
+        feeds.push(actix_rt::spawn(feed));
+    }
+    if load.progress {
+        let shown: Vec<Shared> = tallies.iter().map(Rc::clone).collect();
+        let until = load.profile.seconds + load.profile.drain_s;
+        actix_rt::spawn(async move {
+            while began.elapsed().as_secs_f64() < until {
+                tokio::time::sleep(Duration::from_secs(5)).await;
+                let line: Vec<String> = shown
+                    .iter()
+                    .map(|t| t.borrow())
+                    .map(|t| format!("{} {}/{}", t.row.class, t.row.whole, t.row.sent))
+                    .collect();
+                eprintln!("{:>4.0}s {}", began.elapsed().as_secs_f64(), line.join("  "));
+            }
+        });
+    }
+    for feed in feeds {
+        // A feed that panicked shows as requests without an end.
+        let _ = feed.await;
+    }
+    let drain = Instant::now();
+    let open = |t: &Shared| {
+        let row = &t.borrow().row;
+        row.sent > row.whole + row.refused + row.failed
+    };
+    while tallies.iter().any(open) && drain.elapsed().as_secs_f64() < load.profile.drain_s {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    sum_up(load.name, load.profile, &tallies)
+}
+
+fn sum_up(name: &str, profile: &Profile, tallies: &[Shared]) -> Report {
+    let mut report = Report { name: name.to_owned(), seconds: profile.seconds, ..Report::default() };
+    let mut codes: BTreeMap<String, u64> = BTreeMap::new();
+    let mut tokens_in_time = 0;
+    for tally in tallies {
+        let taken = tally.replace(Tally::new("ended"));
+        let (mut row, tally) = taken.close();
+        row.unfinished = row.sent - row.whole - row.refused - row.failed;
+        report.delivered += tally.tokens_whole;
+        tokens_in_time += tally.tokens_in_time;
+        report.goodput += row.in_time as f64 / profile.seconds;
+        for (code, count) in tally.codes {
+            *codes.entry(code).or_default() += count;
+        }
+        report.rows.push(row);
+    }
+    report.goodput_tokens = tokens_in_time as f64 / profile.seconds;
+    report.codes = codes.into_iter().collect();
+    report
+}
+
+async fn feed(stream: Rc<Stream>, seed: u64, seconds: f64, doors: Rc<Vec<SocketAddr>>, tally: Shared, began: Instant) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let names: Vec<&str> = customers().filter(|c| *c != "limited").collect();
+    // Connections are kept by customer, as a customer's own client would.
+    let callers: Vec<Caller> = names.iter().map(|name| Caller::new(name).class(&stream.class)).collect();
+    let mut at = 0.0;
+    let mut count = 0u64;
+    loop {
+        let burst = at >= stream.burst.0 && at < stream.burst.1;
+        let rate = stream.rate * if burst { stream.burst_factor } else { 1.0 };
+        if rate <= 0.0 {
+            return;
+        }
+        at += -(1.0 - random.random::<f64>()).ln() / rate;
+        if at >= seconds {
+            return;
+        }
+        let intended = began + Duration::from_secs_f64(at);
+        tokio::time::sleep_until(intended.into()).await;
+        // The first three customers are large: they make two thirds of all requests.
+        let large = random.random_bool(0.66);
+        let index = if large { random.random_range(0..3) } else { random.random_range(3..names.len()) };
+        let mut prompt = format!("{}-{seed}-{count} ", stream.class);
+        prompt.extend(std::iter::repeat_n('x', stream.prompt_bytes.saturating_sub(prompt.len())));
+        count += 1;
+        let mut caller = callers[index].clone();
+        if stream.once {
+            caller = caller.once().key(&uuid::Uuid::now_v7().to_string());
+        }
+        let shot = Shot {
+            stream: Rc::clone(&stream),
+            caller,
+            prompt,
+            doors: Rc::clone(&doors),
+            intended,
+            random: ChaCha8Rng::seed_from_u64(random.random()),
+        };
+        tally.borrow_mut().row.sent += 1;
+        actix_rt::spawn(shoot(shot, Rc::clone(&tally)));
+    }
+}
+
+async fn shoot(mut shot: Shot, tally: Shared) {
+    let mut elsewhere = 0;
+    loop {
+        let door = shot.doors[shot.random.random_range(0..shot.doors.len())];
+        let reply = match &shot.stream.service {
+            None => shot.caller.ask(door, &shot.prompt, shot.stream.tokens).await,
+            Some(service) => {
+                let path = format!("/services/{service}/records/{}", shot.prompt.trim_end_matches('x').trim_end());
+                shot.caller.call(door, "GET", &path, "").await
+            }
+        };
+        let wait = match after(&reply, &tally) {
+            Next::Ended => return ended(&shot, &reply, &tally),
+            Next::Elsewhere if elsewhere < 5 => {
+                elsewhere += 1;
+                Duration::from_millis(5)
+            }
+            Next::Elsewhere => return refused(&tally),
+            Next::Later(wait) => wait,
+        };
+        let patience = Duration::from_secs_f64(shot.stream.patience_s);
+        if shot.intended.elapsed() + wait > patience {
+            return refused(&tally);
+        }
+        tokio::time::sleep(wait).await;
+    }
+}
+
+enum Next {
+    Ended,
+    /// Another box may take it at once, as a balancer would do.
+    Elsewhere,
+    Later(Duration),
+}
+
+fn after(reply: &Reply, tally: &Shared) -> Next {
+    let Stop::Refused { code, ran, retry_ms, .. } = &reply.stop else {
+        return if reply.stop == Stop::Unreached { Next::Elsewhere } else { Next::Ended };
+    };
+    let mut tally = tally.borrow_mut();
+    *tally.codes.entry(code.clone()).or_default() += 1;
+    if ran != "no" {
+        return Next::Ended;
+    }
+    tally.row.refusals += 1;
+    match retry_ms {
+        _ if code == "not_ready" => Next::Elsewhere,
+        Some(ms) => Next::Later(Duration::from_millis(*ms)),
+        None => Next::Ended,
+    }
+}
+
+fn refused(tally: &Shared) {
+    tally.borrow_mut().row.refused += 1;
+}
+
+fn ended(shot: &Shot, reply: &Reply, tally: &Shared) {
+    let mut tally = tally.borrow_mut();
+    match &reply.stop {
+        Stop::Whole => {}
+        Stop::Refused { ran, .. } if ran == "no" => {
+            tally.row.refused += 1;
+            return;
+        }
+        _ => {
+            tally.row.failed += 1;
+            return;
+        }
+    }
+    tally.row.whole += 1;
+    let right = match &shot.stream.service {
+        None => answer(&shot.prompt, shot.stream.tokens).concat() == reply.text,
+        Some(_) => reply.text.contains(shot.prompt.trim_end_matches('x').trim_end()),
+    };
+    tally.row.mismatched += u64::from(!right);
+    let Some(first) = reply.times.first() else { return };
+    let first_ms = first.duration_since(shot.intended).as_millis() as u64;
+    tally.first.saturating_record(first_ms);
+    let count = reply.times.len() as u64;
+    let between_tenths = match reply.times.last() {
+        Some(last) if count > 1 => last.duration_since(*first).as_micros() as u64 / 100 / (count - 1),
+        _ => 0,
+    };
+    tally.between.saturating_record(between_tenths);
+    let tokens = if shot.stream.service.is_some() { 0 } else { count };
+    tally.tokens_whole += tokens;
+    let paced = between_tenths <= shot.stream.between_tokens_ms * 10;
+    if first_ms <= shot.stream.first_token_ms && paced {
+        tally.row.in_time += 1;
+        tally.tokens_in_time += tokens;
+    }
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,260 @@
+//! The lab's command line.
+
+use argh::FromArgs;
+use lab::{compare, plot, run_load, Case, Deployment, Load, Plan, Profile, Report};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+const DEMO_PROFILE: &str = include_str!("../profiles/demo.toml");
+const LAKES_CLASSES: &str = include_str!("../../../examples/lakes/classes.toml");
+const HIMALKOSH_CLASSES: &str = include_str!("../../../examples/himalkosh/classes.toml");
+
+/// Stand-ins, load and measurements for cleatshelf.
+#[derive(FromArgs)]
+struct Command {
+    #[argh(subcommand)]
+    what: What,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum What {
+    Demo(DemoArgs),
+    Up(UpArgs),
+    Load(LoadArgs),
+    Compare(CompareArgs),
+    Plot(PlotArgs),
+    Slopes(SlopesArgs),
+    Box(BoxArgs),
+}
+
+/// start three halls with stand-ins on loopback, run a short burst of every class, print the table
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct DemoArgs {
+    /// as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// start three halls with stand-ins on loopback and keep them until interrupted
+#[derive(FromArgs)]
+#[argh(subcommand, name = "up")]
+struct UpArgs {
+    /// seconds after which everything is stopped; 600 if left out
+    #[argh(option, default = "600")]
+    seconds: u64,
+}
+
+/// start a deployment and put a profile's load on it
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+struct LoadArgs {
+    /// the profile
+    #[argh(option)]
+    profile: PathBuf,
+    /// all rates are multiplied by this; 1 if left out
+    #[argh(option, default = "1.0")]
+    load: f64,
+    /// owner, alone-arrival or alone-class
+    #[argh(option, default = "String::from(\"owner\")")]
+    way: String,
+    /// with one slow and one crashing engine
+    #[argh(switch)]
+    faults: bool,
+    /// himalkosh's classes and four halls
+    #[argh(switch)]
+    himalkosh: bool,
+    /// as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// run every way at several loads, with and without faults; JSON lines go to a file
+#[derive(FromArgs)]
+#[argh(subcommand, name = "compare")]
+struct CompareArgs {
+    /// the profile, whose rates are those of load 1
+    #[argh(option)]
+    profile: PathBuf,
+    /// himalkosh's classes and four halls
+    #[argh(switch)]
+    himalkosh: bool,
+    /// loads, separated by commas
+    #[argh(option, default = "String::from(\"0.7,1.0,1.5,3.0\")")]
+    loads: String,
+    /// ways, separated by commas
+    #[argh(option, default = "String::from(\"alone-arrival,alone-class,owner\")")]
+    ways: String,
+    /// only without faults
+    #[argh(switch)]
+    calm: bool,
+    /// the file to write
+    #[argh(option)]
+    out: PathBuf,
+}
+
+/// draw attainment against load from the JSON lines of `compare`
+#[derive(FromArgs)]
+#[argh(subcommand, name = "plot")]
+struct PlotArgs {
+    /// what `compare` wrote
+    #[argh(option)]
+    from: PathBuf,
+    /// the class
+    #[argh(option)]
+    class: String,
+    /// the SVG to write
+    #[argh(option)]
+    out: PathBuf,
+}
+
+/// measure the slopes for docs/CAPACITY.md
+#[derive(FromArgs)]
+#[argh(subcommand, name = "slopes")]
+struct SlopesArgs {}
+
+/// run one box, as `cleatshelf serve` does; for this program's own use
+#[derive(FromArgs)]
+#[argh(subcommand, name = "box")]
+struct BoxArgs {
+    /// the box's settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let command: Command = argh::from_env();
+    let done = match command.what {
+        What::Box(args) => return run_box(&args.settings),
+        What::Demo(args) => actix_rt::System::new().block_on(demo(&args)),
+        What::Up(args) => actix_rt::System::new().block_on(up(&args)),
+        What::Load(args) => actix_rt::System::new().block_on(load(&args)),
+        What::Compare(args) => actix_rt::System::new().block_on(compare_all(&args)),
+        What::Plot(args) => draw(&args),
+        What::Slopes(_) => {
+            println!("{}", lab::slopes());
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("lab: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_box(settings: &Path) -> ExitCode {
+    let path = settings.display().to_string();
+    cleatshelf::run(match Command::as_serve(&path) {
+        Some(command) => command,
+        None => return ExitCode::FAILURE,
+    })
+}
+
+impl Command {
+    /// The binary's own command, so that a box here is the very box that ships.
+    fn as_serve(settings: &str) -> Option<cleatshelf::Command> {
+        cleatshelf::Command::from_args(&["cleatshelf"], &["serve", "--settings", settings]).ok()
+    }
+}
+
+fn program() -> eyre::Result<PathBuf> {
+    Ok(std::env::current_exe()?)
+}
+
+fn plan(himalkosh: bool) -> Plan {
+    if !himalkosh {
+        return Plan::default();
+    }
+    let halls = [("lalitpur-a", 2, 3, 1), ("lalitpur-b", 2, 2, 1), ("bhaktapur", 2, 2, 1), ("kirtipur", 2, 2, 1)];
+    let halls = halls.iter().map(|(h, b, e, p)| ((*h).to_owned(), *b, *e, *p)).collect();
+    Plan { halls, himalkosh: true, ..Plan::default() }
+}
+
+fn parse(file: &str, text: &str, himalkosh: bool) -> eyre::Result<Profile> {
+    let classes = if himalkosh { HIMALKOSH_CLASSES } else { LAKES_CLASSES };
+    Profile::parse(file, text, classes).map_err(|faults| {
+        let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        eyre::eyre!("{}", faults.join("\n"))
+    })
+}
+
+fn show(report: &Report, json: bool) -> eyre::Result<()> {
+    if json {
+        println!("{}", serde_json::to_string(report)?);
+    } else {
+        println!("{}", report.table());
+    }
+    Ok(())
+}
+
+async fn demo(args: &DemoArgs) -> eyre::Result<()> {
+    let profile = parse("demo", DEMO_PROFILE, false)?;
+    eprintln!("starting 8 boxes in 3 halls, 9 engines, 3 plain services on loopback");
+    let deployment = Deployment::start(Plan::default(), &program()?)?;
+    if !deployment.settled(Duration::from_secs(20)).await {
+        eyre::bail!("the boxes did not become ready");
+    }
+    eprintln!("all boxes are ready; {} s of mixed load with a burst of hotline calls", profile.seconds);
+    let load = Load { name: "demo", profile: &profile, doors: deployment.doors(), progress: true };
+    let mut report = run_load(load).await;
+    lab::account(&mut report, &deployment, 0).await;
+    show(&report, args.json)
+}
+
+async fn up(args: &UpArgs) -> eyre::Result<()> {
+    let deployment = Deployment::start(Plan::default(), &program()?)?;
+    if !deployment.settled(Duration::from_secs(20)).await {
+        eyre::bail!("the boxes did not become ready");
+    }
+    for (name, process) in &deployment.boxes {
+        println!("{name:<20} callers http://{}  operators http://{}", process.callers, process.operators);
+    }
+    println!("API key: {}", lab::key_of("large-1"));
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => {}
+        () = tokio::time::sleep(Duration::from_secs(args.seconds)) => {}
+    }
+    Ok(())
+}
+
+async fn load(args: &LoadArgs) -> eyre::Result<()> {
+    let text = std::fs::read_to_string(&args.profile)?;
+    let profile = parse(&args.profile.display().to_string(), &text, args.himalkosh)?;
+    let case = Case { way: args.way.clone(), load: args.load, faults: args.faults };
+    let report = compare(&case, &plan(args.himalkosh), &profile, &program()?).await?;
+    show(&report, args.json)
+}
+
+async fn compare_all(args: &CompareArgs) -> eyre::Result<()> {
+    let text = std::fs::read_to_string(&args.profile)?;
+    let profile = parse(&args.profile.display().to_string(), &text, args.himalkosh)?;
+    let loads: Vec<f64> = args.loads.split(',').map(str::parse).collect::<Result<_, _>>()?;
+    let mut lines = String::new();
+    for load in loads {
+        for faults in [false, true] {
+            if faults && args.calm {
+                continue;
+            }
+            for way in args.ways.split(',') {
+                let case = Case { way: way.to_owned(), load, faults };
+                let report = compare(&case, &plan(args.himalkosh), &profile, &program()?).await?;
+                println!("\n== {} at load {load}\n{}", report.name, report.table());
+                lines.push_str(&serde_json::to_string(&report)?);
+                lines.push('\n');
+                std::fs::write(&args.out, &lines)?;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn draw(args: &PlotArgs) -> eyre::Result<()> {
+    let text = std::fs::read_to_string(&args.from)?;
+    let reports: Vec<Report> = text.lines().map(serde_json::from_str).collect::<Result<_, _>>()?;
+    plot(&reports, &args.class, &args.out)
+}
--- /dev/null
+++ b/crates/lab/src/plain.rs
@@ -0,0 +1,93 @@
+//! A stand-in for a plain service: answers with what it was asked, and counts.
+
+use crate::Serving;
+use actix_web::web::{self, Bytes, Data, ServiceConfig};
+use actix_web::{HttpRequest, HttpResponse};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+struct Inner {
+    name: String,
+    delay_ms: AtomicU64,
+    ran: Mutex<HashMap<String, u32>>,
+}
+
+/// A running stand-in for a plain service.
+#[derive(Clone)]
+pub struct Plain {
+    inner: Arc<Inner>,
+    serving: Arc<Serving>,
+}
+
+impl Plain {
+    /// Starts a service on a loopback port that takes `delay_ms` for each answer.
+    #[must_use]
+    pub fn start(name: &str, delay_ms: u64) -> Self {
+        let inner = Arc::new(Inner {
+            name: name.to_owned(),
+            delay_ms: AtomicU64::new(delay_ms),
+            ran: Mutex::new(HashMap::new()),
+        });
+        let serving = Arc::new(Serving::start(routes(&inner)));
+        Self { inner, serving }
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.serving.address
+    }
+
+    /// Its name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.inner.name
+    }
+
+    /// How often a request with this path and body ran.
+    #[must_use]
+    pub fn ran(&self, path: &str, body: &str) -> u32 {
+        let ran = self.inner.ran.lock().expect("no thread died");
+        ran.get(&format!("{path}|{body}")).copied().unwrap_or(0)
+    }
+
+    /// Requests that ran in all.
+    #[must_use]
+    pub fn total(&self) -> u32 {
+        self.inner.ran.lock().expect("no thread died").values().sum()
+    }
+
+    /// Sets the time for each answer.
+    pub fn delay(&self, ms: u64) {
+        self.inner.delay_ms.store(ms, Ordering::Relaxed);
+    }
+
+    /// Breaks every connection and refuses new ones.
+    pub fn crash(&self) {
+        self.serving.stop();
+    }
+
+    /// Comes back after a crash.
+    pub fn restart(&self) {
+        self.serving.restart(routes(&self.inner));
+    }
+}
+
+fn routes(inner: &Arc<Inner>) -> impl Fn(&mut ServiceConfig) + Send + Clone + 'static {
+    let inner = Arc::clone(inner);
+    move |config: &mut ServiceConfig| {
+        config
+            .app_data(Data::from(Arc::clone(&inner)))
+            .app_data(web::PayloadConfig::new(16 << 20))
+            .default_service(web::route().to(serve));
+    }
+}
+
+async fn serve(inner: Data<Inner>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let text = String::from_utf8_lossy(&body).into_owned();
+    *inner.ran.lock().expect("no thread died").entry(format!("{}|{text}", request.path())).or_default() += 1;
+    tokio::time::sleep(Duration::from_millis(inner.delay_ms.load(Ordering::Relaxed))).await;
+    HttpResponse::Ok().body(format!("{} {} {text}", request.method(), request.path()))
+}
--- /dev/null
+++ b/crates/lab/src/platform.rs
@@ -0,0 +1,196 @@
+//! A stand-in for the platform: a read-only configuration service with watches, and a lagging list.
+
+use crate::Serving;
+use actix_web::web::{self, Data, Path, Query, ServiceConfig};
+use actix_web::HttpResponse;
+use catalog::Release;
+use fleet::Peer;
+use serde::Deserialize;
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+#[derive(Default)]
+struct State {
+    values: HashMap<String, (u64, Vec<u8>)>,
+    /// What a replica that stood still since then would show.
+    stale: Option<HashMap<String, (u64, Vec<u8>)>>,
+    boxes: Vec<(Peer, bool)>,
+    upstreams: Vec<(String, bool)>,
+    revision: u64,
+    /// Lists as they will be shown, and when.
+    lists: Vec<(Instant, Value)>,
+}
+
+struct Inner {
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+    lag_ms: u64,
+    calls: AtomicU64,
+    watching: AtomicU64,
+}
+
+/// A running stand-in for the platform.
+#[derive(Clone)]
+pub struct Platform {
+    inner: Arc<Inner>,
+    serving: Arc<Serving>,
+}
+
+#[derive(Deserialize)]
+struct Wait {
+    since: u64,
+    wait_ms: u64,
+}
+
+impl Platform {
+    /// Starts a platform whose list lags by `lag_ms`.
+    #[must_use]
+    pub fn start(lag_ms: u64) -> Self {
+        let inner = Arc::new(Inner {
+            state: Mutex::new(State::default()),
+            changed: watch::channel(0).0,
+            lag_ms,
+            calls: AtomicU64::new(0),
+            watching: AtomicU64::new(0),
+        });
+        let serving = Arc::new(Serving::start(routes(&inner)));
+        Self { inner, serving }
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.serving.address
+    }
+
+    /// What the operators' tools do: parts first, then the manifest.
+    pub fn publish(&self, release: &Release) {
+        for (digest, bytes) in &release.parts {
+            self.put(&format!("part/{digest}"), bytes.clone());
+        }
+        self.put("manifest", release.text.clone().into_bytes());
+    }
+
+    /// Puts one value.
+    pub fn put(&self, key: &str, bytes: Vec<u8>) {
+        let mut state = self.inner.state.lock().expect("no thread died");
+        let known = state.values.get(key);
+        if key != "manifest" && known.is_some_and(|(_, old)| *old == bytes) {
+            return;
+        }
+        let revision = known.map_or(1, |(revision, _)| revision + 1);
+        state.values.insert(key.to_owned(), (revision, bytes));
+        drop(state);
+        self.inner.changed.send_modify(|n| *n += 1);
+    }
+
+    /// Stands still as a replica that lags, or catches up.
+    pub fn stale(&self, stale: bool) {
+        let mut state = self.inner.state.lock().expect("no thread died");
+        state.stale = stale.then(|| state.values.clone());
+    }
+
+    /// Breaks every connection and refuses new ones.
+    pub fn down(&self) {
+        self.serving.stop();
+    }
+
+    /// Comes back.
+    pub fn up(&self) {
+        self.serving.restart(routes(&self.inner));
+    }
+
+    /// Sets the list; shown after the lag.
+    pub fn list(&self, boxes: &[(Peer, bool)], upstreams: &[(String, bool)]) {
+        let mut state = self.inner.state.lock().expect("no thread died");
+        state.boxes = boxes.to_vec();
+        state.upstreams = upstreams.to_vec();
+        state.revision += 1;
+        let boxes: Vec<Value> = boxes
+            .iter()
+            .map(|(p, leaving)| json!({"name": p.name, "hall": p.hall, "address": p.address, "leaving": leaving}))
+            .collect();
+        let upstreams: Vec<Value> =
+            upstreams.iter().map(|(name, leaving)| json!({"name": name, "leaving": leaving})).collect();
+        let list = json!({"revision": state.revision, "boxes": boxes, "upstreams": upstreams});
+        let at = Instant::now() + Duration::from_millis(self.inner.lag_ms);
+        state.lists.push((at, list));
+    }
+
+    /// Calls so far, a watch counted as one.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.inner.calls.load(Ordering::Relaxed)
+    }
+
+    /// Watches now waiting.
+    #[must_use]
+    pub fn watching(&self) -> u64 {
+        self.inner.watching.load(Ordering::Relaxed)
+    }
+}
+
+fn routes(inner: &Arc<Inner>) -> impl Fn(&mut ServiceConfig) + Send + Clone + 'static {
+    let inner = Arc::clone(inner);
+    move |config: &mut ServiceConfig| {
+        config
+            .app_data(Data::from(Arc::clone(&inner)))
+            .route("/v1/values/{key:.*}", web::get().to(value))
+            .route("/v1/watch/{key:.*}", web::get().to(wait))
+            .route("/v1/members", web::get().to(members));
+    }
+}
+
+fn read(inner: &Inner, key: &str) -> Option<(u64, Vec<u8>)> {
+    let state = inner.state.lock().expect("no thread died");
+    state.stale.as_ref().unwrap_or(&state.values).get(key).cloned()
+}
+
+fn shown(found: Option<(u64, Vec<u8>)>) -> HttpResponse {
+    match found {
+        Some((revision, bytes)) => HttpResponse::Ok().insert_header(("revision", revision.to_string())).body(bytes),
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn value(inner: Data<Inner>, key: Path<String>) -> HttpResponse {
+    inner.calls.fetch_add(1, Ordering::Relaxed);
+    shown(read(&inner, &key))
+}
+
+struct Watching<'a>(&'a AtomicU64);
+
+impl Drop for Watching<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn wait(inner: Data<Inner>, key: Path<String>, wait: Query<Wait>) -> HttpResponse {
+    inner.calls.fetch_add(1, Ordering::Relaxed);
+    inner.watching.fetch_add(1, Ordering::Relaxed);
+    let _watching = Watching(&inner.watching);
+    let mut changed = inner.changed.subscribe();
+    let until = tokio::time::Instant::now() + Duration::from_millis(wait.wait_ms);
+    loop {
+        let found = read(&inner, &key).filter(|(revision, _)| *revision > wait.since);
+        if found.is_some() {
+            return shown(found);
+        }
+        if tokio::time::timeout_at(until, changed.changed()).await.is_err() {
+            return HttpResponse::NoContent().finish();
+        }
+    }
+}
+
+async fn members(inner: Data<Inner>) -> HttpResponse {
+    inner.calls.fetch_add(1, Ordering::Relaxed);
+    let state = inner.state.lock().expect("no thread died");
+    let now = Instant::now();
+    let list = state.lists.iter().rev().find(|(at, _)| *at <= now).map(|(_, list)| list.clone());
+    HttpResponse::Ok().json(list.unwrap_or_else(|| json!({"revision": 0})))
+}
--- /dev/null
+++ b/crates/lab/src/relay.rs
@@ -0,0 +1,102 @@
+//! A TCP relay that can cut, delay and freeze a link.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// What the relay does with the link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Passes bytes on, each batch after this many milliseconds.
+    Pass(u64),
+    /// Breaks connections and takes no new ones.
+    Cut,
+    /// Holds bytes back; connections stay open.
+    Freeze,
+}
+
+/// A relay from a loopback port of its own to one target.
+#[derive(Clone)]
+pub struct Relay {
+    /// Where it listens.
+    pub address: SocketAddr,
+    mode: watch::Sender<Mode>,
+    target: Arc<Mutex<SocketAddr>>,
+}
+
+impl Relay {
+    /// Starts a relay to `target` that passes everything on at once.
+    ///
+    /// # Panics
+    /// When no loopback port can be had.
+    #[must_use]
+    pub fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port");
+        listener.set_nonblocking(true).expect("a socket option");
+        let address = listener.local_addr().expect("a bound address");
+        let (mode, modes) = watch::channel(Mode::Pass(0));
+        let target = Arc::new(Mutex::new(target));
+        let to = Arc::clone(&target);
+        std::thread::spawn(move || actix_rt::System::new().block_on(accept(listener, to, modes)));
+        Self { address, mode, target }
+    }
+
+    /// Changes what the relay does, for open connections as well.
+    pub fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+
+    /// Sets where new connections go.
+    pub fn retarget(&self, target: SocketAddr) {
+        *self.target.lock().expect("no thread died") = target;
+    }
+}
+
+async fn accept(listener: TcpListener, target: Arc<Mutex<SocketAddr>>, modes: watch::Receiver<Mode>) {
+    let listener = tokio::net::TcpListener::from_std(listener).expect("a non-blocking listener");
+    while let Ok((from, _)) = listener.accept().await {
+        if *modes.borrow() == Mode::Cut {
+            continue;
+        }
+        let to = *target.lock().expect("no thread died");
+        let modes = modes.clone();
+        actix_rt::spawn(async move {
+            let Ok(to) = TcpStream::connect(to).await else { return };
+            let _ = from.set_nodelay(true);
+            let _ = to.set_nodelay(true);
+            let (from_read, from_write) = from.into_split();
+            let (to_read, to_write) = to.into_split();
+            tokio::select! {
+                () = pass(from_read, to_write, modes.clone()) => {}
+                () = pass(to_read, from_write, modes) => {}
+            }
+        });
+    }
+}
+
+async fn pass(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    mut modes: watch::Receiver<Mode>,
+) {
+    let mut buffer = vec![0; 64 * 1024];
+    loop {
+        let read = tokio::select! {
+            read = from.read(&mut buffer) => read,
+            _ = modes.wait_for(|mode| *mode == Mode::Cut) => return,
+        };
+        let Ok(count @ 1..) = read else { return };
+        let Ok(mode) = modes.wait_for(|mode| *mode != Mode::Freeze).await.map(|m| *m) else { return };
+        match mode {
+            Mode::Cut | Mode::Freeze => return,
+            Mode::Pass(0) => {}
+            Mode::Pass(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+        }
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,101 @@
+//! The platform over HTTP.
+
+use crate::{Listing, Source, Trouble, Value};
+use async_trait::async_trait;
+use awc::http::StatusCode;
+use awc::Client;
+use catalog::ServerId;
+use fleet::Peer;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest wait for an ordinary answer.
+const ANSWER_MOST: Duration = Duration::from_secs(2);
+
+/// How long the platform is asked to keep a watch open, and how much longer we wait for it.
+const WATCH_MS: u64 = 10_000;
+const WATCH_MOST: Duration = Duration::from_millis(WATCH_MS + 2_000);
+
+/// Largest value that the platform holds, and a little more.
+const VALUE_MOST: usize = 1_100_000;
+
+/// Header in which the service gives a value's revision.
+const REVISION: &str = "revision";
+
+/// Reads `/v1/values/KEY`, `/v1/watch/KEY?since=N&wait_ms=N` and `/v1/members`.
+pub struct Http {
+    client: Client,
+    config: SocketAddr,
+    members: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct Members {
+    revision: u64,
+    #[serde(default)]
+    boxes: Vec<BoxEntry>,
+    #[serde(default)]
+    upstreams: Vec<UpstreamEntry>,
+}
+
+#[derive(Deserialize)]
+struct BoxEntry {
+    #[serde(flatten)]
+    peer: Peer,
+    #[serde(default)]
+    leaving: bool,
+}
+
+#[derive(Deserialize)]
+struct UpstreamEntry {
+    name: String,
+    #[serde(default)]
+    leaving: bool,
+}
+
+impl Http {
+    /// The configuration service at `config`, the membership list at `members`.
+    #[must_use]
+    pub fn new(config: SocketAddr, members: SocketAddr) -> Self {
+        let client = Client::builder().timeout(WATCH_MOST).disable_redirects().finish();
+        Self { client, config, members }
+    }
+
+    async fn read(&self, url: &str, most: Duration) -> Result<Option<Value>, Trouble> {
+        let unreachable = |e: &dyn std::fmt::Display| Trouble::Unreachable(e.to_string());
+        let response = self.client.get(url).timeout(most).send().await.map_err(|e| unreachable(&e))?;
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::NOT_FOUND | StatusCode::NO_CONTENT => return Ok(None),
+            status => return Err(Trouble::Unreachable(format!("status {status}"))),
+        }
+        let mut response = response.timeout(most);
+        let revision = response.headers().get(REVISION).and_then(|v| v.to_str().ok()?.parse().ok());
+        let bytes = response.body().limit(VALUE_MOST).await.map_err(|e| unreachable(&e))?;
+        Ok(Some(Value { revision: revision.unwrap_or(0), bytes: bytes.to_vec() }))
+    }
+}
+
+#[async_trait(?Send)]
+impl Source for Http {
+    async fn get(&self, key: &str) -> Result<Option<Value>, Trouble> {
+        self.read(&format!("http://{}/v1/values/{key}", self.config), ANSWER_MOST).await
+    }
+
+    async fn watch(&self, key: &str, since: u64) -> Result<Option<Value>, Trouble> {
+        let url = format!("http://{}/v1/watch/{key}?since={since}&wait_ms={WATCH_MS}", self.config);
+        self.read(&url, WATCH_MOST).await
+    }
+
+    async fn listing(&self) -> Result<Listing, Trouble> {
+        let url = format!("http://{}/v1/members", self.members);
+        let value = self.read(&url, ANSWER_MOST).await?.unwrap_or(Value { revision: 0, bytes: Vec::new() });
+        let members: Members = serde_json::from_slice(&value.bytes).map_err(|e| Trouble::Garbled(e.to_string()))?;
+        Ok(Listing {
+            revision: members.revision,
+            boxes: members.boxes.into_iter().map(|b| (b.peer, b.leaving)).collect(),
+            upstreams: members.upstreams.iter().map(|u| (ServerId::of(&u.name), u.leaving)).collect(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/alone.rs
@@ -0,0 +1,170 @@
+//! The simpler ways, kept as baselines: each box decides alone, by lagged reports.
+
+use crate::{Ask, Decider, Decision, Layout, Load, Message, Reason, Refusal, Return, Spec, Time, Waiting};
+use catalog::{BoxId, ServerId, ShardId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// A waiting request is given up after this many times its class's target, as at an owner.
+const GIVE_UP_TARGETS: u64 = 4;
+
+/// No request is given up for being late before this age, in milliseconds.
+const GIVE_UP_LEAST_MS: u64 = 2_000;
+
+/// In which order a box alone serves what waits in it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Discipline {
+    /// First come, first served.
+    Arrival,
+    /// By the classes' rank, then first come, first served.
+    Class,
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    id: ServerId,
+    slots: u32,
+    leaving: bool,
+    /// What the server last said, at some past moment.
+    load: Load,
+    /// Sent there by this box since that report.
+    since_report: u32,
+}
+
+/// A box that decides alone for one shard: best of two servers by their lagged reports.
+#[derive(Debug)]
+pub struct Alone {
+    shard: ShardId,
+    discipline: Discipline,
+    layout: Rc<Layout>,
+    servers: Vec<Seen>,
+    line: Vec<Waiting>,
+    held: BTreeMap<u64, ServerId>,
+    random: ChaCha8Rng,
+}
+
+impl Alone {
+    /// A decider for `spec`, with a seed for its choices of two.
+    #[must_use]
+    pub fn new(spec: &Spec, layout: Rc<Layout>, discipline: Discipline, seed: u64) -> Self {
+        let servers = spec.servers.iter().map(|upstream| Seen {
+            id: ServerId::of(&upstream.name),
+            slots: upstream.slots,
+            leaving: upstream.leaving,
+            load: Load::default(),
+            since_report: 0,
+        });
+        Self {
+            shard: spec.id,
+            discipline,
+            layout,
+            servers: servers.collect(),
+            line: Vec::new(),
+            held: BTreeMap::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    fn best_of_two(&mut self) -> Option<usize> {
+        let open = |s: &Seen| !s.leaving && s.load.running + s.load.waiting + s.since_report < s.slots;
+        let open: Vec<usize> = (0..self.servers.len()).filter(|i| open(&self.servers[*i])).collect();
+        if open.is_empty() {
+            return None;
+        }
+        let first = open[self.random.random_range(0..open.len())];
+        let second = open[self.random.random_range(0..open.len())];
+        let load = |i: usize| {
+            let s = &self.servers[i];
+            s.load.running + s.load.waiting + s.since_report
+        };
+        Some(if load(first) <= load(second) { first } else { second })
+    }
+
+    fn next(&self) -> Option<usize> {
+        let rank = |w: &Waiting| match self.discipline {
+            Discipline::Arrival => 0,
+            Discipline::Class => self.layout.class(w.ask.class).rank,
+        };
+        (0..self.line.len()).min_by_key(|i| (rank(&self.line[*i]), self.line[*i].arrived))
+    }
+
+    fn dispatch(&mut self, now: Time) -> Vec<Decision> {
+        let mut out = Vec::new();
+        while let Some(next) = self.next() {
+            let Some(index) = self.best_of_two() else { break };
+            let waiting = self.line.remove(next);
+            let server = &mut self.servers[index];
+            server.since_report += 1;
+            self.held.insert(waiting.ask.id, server.id);
+            let waited = now.since(waiting.came) as u32;
+            let grant = Message::Grant { shard: self.shard, id: waiting.ask.id, server: server.id, waited };
+            out.push(Decision::Tell(waiting.from, grant));
+        }
+        out
+    }
+}
+
+impl Decider for Alone {
+    fn ask(&mut self, from: BoxId, ask: Ask, now: Time) -> Vec<Decision> {
+        let arrived = Time(now.0.saturating_sub(u64::from(ask.age_ms)));
+        let id = ask.id;
+        self.line.push(Waiting { from, ask, came: now, arrived });
+        let mut out = self.dispatch(now);
+        if self.line.iter().any(|w| w.ask.id == id) {
+            out.push(Decision::Tell(from, Message::Queued(self.shard, vec![id])));
+        }
+        out
+    }
+
+    fn cancel(&mut self, _from: BoxId, id: u64, now: Time) -> Vec<Decision> {
+        self.line.retain(|w| w.ask.id != id);
+        self.held.remove(&id);
+        self.dispatch(now)
+    }
+
+    fn give_back(&mut self, _from: BoxId, back: &Return, now: Time) -> Vec<Decision> {
+        if let Some(server) = self.held.remove(&back.id) {
+            for seen in self.servers.iter_mut().filter(|s| s.id == server) {
+                seen.since_report = seen.since_report.saturating_sub(1);
+            }
+        }
+        self.dispatch(now)
+    }
+
+    fn load(&mut self, server: ServerId, load: Load, now: Time) -> Vec<Decision> {
+        for seen in self.servers.iter_mut().filter(|s| s.id == server) {
+            seen.leaving |= load.leaving;
+            seen.load = load;
+            seen.since_report = 0;
+        }
+        self.dispatch(now)
+    }
+
+    fn tick(&mut self, now: Time) -> Vec<Decision> {
+        let layout = Rc::clone(&self.layout);
+        let late = |w: &Waiting| {
+            let target = layout.class(w.ask.class).first_token_ms;
+            now.since(w.arrived) >= (target * GIVE_UP_TARGETS).max(GIVE_UP_LEAST_MS)
+        };
+        let (late, line): (Vec<_>, Vec<_>) = self.line.drain(..).partition(late);
+        self.line = line;
+        let mut out = self.dispatch(now);
+        for waiting in late {
+            let refusal = Refusal { reason: Reason::Late, retry_ms: 1_000 };
+            out.push(Decision::Tell(waiting.from, Message::Refuse(self.shard, waiting.ask.id, refusal)));
+        }
+        out
+    }
+
+    fn renew_all(&mut self, _now: Time) {}
+
+    fn set_leaving(&mut self, server: ServerId, leaving: bool) {
+        self.servers.iter_mut().filter(|s| s.id == server).for_each(|s| s.leaving = leaving);
+    }
+
+    fn waiting(&self) -> usize {
+        self.line.len()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/decider.rs
@@ -0,0 +1,60 @@
+//! The border at which ways of deciding can be exchanged, and what a decision may be.
+
+use crate::{Ask, Load, Message, Refusal, Return, Time, Verdict};
+use catalog::{BoxId, ServerId, ShardId};
+use telemetry::Event;
+
+/// What a shard decided.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// Say this to that box, which may be this one.
+    Tell(BoxId, Message),
+    /// Log this.
+    Note(Event, String),
+}
+
+/// What a box's decision code wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send this to that other box.
+    Send(BoxId, Message),
+    /// The caller's request has a lease.
+    Granted {
+        /// The request's number.
+        id: u64,
+        /// The shard that the lease is from.
+        shard: ShardId,
+        /// The server to use.
+        server: ServerId,
+        /// The lease must not be used from this moment on.
+        expires: Time,
+    },
+    /// The caller's request is refused, not run.
+    Refused(u64, Refusal),
+    /// The running request is to be stopped and asked for again.
+    Recalled(u64),
+    /// The answer to a request key's claim.
+    Claimed(u64, Verdict),
+    /// Log this.
+    Note(Event, String),
+}
+
+/// A way of deciding who runs next on the servers of one shard.
+pub trait Decider {
+    /// A box asks for a slot.
+    fn ask(&mut self, from: BoxId, ask: Ask, now: Time) -> Vec<Decision>;
+    /// A box no longer wants the slot it asked for.
+    fn cancel(&mut self, from: BoxId, id: u64, now: Time) -> Vec<Decision>;
+    /// A box hands a lease back.
+    fn give_back(&mut self, from: BoxId, back: &Return, now: Time) -> Vec<Decision>;
+    /// A server's own report came in, late.
+    fn load(&mut self, server: ServerId, load: Load, now: Time) -> Vec<Decision>;
+    /// Time has passed.
+    fn tick(&mut self, now: Time) -> Vec<Decision>;
+    /// Whoever holds the leases is known to hold them all still.
+    fn renew_all(&mut self, now: Time);
+    /// Words of others said that a server is leaving, or no longer.
+    fn set_leaving(&mut self, server: ServerId, leaving: bool);
+    /// How many asks wait.
+    fn waiting(&self) -> usize;
+}
--- /dev/null
+++ b/crates/policy/src/lessee.rs
@@ -0,0 +1,122 @@
+//! The requesting side: what was asked for, and which leases this box holds.
+
+use crate::shard::mixed;
+use crate::{Ask, Held, Message, Refusal, Time};
+use catalog::{BoxId, ClassId, CustomerId, ServerId, ShardId};
+use std::collections::BTreeMap;
+
+/// Why a slot is wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The request has just come in.
+    First,
+    /// Its upstream failed; the retry budget pays for this.
+    Failure,
+    /// It was recalled, or its permit was too old to be used.
+    Recall,
+}
+
+/// A caller's request for a slot.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Acquire {
+    /// The model or plain service.
+    pub serves: String,
+    /// The request's class.
+    pub class: ClassId,
+    /// The request's customer.
+    pub customer: CustomerId,
+    /// Tokens expected in the answer.
+    pub tokens: u32,
+    /// Hash of the prompt's beginning; 0 means none.
+    pub prefix: u32,
+    /// The request may be stopped and resumed.
+    pub resumable: bool,
+    /// When the call came in.
+    pub arrived: Time,
+    /// Why a slot is wanted.
+    pub cause: Cause,
+    /// A server on which the request has just failed.
+    pub avoid: Option<ServerId>,
+}
+
+/// An ask that has no answer yet.
+#[derive(Clone, Debug)]
+pub struct Pending {
+    /// As it was asked for; `age_ms` is set anew at each sending.
+    pub ask: Ask,
+    /// The model or plain service.
+    pub serves: String,
+    /// Where it waits.
+    pub shard: ShardId,
+    /// Who was asked; this box itself when `local`.
+    pub owner: BoxId,
+    /// It waits at this box's own small share.
+    pub local: bool,
+    /// When it was first sent to `owner`.
+    pub sent: Time,
+    /// When it was last sent, the first time or again.
+    pub asked: Time,
+    /// When `owner` was last heard of about it.
+    pub heard: Option<Time>,
+    /// When the call came in.
+    pub arrived: Time,
+    /// Halls that have refused it.
+    pub tried: Vec<String>,
+    /// The refusal of this box's own hall, which the caller gets in the end.
+    pub refusal: Option<Refusal>,
+}
+
+/// A lease that this box holds.
+#[derive(Clone, Debug)]
+pub struct Grant {
+    /// Where it is from.
+    pub shard: ShardId,
+    /// Who granted it; this box itself for its own small share.
+    pub granter: BoxId,
+    /// It is from this box's own small share.
+    pub local: bool,
+    /// What an owner is told of it.
+    pub held: Held,
+}
+
+/// What this box asked for and what it holds. A number is never in both at once.
+#[derive(Clone, Debug, Default)]
+pub struct Lessee {
+    /// Asks without an answer, by number.
+    pub pending: BTreeMap<u64, Pending>,
+    /// Leases, by number.
+    pub held: BTreeMap<u64, Grant>,
+    next: u64,
+}
+
+impl Lessee {
+    /// A lessee whose numbers begin above `first`, so that a restarted box doesn't repeat any.
+    #[must_use]
+    pub fn new(first: u64) -> Self {
+        Self { next: first, ..Self::default() }
+    }
+
+    /// A number that was not used before.
+    pub fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// Everything held of `shard`.
+    #[must_use]
+    pub fn holding(&self, shard: ShardId) -> Vec<Held> {
+        self.held.values().filter(|g| g.shard == shard).map(|g| g.held.clone()).collect()
+    }
+
+    /// The short form of [`Self::holding`], for each shard of which something is held.
+    #[must_use]
+    pub fn renewals(&self) -> Vec<(ShardId, Message)> {
+        let mut sums: BTreeMap<ShardId, (u32, u64)> = BTreeMap::new();
+        for (id, grant) in &self.held {
+            let sum = sums.entry(grant.shard).or_default();
+            *sum = (sum.0 + 1, sum.1 ^ mixed(*id));
+        }
+        let renew = |(shard, (count, sum))| (shard, Message::Renew { shard, count, sum });
+        sums.into_iter().map(renew).collect()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/limit.rs
@@ -0,0 +1,131 @@
+//! Customers' limits across the boxes of a hall, without a shared counter.
+//!
+//! Each box tells the customer's keeper (a box named by rendezvous hashing) what it uses; the keeper
+//! answers with what all others use. A box then admits by its own exact figure plus the others' late
+//! one. Halls don't speak of this: each has its share, the limit divided by the number of halls.
+
+use crate::layout::Share;
+use crate::Time;
+use catalog::{BoxId, CustomerId};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Length of the window for tokens, in milliseconds.
+const WINDOW_MS: u64 = 60_000;
+
+/// A box's word is forgotten after this many milliseconds.
+const STALE_MS: u64 = 5_000;
+
+/// What a customer uses, at one box or at several.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Requests now running or waiting.
+    pub running: u32,
+    /// Tokens passed on within the last minute.
+    pub tokens: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Own {
+    running: u32,
+    spent: VecDeque<(Time, u64)>,
+    tokens: u64,
+}
+
+impl Own {
+    fn slide(&mut self, now: Time) {
+        while let Some((at, tokens)) = self.spent.front().copied() {
+            if now.since(at) < WINDOW_MS {
+                return;
+            }
+            self.tokens -= tokens;
+            self.spent.pop_front();
+        }
+    }
+}
+
+/// The entry box's side: what passes here, and what others were last said to use.
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    own: BTreeMap<CustomerId, Own>,
+    others: BTreeMap<CustomerId, (Time, Usage)>,
+}
+
+impl Meter {
+    /// Admits one more request of `customer`, or says that its limit is reached.
+    #[must_use]
+    pub fn enter(&mut self, customer: CustomerId, share: Share, now: Time) -> bool {
+        let others = self.others.get(&customer).filter(|(at, _)| now.since(*at) < STALE_MS);
+        let others = others.map(|(_, usage)| *usage).unwrap_or_default();
+        let own = self.own.entry(customer).or_default();
+        own.slide(now);
+        let full = share.concurrent > 0 && own.running + others.running >= share.concurrent;
+        let spent = share.tokens_per_minute > 0 && own.tokens + others.tokens >= share.tokens_per_minute;
+        if full || spent {
+            return false;
+        }
+        own.running += 1;
+        true
+    }
+
+    /// A request of `customer` has ended with `tokens` tokens.
+    pub fn leave(&mut self, customer: CustomerId, tokens: u64, now: Time) {
+        let own = self.own.entry(customer).or_default();
+        own.running = own.running.saturating_sub(1);
+        own.spent.push_back((now, tokens));
+        own.tokens += tokens;
+    }
+
+    /// What to tell the keepers, customers without any use left out.
+    pub fn usage(&mut self, now: Time) -> Vec<Usage> {
+        self.own.values_mut().for_each(|own| own.slide(now));
+        self.own.retain(|_, own| own.running > 0 || own.tokens > 0);
+        let usage = |(customer, own): (&CustomerId, &Own)| Usage {
+            customer: *customer,
+            running: own.running,
+            tokens: own.tokens,
+        };
+        self.own.iter().map(usage).collect()
+    }
+
+    /// A keeper said what all other boxes use.
+    pub fn others(&mut self, usages: &[Usage], now: Time) {
+        self.others.retain(|_, (at, _)| now.since(*at) < STALE_MS);
+        for usage in usages {
+            self.others.insert(usage.customer, (now, *usage));
+        }
+    }
+}
+
+/// The keeper's side: what each box last said of each customer.
+#[derive(Clone, Debug, Default)]
+pub struct Limit {
+    said: BTreeMap<CustomerId, BTreeMap<BoxId, (Time, Usage)>>,
+}
+
+impl Limit {
+    /// Takes in what `from` uses, and gives what all others use of the same customers.
+    pub fn note(&mut self, from: BoxId, usages: &[Usage], now: Time) -> Vec<Usage> {
+        let mut answer = Vec::new();
+        for usage in usages {
+            let boxes = self.said.entry(usage.customer).or_default();
+            boxes.retain(|_, (at, _)| now.since(*at) < STALE_MS);
+            boxes.insert(from, (now, *usage));
+            let others = boxes.iter().filter(|(id, _)| **id != from);
+            let sum = others.fold(Usage { customer: usage.customer, ..Usage::default() }, |sum, (_, (_, u))| Usage {
+                running: sum.running + u.running,
+                tokens: sum.tokens + u.tokens,
+                ..sum
+            });
+            answer.push(sum);
+        }
+        answer
+    }
+
+    /// Forgets customers of whom nobody speaks any more.
+    pub fn tidy(&mut self, now: Time) {
+        self.said.retain(|_, boxes| boxes.values().any(|(at, _)| now.since(*at) < STALE_MS));
+    }
+}
--- /dev/null
+++ b/crates/policy/src/memory.rs
@@ -0,0 +1,116 @@
+//! Request keys: a request with a known key isn't run again.
+//!
+//! Keys are remembered by boxes that rendezvous hashing names for the key. A memory is only as old as
+//! its box, so it also says what it can't know: a key that may be older than the memory is proved new
+//! only if the key itself tells when it was made (UUID version 7).
+
+use crate::Time;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+
+/// How long a key is remembered, in milliseconds.
+pub const RETENTION_MS: u64 = 600_000;
+
+/// Most keys in one memory. When it is full the oldest go, and the memory says it is younger.
+const KEYS_MOST: usize = 1_000_000;
+
+/// Allowance for clocks that differ, in milliseconds. A memory younger than this proves nothing.
+pub const SKEW_MS: u64 = 2_000;
+
+/// A wish to run the request with this key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Hash of customer and key.
+    pub key: u64,
+    /// Tells deliveries of the same key apart.
+    pub delivery: u64,
+    /// How long ago the key was made, where the key tells.
+    pub age_ms: Option<u64>,
+}
+
+/// What a memory knows of a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It was not used before; now it is.
+    Fresh,
+    /// It was used before.
+    Repeat,
+    /// It wasn't seen, but it may be older than this memory.
+    Unproved,
+}
+
+/// The keys that one box remembers.
+#[derive(Clone, Debug)]
+pub struct Memory {
+    /// Everything claimed since this moment is remembered.
+    since: Time,
+    /// Delivery by key. Holds exactly the keys in `order` that weren't forgotten.
+    keys: HashMap<u64, u64>,
+    order: VecDeque<(Time, u64)>,
+}
+
+impl Memory {
+    /// An empty memory that begins now.
+    #[must_use]
+    pub fn new(now: Time) -> Self {
+        Self { since: now, keys: HashMap::new(), order: VecDeque::new() }
+    }
+
+    /// Answers a claim, and remembers the key unless it was known.
+    pub fn claim(&mut self, claim: &Claim, now: Time) -> Verdict {
+        self.forget(now);
+        if let Some(delivery) = self.keys.get(&claim.key) {
+            // The same delivery may ask twice when the network repeats its message.
+            return if *delivery == claim.delivery { Verdict::Fresh } else { Verdict::Repeat };
+        }
+        self.keys.insert(claim.key, claim.delivery);
+        self.order.push_back((now, claim.key));
+        if self.proves(claim, now) {
+            Verdict::Fresh
+        } else {
+            Verdict::Unproved
+        }
+    }
+
+    /// True when a key that isn't in the memory was certainly never used.
+    fn proves(&self, claim: &Claim, now: Time) -> bool {
+        let memory_ms = now.since(self.since);
+        match claim.age_ms {
+            Some(age) => age + SKEW_MS < RETENTION_MS && age.saturating_add(SKEW_MS) <= memory_ms,
+            None => memory_ms >= RETENTION_MS,
+        }
+    }
+
+    /// Forgets a key that was claimed by this delivery and not used.
+    pub fn unclaim(&mut self, claim: &Claim) {
+        if self.keys.get(&claim.key) == Some(&claim.delivery) {
+            self.keys.remove(&claim.key);
+        }
+    }
+
+    fn forget(&mut self, now: Time) {
+        while let Some((at, key)) = self.order.front().copied() {
+            let crowded = self.order.len() >= KEYS_MOST;
+            if !crowded && now.since(at) < RETENTION_MS {
+                return;
+            }
+            self.order.pop_front();
+            self.keys.remove(&key);
+            if crowded {
+                self.since = self.since.max(at);
+            }
+        }
+    }
+
+    /// How many keys are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// True when no key is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/server.rs
@@ -0,0 +1,208 @@
+//! One server as its owner sees it: slots in use, speed, and whether it may get work.
+
+use crate::{Report, Speed, Time};
+use catalog::{ServerId, Upstream};
+
+/// Failures in a row after which a server gets probes only.
+const EJECT_AFTER: u32 = 3;
+
+/// First time without work after an ejection, in milliseconds; doubles up to the longest.
+const EJECT_MS: u64 = 1_000;
+
+/// Longest time without work after an ejection, in milliseconds.
+const EJECT_MOST_MS: u64 = 30_000;
+
+/// A strained server's slots shrink at most this often, in milliseconds.
+const SHRINK_EVERY_MS: u64 = 1_000;
+
+/// A server's own report of its load. It describes a moment already past.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests in its batch.
+    pub running: u32,
+    /// Requests it holds in its own queue.
+    pub waiting: u32,
+    /// It says that it is leaving.
+    pub leaving: bool,
+}
+
+/// What changed in a server's standing, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It gets probes only.
+    Ejected,
+    /// It gets its full share again.
+    Returned,
+}
+
+/// One server of a shard.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Its short name.
+    pub id: ServerId,
+    /// Its name in the upstreams file.
+    pub name: String,
+    /// Slots that the file gives it.
+    pub slots: u32,
+    /// Slots it is trusted with now: 1 to `slots`.
+    pub trusted: f64,
+    /// Leases on it. May exceed `trusted` after adoption, never by a grant.
+    pub used: u32,
+    /// How fast it has been.
+    pub speed: Speed,
+    /// The upstreams file says that it is leaving.
+    pub left_by_file: bool,
+    /// The membership list, or a box that read it, says that it is leaving.
+    pub left_by_list: bool,
+    /// It says itself that it is leaving.
+    pub left_by_word: bool,
+    /// The last prompt prefixes it served, newest last.
+    pub warm: std::collections::VecDeque<u32>,
+    failures: u32,
+    ejected_until: Option<Time>,
+    probing: bool,
+    backoff_ms: u64,
+    shrunk_at: Time,
+}
+
+/// How many prompt prefixes are remembered for each server.
+const WARM_PREFIXES: usize = 64;
+
+impl Server {
+    /// A server as the file describes it, trusted with `slots` slots.
+    #[must_use]
+    pub fn new(upstream: &Upstream, slots: u32) -> Self {
+        Self {
+            id: ServerId::of(&upstream.name),
+            name: upstream.name.clone(),
+            slots,
+            trusted: f64::from(slots),
+            used: 0,
+            speed: Speed::default(),
+            left_by_file: upstream.leaving,
+            left_by_list: false,
+            left_by_word: false,
+            warm: std::collections::VecDeque::new(),
+            failures: 0,
+            ejected_until: None,
+            probing: false,
+            backoff_ms: EJECT_MS,
+            shrunk_at: Time(0),
+        }
+    }
+
+    /// True when any of the three words says so: the earliest counts.
+    #[must_use]
+    pub fn leaving(&self) -> bool {
+        self.left_by_file || self.left_by_list || self.left_by_word
+    }
+
+    /// Slots that may be granted now.
+    #[must_use]
+    pub fn free(&self, now: Time) -> u32 {
+        if self.leaving() || self.ejected_until.is_some_and(|until| now < until) {
+            return 0;
+        }
+        (self.trusted as u32).saturating_sub(self.used)
+    }
+
+    /// Slots that count as capacity: none while leaving or ejected.
+    #[must_use]
+    pub fn capacity(&self, now: Time) -> u32 {
+        if self.leaving() || self.ejected_until.is_some_and(|until| now < until) {
+            return 0;
+        }
+        self.trusted as u32
+    }
+
+    /// True while failures keep it from its full share.
+    #[must_use]
+    pub fn ejected(&self) -> bool {
+        self.probing
+    }
+
+    /// Takes in what one request showed.
+    pub fn note(&mut self, report: &Report, now: Time) -> Option<Standing> {
+        if report.unused {
+            return None;
+        }
+        if report.failed {
+            return self.fail(now);
+        }
+        self.failures = 0;
+        self.speed.note(report);
+        if self.speed.strained() {
+            self.shrink(now);
+        } else {
+            self.grow();
+        }
+        self.settle()
+    }
+
+    fn fail(&mut self, now: Time) -> Option<Standing> {
+        self.failures += 1;
+        self.trusted = (self.trusted / 2.0).max(1.0);
+        if self.failures < EJECT_AFTER {
+            return None;
+        }
+        // Many requests break at once when a server dies; only the first of them ejects it.
+        if self.ejected_until.is_some_and(|until| now < until) {
+            return None;
+        }
+        self.ejected_until = Some(now.after(self.backoff_ms));
+        self.backoff_ms = (self.backoff_ms * 2).min(EJECT_MOST_MS);
+        self.trusted = 1.0;
+        let first = !self.probing;
+        self.probing = true;
+        first.then_some(Standing::Ejected)
+    }
+
+    fn shrink(&mut self, now: Time) {
+        if now.since(self.shrunk_at) >= SHRINK_EVERY_MS {
+            self.trusted = (self.trusted * 0.8).max(1.0);
+            self.shrunk_at = now;
+        }
+    }
+
+    fn grow(&mut self) {
+        // Slowly up: a whole slot needs two good answers.
+        self.trusted = (self.trusted + 0.5).min(f64::from(self.slots));
+    }
+
+    fn settle(&mut self) -> Option<Standing> {
+        let recovered = self.probing && self.trusted >= f64::from(self.slots) / 2.0;
+        if !recovered {
+            return None;
+        }
+        self.probing = false;
+        self.ejected_until = None;
+        self.backoff_ms = EJECT_MS;
+        Some(Standing::Returned)
+    }
+
+    /// Takes in the server's own report, which is late: it only ever lowers trust, and slowly.
+    pub fn load(&mut self, load: Load, now: Time) {
+        self.left_by_word = load.leaving;
+        if load.waiting > 0 && now.since(self.shrunk_at) >= SHRINK_EVERY_MS {
+            self.trusted = (self.trusted * 0.9).max(1.0);
+            self.shrunk_at = now;
+        }
+    }
+
+    /// True when the server has lately served a prompt with this beginning.
+    #[must_use]
+    pub fn is_warm(&self, prefix: u32) -> bool {
+        prefix != 0 && self.warm.contains(&prefix)
+    }
+
+    /// Remembers that the server serves a prompt with this beginning.
+    pub fn warm_up(&mut self, prefix: u32) {
+        if prefix == 0 || self.is_warm(prefix) {
+            return;
+        }
+        self.warm.push_back(prefix);
+        if self.warm.len() > WARM_PREFIXES {
+            self.warm.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/http.rs
@@ -0,0 +1,185 @@
+//! Upstreams over HTTP.
+
+use crate::{Answer, Call, Engine, Events, Failure, Gauge, Plain, Plea, Tokens};
+use async_trait::async_trait;
+use awc::error::SendRequestError;
+use awc::http::{Method, StatusCode};
+use awc::{Client, Connector};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use policy::Load;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Largest error body that is passed on.
+const ERROR_MOST: usize = 64 * 1024;
+
+/// Largest answer of a plain service.
+const ANSWER_MOST: usize = 16 * 1024 * 1024;
+
+/// Longest wait for a load report.
+const LOAD_MOST: Duration = Duration::from_secs(1);
+
+/// How long an idle connection is kept.
+const KEEP_MOST: Duration = Duration::from_secs(2);
+
+/// How long things may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Until a connection is made.
+    pub connect: Duration,
+    /// Until the head of an answer.
+    pub head: Duration,
+    /// Between two parts of an answer.
+    pub idle: Duration,
+}
+
+impl Default for Patience {
+    fn default() -> Self {
+        Self { connect: Duration::from_millis(500), head: Duration::from_secs(120), idle: Duration::from_secs(20) }
+    }
+}
+
+/// Engines and plain services over HTTP.
+pub struct Http {
+    /// Keeps connections for a short while.
+    kept: Client,
+    /// Makes a connection for each request.
+    fresh: Client,
+    patience: Patience,
+}
+
+#[derive(Deserialize)]
+struct Report {
+    running: u32,
+    waiting: u32,
+    #[serde(default)]
+    leaving: bool,
+}
+
+impl Default for Http {
+    fn default() -> Self {
+        Self::new(Patience::default())
+    }
+}
+
+impl Http {
+    /// A client with these waits. One for each traffic thread.
+    #[must_use]
+    pub fn new(patience: Patience) -> Self {
+        let kept = client(patience, KEEP_MOST);
+        let fresh = client(patience, Duration::ZERO);
+        Self { kept, fresh, patience }
+    }
+
+    /// A kept connection that the upstream has just closed would make a request fail of which nobody
+    /// knows whether it ran. A repeatable one is simply sent again; the others get a new connection.
+    fn client(&self, repeatable: bool) -> &Client {
+        if repeatable {
+            &self.kept
+        } else {
+            &self.fresh
+        }
+    }
+}
+
+fn client(patience: Patience, keep: Duration) -> Client {
+    let connector = Connector::new()
+        .timeout(patience.connect)
+        .limit(0)
+        .conn_keep_alive(keep)
+        .conn_lifetime(Duration::from_secs(600));
+    let builder =
+        Client::builder().connector(connector).timeout(patience.head).disable_redirects().no_default_headers();
+    builder.finish()
+}
+
+fn failure(error: &SendRequestError) -> Failure {
+    match error {
+        SendRequestError::Connect(why) => Failure::Unreached(why.to_string()),
+        SendRequestError::Url(why) => Failure::Unreached(why.to_string()),
+        other => Failure::Broken(other.to_string()),
+    }
+}
+
+struct Stream<S> {
+    body: S,
+    events: Events,
+    idle: Duration,
+    done: bool,
+}
+
+#[async_trait(?Send)]
+impl<S> Tokens for Stream<S>
+where
+    S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
+    async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        loop {
+            if self.done {
+                return Ok(None);
+            }
+            if let Some(event) = self.events.next_event() {
+                self.done = Events::is_done(&event);
+                return Ok(Some(event));
+            }
+            let more = tokio::time::timeout(self.idle, self.body.next()).await;
+            match more {
+                Ok(Some(Ok(bytes))) if self.events.feed(&bytes) => {}
+                Ok(Some(Ok(_))) => return Err(Failure::Broken("an event is too large".into())),
+                Ok(Some(Err(why))) => return Err(Failure::Broken(why.to_string())),
+                Ok(None) => return Err(Failure::Broken("the stream ended before the answer did".into())),
+                Err(_) => return Err(Failure::Broken("silent for too long".into())),
+            }
+        }
+    }
+}
+
+#[async_trait(?Send)]
+impl Engine for Http {
+    async fn start(&self, address: SocketAddr, call: &Call) -> Result<Box<dyn Tokens>, Failure> {
+        let request = self
+            .client(call.repeatable)
+            .post(format!("http://{address}{}", call.endpoint.path()))
+            .insert_header(("content-type", "application/json"));
+        let mut response = request.send_body(call.render()).await.map_err(|e| failure(&e))?;
+        if response.status() != StatusCode::OK {
+            let status = response.status().as_u16();
+            let body = response.body().limit(ERROR_MOST).await.map(|b| b.to_vec()).unwrap_or_default();
+            return Err(Failure::Refused { status, body });
+        }
+        let body = response.timeout(Duration::from_secs(86_400));
+        Ok(Box::new(Stream { body, events: Events::default(), idle: self.patience.idle, done: false }))
+    }
+}
+
+#[async_trait(?Send)]
+impl Plain for Http {
+    async fn ask(&self, address: SocketAddr, plea: &Plea) -> Result<Answer, Failure> {
+        let method = Method::from_bytes(plea.method.as_bytes()).map_err(|e| Failure::Unreached(e.to_string()))?;
+        let mut request = self.client(plea.repeatable).request(method, format!("http://{address}{}", plea.target));
+        for (name, value) in &plea.headers {
+            request = request.insert_header((name.as_str(), value.as_str()));
+        }
+        let sent = request.send_body(plea.body.clone()).await;
+        let mut response = sent.map_err(|e| failure(&e))?.timeout(self.patience.head);
+        let body = response.body().limit(ANSWER_MOST).await;
+        let body = body.map_err(|e| Failure::Broken(e.to_string()))?;
+        let kept = |name: &str| !matches!(name, "connection" | "transfer-encoding" | "content-length" | "keep-alive");
+        let headers = response.headers().iter().filter(|(name, _)| kept(name.as_str()));
+        let headers = headers.filter_map(|(n, v)| Some((n.as_str().to_owned(), v.to_str().ok()?.to_owned())));
+        Ok(Answer { status: response.status().as_u16(), headers: headers.collect(), body })
+    }
+}
+
+#[async_trait(?Send)]
+impl Gauge for Http {
+    async fn load(&self, address: SocketAddr) -> Result<Load, Failure> {
+        let request = self.kept.get(format!("http://{address}/load")).timeout(LOAD_MOST);
+        let mut response = request.send().await.map_err(|e| failure(&e))?;
+        let body = response.body().limit(ERROR_MOST).await.map_err(|e| Failure::Broken(e.to_string()))?;
+        let report: Report = serde_json::from_slice(&body).map_err(|e| Failure::Broken(e.to_string()))?;
+        Ok(Load { running: report.running, waiting: report.waiting, leaving: report.leaving })
+    }
+}
