Faults on processes: kills, freezes, crashes; two lies about "not run" mended

Found, failing first: - A plain call whose server died while it ran was refused as not run (503, ran: no). Cause: the client library also reports a closed open connection as a connect error. Ruled out: the stand-in (it had counted the call). Now only a connection that was never made counts as not reached; all else is "may have run". - A repeatable answer broke off when its engine died although it could be resumed. Cause: the resuming ask was turned away by admission (half the slots were gone). An ask of a request that was accepted before is no longer subject to admission. - In the random world, a caller going away from a paused box was counted wrongly (the check, not the program; now as a real box would notice it).

--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -1,7 +1,7 @@
 //! A caller: sends one request and says truthfully what came back.
 
 use crate::example::{key_of, MODEL};
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, Connector};
 use futures_util::StreamExt;
 use serde_json::{json, Value};
@@ -118,8 +118,7 @@
         let none = |stop| Reply { stop, text: String::new(), times: Vec::new() };
         let response = match request.send_json(body).await {
             Ok(response) => response,
-            Err(SendRequestError::Connect(_)) => return none(Stop::Unreached),
-            Err(_) => return none(Stop::Broken),
+            Err(error) => return none(unanswered(&error)),
         };
         if response.status() != 200 {
             return none(refused(response).await);
@@ -144,8 +143,7 @@
         let none = |stop| Reply { stop, text: String::new(), times: Vec::new() };
         let mut response = match request.send_body(body.to_owned()).await {
             Ok(response) => response,
-            Err(SendRequestError::Connect(_)) => return none(Stop::Unreached),
-            Err(_) => return none(Stop::Broken),
+            Err(error) => return none(unanswered(&error)),
         };
         if response.status() != 200 {
             return none(refused(response).await);
@@ -160,6 +158,15 @@
     }
 }
 
+/// Only a connection that was never made is known to have reached nobody.
+fn unanswered(error: &SendRequestError) -> Stop {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => Stop::Broken,
+        SendRequestError::Connect(_) => Stop::Unreached,
+        _ => Stop::Broken,
+    }
+}
+
 fn text_of(value: &Value) -> String {
     let choice = &value["choices"][0];
     let chat = choice["message"]["content"].as_str().or_else(|| choice["delta"]["content"].as_str());
--- a/crates/policy/src/broker.rs
+++ b/crates/policy/src/broker.rs
@@ -246,6 +246,7 @@
             prefix: acquire.prefix,
             age_ms: 0,
             resumable: acquire.resumable,
+            begun: acquire.cause != Cause::First,
             remote: false,
             avoid: acquire.avoid,
         };
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -21,6 +21,9 @@
     pub age_ms: u32,
     /// The request may be stopped and resumed.
     pub resumable: bool,
+    /// The request was accepted before: its upstream failed or it was recalled. It is never turned away as
+    /// infeasible.
+    pub begun: bool,
     /// The request came from another hall.
     pub remote: bool,
     /// A server on which the request has just failed.
--- a/crates/policy/src/shard.rs
+++ b/crates/policy/src/shard.rs
@@ -34,6 +34,9 @@
 /// No request is given up for being late before this age, in milliseconds.
 const GIVE_UP_LEAST_MS: u64 = 2_000;
 
+/// A request that was accepted before isn't given up before this age, in milliseconds.
+const GIVE_UP_BEGUN_MS: u64 = 60_000;
+
 /// A class whose target between tokens a server misses by this factor isn't sent there.
 const UNFIT_FACTOR: f64 = 1.5;
 
@@ -246,7 +249,7 @@
         // The server's own time to the first token counts as well, as far as it is known.
         let first = self.servers.iter().map(|s| s.speed.first_ms).fold(f64::INFINITY, f64::min);
         let first = if first.is_finite() { first as u64 } else { 0 };
-        if wait > 0 && u64::from(ask.age_ms) + wait + first > class.first_token_ms {
+        if !ask.begun && wait > 0 && u64::from(ask.age_ms) + wait + first > class.first_token_ms {
             return Err(refusal(Reason::Infeasible, wait.saturating_sub(class.first_token_ms)));
         }
         Ok(())
@@ -268,7 +271,8 @@
         let mut late = Vec::new();
         for (id, queue) in &self.queues {
             let limit = Self::give_up_ms(&self.layout.class(*id));
-            let waits = queue.iter().filter(|w| now.since(w.arrived) >= limit);
+            let limit_of = |w: &Waiting| if w.ask.begun { limit.max(GIVE_UP_BEGUN_MS) } else { limit };
+            let waits = queue.iter().filter(|w| now.since(w.arrived) >= limit_of(w));
             late.extend(waits.map(|w| (*id, w.from, w.ask.id)));
         }
         for (class, from, id) in late {
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -122,6 +122,7 @@
         prefix: 0,
         age_ms: 0,
         resumable: false,
+        begun: false,
         remote: false,
         avoid: None,
     };
--- a/crates/policy/tests/world/mod.rs
+++ b/crates/policy/tests/world/mod.rs
@@ -441,6 +441,10 @@
     }
 
     fn someone_goes(&mut self, index: usize) {
+        if self.now < self.nodes[index].paused_until {
+            // A paused box notices only when it wakes, after the answers that came before.
+            return;
+        }
         let Some((id, request)) = self.nodes[index].wishes.pop_first() else { return };
         self.requests[request].lost = true;
         let now = self.now;
--- a/crates/upstream/src/http.rs
+++ b/crates/upstream/src/http.rs
@@ -2,7 +2,7 @@
 
 use crate::{Answer, Call, Engine, Events, Failure, Gauge, Plain, Plea, Tokens};
 use async_trait::async_trait;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::{Method, StatusCode};
 use awc::{Client, Connector};
 use bytes::Bytes;
@@ -95,8 +95,12 @@
     builder.finish()
 }
 
+/// Only a connection that was never made proves that nothing ran.
+///
+/// The library also calls it a connect error when an open connection is closed before the answer.
 fn failure(error: &SendRequestError) -> Failure {
     match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => Failure::Broken("closed before its answer".into()),
         SendRequestError::Connect(why) => Failure::Unreached(why.to_string()),
         SendRequestError::Url(why) => Failure::Unreached(why.to_string()),
         other => Failure::Broken(other.to_string()),
