Urgent bursts: headroom after recalls, and another hall asked while waiting

In the burst two halls get 3/8 of the calls each and are over capacity while the third is not; every freed slot went to a review that the next call recalled again, and a review recalled three times can't be recalled any more.

Ruled out: floors as the cause (3 of 24 slots a hall), slow detection (no faults here).

Not measured yet here: faults, other loads.

--- a/crates/policy/src/broker.rs
+++ b/crates/policy/src/broker.rs
@@ -42,6 +42,12 @@
 /// Keepers of a request key in each hall that is asked.
 const KEEPERS: usize = 2;
 
+/// A request that has waited this part of its target in its own hall is asked for in another one as well;
+/// as a divisor, and the shortest and longest such wait in milliseconds.
+const SPILL_DIVISOR: u64 = 8;
+const SPILL_LEAST_MS: u64 = 50;
+const SPILL_MOST_MS: u64 = 1_000;
+
 /// Most other halls that are asked for one request.
 const SPILL_MOST: usize = 2;
 
@@ -260,6 +266,8 @@
             asked: now,
             heard: None,
             arrived: acquire.arrived,
+            spill: None,
+            spilled: now,
             tried: Vec::new(),
             refusal: None,
         };
@@ -324,6 +332,9 @@
     }
 
     fn cancel(&mut self, pending: &Pending, now: Time) {
+        if let Some((shard, owner)) = pending.spill {
+            self.tell(owner, Message::Cancel(shard, pending.ask.id));
+        }
         if !pending.local {
             self.tell(pending.owner, Message::Cancel(pending.shard, pending.ask.id));
             return;
@@ -348,11 +359,45 @@
         }
     }
 
-    fn spill_shard(&self, pending: &Pending) -> Option<ShardId> {
-        let others_tried = pending.tried.iter().filter(|h| **h != self.hall).count();
-        if self.way != Way::Owner || others_tried >= SPILL_MOST {
-            return None;
+    /// Asks another hall as well for what has waited a part of its target in its own. The first grant wins.
+    fn spill_over(&mut self, now: Time) {
+        if self.way != Way::Owner || self.layout.shards.len() < 2 {
+            return;
+        }
+        let pressed = |p: &Pending| {
+            let target = self.layout.class(p.ask.class).first_token_ms;
+            let wait = (target / SPILL_DIVISOR).clamp(SPILL_LEAST_MS, SPILL_MOST_MS);
+            !p.ask.remote && p.spill.is_none() && now.since(p.spilled) >= wait
+        };
+        let ids: Vec<u64> = self.lessee.pending.iter().filter(|(_, p)| pressed(p)).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.spill_one(id, now);
+        }
+    }
+
+    fn spill_one(&mut self, id: u64, now: Time) {
+        let Some(pending) = self.lessee.pending.get(&id) else { return };
+        let turn = pending.ask.id.wrapping_add(now.0 / SPILL_LEAST_MS);
+        let target = self.other_hall(pending, turn).and_then(|shard| Some((shard, self.owner_of(shard)?)));
+        let Some(pending) = self.lessee.pending.get_mut(&id) else { return };
+        pending.spilled = now;
+        let Some((shard, owner)) = target else { return };
+        pending.spill = Some((shard, owner));
+        let age_ms = now.since(pending.arrived) as u32;
+        let ask = Ask { remote: true, age_ms, ..pending.ask.clone() };
+        self.tell(owner, Message::Ask(shard, ask));
+    }
+
+    /// The other hall no longer needs to answer.
+    fn drop_spill(&mut self, id: u64) {
+        let spill = self.lessee.pending.get_mut(&id).and_then(|p| p.spill.take());
+        if let Some((shard, owner)) = spill {
+            self.tell(owner, Message::Cancel(shard, id));
         }
+    }
+
+    /// A shard of another hall that is in reach and hasn't refused the request.
+    fn other_hall(&self, pending: &Pending, turn: u64) -> Option<ShardId> {
         let halls = self.layout.halls_for(&pending.serves);
         let open = |hall: &&&str| {
             **hall != self.hall
@@ -360,9 +405,17 @@
                 && self.boxes.get(**hall).is_some_and(|b| !b.is_empty())
         };
         let open: Vec<&&str> = halls.iter().filter(open).collect();
-        let hall = open.get(pending.ask.id as usize % open.len().max(1))?;
+        let hall = open.get(turn as usize % open.len().max(1))?;
         let shards = self.layout.shards_in(hall, &pending.serves);
-        shards.get(pending.ask.id as usize % shards.len().max(1)).copied()
+        shards.get(turn as usize % shards.len().max(1)).copied()
+    }
+
+    fn spill_shard(&self, pending: &Pending) -> Option<ShardId> {
+        let others_tried = pending.tried.iter().filter(|h| **h != self.hall).count();
+        if self.way != Way::Owner || others_tried >= SPILL_MOST {
+            return None;
+        }
+        self.other_hall(pending, pending.ask.id)
     }
 
     fn refuse(&mut self, id: u64) {
@@ -385,6 +438,7 @@
     fn send_ask(&mut self, id: u64, shard: ShardId, now: Time) {
         let Some(owner) = self.owner_of(shard) else { return };
         let remote = spec_hall(&self.layout, shard) != self.hall;
+        self.drop_spill(id);
         let Some(pending) = self.lessee.pending.get_mut(&id) else { return };
         pending.shard = shard;
         pending.owner = owner;
@@ -592,6 +646,9 @@
                 if waits_there {
                     self.take_refusal(id, false, refusal);
                     self.after_refusal(id, now);
+                } else if let Some(pending) = self.lessee.pending.get_mut(&id) {
+                    // The other hall has no room; it may be asked again in a while.
+                    pending.spill = pending.spill.filter(|(asked, _)| *asked != shard);
                 }
             }
             Message::Recover(shard) => {
@@ -647,18 +704,26 @@
 
     fn take_grant(&mut self, from: BoxId, local: bool, grant: (ShardId, u64, ServerId, u32)) {
         let (shard, id, server, waited) = grant;
-        if self.lessee.held.contains_key(&id) {
+        if self.lessee.held.get(&id).is_some_and(|held| held.granter == from && held.shard == shard) {
+            // The same grant, said again.
             return;
         }
         let Some(pending) = self.lessee.pending.remove(&id) else {
-            // Granted after it was given up: hand it back unused.
+            // Granted after it was given up, or after another owner was quicker: hand it back unused.
             let report = Report { unused: true, ..Report::default() };
             self.tell(from, Message::Return(shard, vec![Return { id, report }]));
             return;
         };
-        if pending.owner != from || pending.local != local {
+        if pending.local && !local {
+            let said = self.local.get_mut(&pending.shard).map(|d| d.cancel(self.me, id, self.ticked));
+            self.carry_out_local(said.unwrap_or_default());
+        }
+        if !pending.local && (pending.owner != from || pending.shard != shard) {
             self.tell(pending.owner, Message::Cancel(pending.shard, id));
         }
+        if let Some((other, owner)) = pending.spill.filter(|(other, _)| *other != shard) {
+            self.tell(owner, Message::Cancel(other, id));
+        }
         let held = Held {
             id,
             server,
@@ -840,6 +905,7 @@
         }
         self.fall_back(now);
         self.ask_again(now);
+        self.spill_over(now);
         self.ask_keepers_again(now);
         if now.since(self.renewed) >= RENEW_MS {
             self.renewed = now;
--- a/crates/policy/src/lessee.rs
+++ b/crates/policy/src/lessee.rs
@@ -60,6 +60,10 @@
     pub heard: Option<Time>,
     /// When the call came in.
     pub arrived: Time,
+    /// Another hall's shard and owner that were asked as well, while it waits in its own.
+    pub spill: Option<(ShardId, BoxId)>,
+    /// When another hall was last asked as well.
+    pub spilled: Time,
     /// Halls that have refused it.
     pub tried: Vec<String>,
     /// The refusal of this box's own hall, which the caller gets in the end.
--- a/crates/policy/src/shard.rs
+++ b/crates/policy/src/shard.rs
@@ -37,6 +37,14 @@
 /// A request that was accepted before isn't given up before this age, in milliseconds.
 const GIVE_UP_BEGUN_MS: u64 = 60_000;
 
+/// A request that isn't urgent is pressed once this part of its target has gone by, as a divisor.
+const PRESSED_DIVISOR: u64 = 4;
+
+/// Headroom after recalls: time in which half of it fades, in milliseconds, and its most as a divisor of
+/// the capacity.
+const HEADROOM_HALF_MS: f64 = 1_000.0;
+const HEADROOM_DIVISOR: f64 = 3.0;
+
 /// A class whose target between tokens a server misses by this factor isn't sent there.
 const UNFIT_FACTOR: f64 = 1.5;
 
@@ -88,6 +96,9 @@
     leases: BTreeMap<(BoxId, u64), Lease>,
     hold_ms: BTreeMap<ClassId, f64>,
     recovery: Option<Recovery>,
+    /// Slots kept free of requests that would be recalled again at once: rises with each recall, then fades.
+    headroom: f64,
+    headroom_at: Time,
     signed: Time,
     faded: Time,
     out: Vec<Decision>,
@@ -109,6 +120,8 @@
             leases: BTreeMap::new(),
             hold_ms: BTreeMap::new(),
             recovery: None,
+            headroom: 0.0,
+            headroom_at: Time(0),
             signed: Time(0),
             faded: Time(0),
             out: Vec::new(),
@@ -286,6 +299,11 @@
     }
 }
 
+/// An urgent request is pressed from the start, any other once a part of its target has gone by.
+fn is_pressed(class: &Class, waiting: &Waiting, now: Time) -> bool {
+    class.urgent || now.since(waiting.arrived) * PRESSED_DIVISOR >= class.first_token_ms
+}
+
 fn refusal(reason: Reason, wait_ms: u64) -> Refusal {
     const LEAST_MS: u64 = 1_000;
     const MOST_MS: u64 = 600_000;
@@ -314,6 +332,24 @@
         self.recall(now);
     }
 
+    /// Headroom that is left of earlier recalls.
+    fn headroom(&self, now: Time) -> f64 {
+        self.headroom * 0.5_f64.powf(now.since(self.headroom_at) as f64 / HEADROOM_HALF_MS)
+    }
+
+    fn add_headroom(&mut self, now: Time) {
+        let most = f64::from(self.capacity(now)) / HEADROOM_DIVISOR;
+        self.headroom = (self.headroom(now) + 1.0).min(most);
+        self.headroom_at = now;
+    }
+
+    /// A class that would only be recalled again leaves the headroom free, but never its floor.
+    fn leaves_headroom(&self, id: ClassId, class: &Class, now: Time) -> bool {
+        let free: u32 = self.servers.iter().map(|s| s.free(now)).sum();
+        let above_floor = self.running(id) >= self.floor_slots(class, self.capacity(now));
+        !class.preemptible || !above_floor || f64::from(free) > self.headroom(now)
+    }
+
     /// Classes with something waiting and a server that may take it.
     fn ready(&self, now: Time) -> Vec<(ClassId, Class)> {
         let waiting = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
@@ -340,7 +376,8 @@
             return Some(Turn { class: *id, passing: true });
         }
         let oldest = |id: &ClassId| self.queues[id].oldest().unwrap_or(now);
-        let (id, _) = ready.iter().min_by_key(|(id, class)| (class.rank, oldest(id)))?;
+        let may = ready.iter().filter(|(id, class)| self.leaves_headroom(*id, class, now));
+        let (id, _) = may.min_by_key(|(id, class)| (class.rank, oldest(id)))?;
         Some(Turn { class: *id, passing: false })
     }
 
@@ -437,21 +474,29 @@
         self.out.push(Decision::Note(event, format!("shard={} {detail}", self.id)));
     }
 
-    /// Asks lesser requests to step back where urgent ones wait and no slot is free for them.
+    /// Asks lesser requests to step back where higher ones are pressed and no slot is free for them.
     ///
     /// Only a request that an engine can resume is recalled, so no token is generated twice.
     fn recall(&mut self, now: Time) {
-        let urgent = self.queues.iter().filter(|(id, q)| self.layout.class(**id).urgent && !q.is_empty());
-        let (waiting, rank) =
-            urgent.fold((0, u8::MAX), |(n, rank), (id, q)| (n + q.len(), rank.min(self.layout.class(*id).rank)));
-        let coming = self.leases.values().filter(|l| l.recalled).count();
-        for _ in coming..waiting {
-            let Some(key) = self.victim(rank, now) else { return };
-            if let Some(lease) = self.leases.get_mut(&key) {
-                lease.recalled = true;
+        let mut coming = self.leases.values().filter(|l| l.recalled).count();
+        let mut pressed: Vec<(u8, usize)> = Vec::new();
+        for (id, queue) in self.queues.iter().filter(|(_, queue)| !queue.is_empty()) {
+            let class = self.layout.class(*id);
+            pressed.push((class.rank, queue.iter().filter(|w| is_pressed(&class, w, now)).count()));
+        }
+        pressed.sort_unstable();
+        for (rank, mut waiting) in pressed {
+            let served = coming.min(waiting);
+            (coming, waiting) = (coming - served, waiting - served);
+            for _ in 0..waiting {
+                let Some(key) = self.victim(rank, now) else { break };
+                if let Some(lease) = self.leases.get_mut(&key) {
+                    lease.recalled = true;
+                }
+                self.add_headroom(now);
+                self.out.push(Decision::Tell(key.0, Message::Recall(self.id, key.1)));
+                self.out.push(Decision::Note(Event::LeaseRecalled, format!("shard={} lease={}", self.id, key.1)));
             }
-            self.out.push(Decision::Tell(key.0, Message::Recall(self.id, key.1)));
-            self.out.push(Decision::Note(Event::LeaseRecalled, format!("shard={} lease={}", self.id, key.1)));
         }
     }
 
