Releases, membership and leaving proved on processes

Cause: configuration, membership and stopping had no proof.

Change: tests/releases.rs, 13 tests: platform down before, during and after a release; a stale replica; all watchers killed; two operators at once; bad releases of four kinds; a hall cut from the platform, and from all; a box frozen over two releases; an upstream leaving by each of the three words; a rolling restart under load; an owner killed in its handover. A watcher looks at every box's release all the time.

Not yet seen to fail: by breaking the code on purpose, next.

--- /dev/null
+++ b/crates/lab/tests/releases.rs
@@ -0,0 +1,384 @@
+//! Releases, membership, leaving and stopping on real processes, with the platform slow, stale or down
+//! and halls cut off. Every test watches each box's release over time: it never falls.
+
+mod common;
+
+use catalog::Release;
+use common::*;
+use lab::{Caller, Deployment, Mode, Plan, Stop, MODEL};
+use rustix::process::Signal;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Watches the release of every box from outside, as long as it lives.
+struct Watch {
+    fell: Rc<RefCell<Vec<String>>>,
+    looks: Rc<Cell<u64>>,
+    task: actix_rt::task::JoinHandle<()>,
+}
+
+impl Watch {
+    fn over(deployment: &Deployment) -> Self {
+        let doors: Vec<_> = deployment.boxes.iter().map(|(n, b)| (n.clone(), b.operators)).collect();
+        let fell = Rc::new(RefCell::new(Vec::new()));
+        let looks = Rc::new(Cell::new(0));
+        let (out, count) = (Rc::clone(&fell), Rc::clone(&looks));
+        let task = actix_rt::spawn(async move {
+            let client = awc::Client::builder().timeout(Duration::from_millis(300)).finish();
+            let mut last: BTreeMap<String, (u64, String, u64)> = BTreeMap::new();
+            loop {
+                for (name, address) in &doors {
+                    let Ok(mut response) = client.get(format!("http://{address}/status")).send().await else {
+                        continue;
+                    };
+                    let Ok(status) = response.json::<cleatshelf::Status>().limit(1 << 24).await else { continue };
+                    count.set(count.get() + 1);
+                    // A box that was started anew begins with nothing; it is not ready until it has a release.
+                    if !status.ready {
+                        continue;
+                    }
+                    if let Some((number, digest, _)) = last.get(name) {
+                        if (status.release, &status.digest) < (*number, digest) {
+                            out.borrow_mut().push(format!("{name}: {number} to {}", status.release));
+                        }
+                    }
+                    if status.broken > 0 {
+                        out.borrow_mut().push(format!("{name}: {} broken invariants", status.broken));
+                    }
+                    last.insert(name.clone(), (status.release, status.digest, 0));
+                }
+                tokio::time::sleep(Duration::from_millis(30)).await;
+            }
+        });
+        Self { fell, looks, task }
+    }
+
+    fn end(self) {
+        self.task.abort();
+        assert!(self.looks.get() > 0, "nothing was watched");
+        assert!(self.fell.borrow().is_empty(), "{:?}", self.fell.borrow());
+    }
+}
+
+async fn in_force(deployment: &Deployment, number: u64) -> bool {
+    deployment.until(NEVER, |s| s.release >= number && s.ready).await
+}
+
+async fn serves(deployment: &Deployment, what: &str) {
+    for (i, door) in deployment.doors().into_iter().enumerate() {
+        let prompt = format!("{what} {i}");
+        let reply = persist(&Caller::new("large-1"), &[door], &prompt, 5).await;
+        assert!(is_whole(&reply, &prompt, 5), "{prompt}: {:?}", reply.stop);
+    }
+}
+
+#[actix_rt::test]
+async fn a_release_reaches_every_box_with_few_calls_to_the_platform() {
+    let mut deployment = start(Plan { halls: vec![("hall-lansing".into(), 6, 1, 0)], ..small() }).await;
+    let watch = Watch::over(&deployment);
+    let before = deployment.platform.calls();
+    let began = Instant::now();
+    for _ in 0..5 {
+        let number = deployment.publish().expect("a good release");
+        assert!(in_force(&deployment, number).await);
+    }
+    let calls = deployment.platform.calls() - before;
+    // Two watchers, each with a watch and a part or two for each release, and the list once a second.
+    let most = 5 * 2 * 4 + 2 * (began.elapsed().as_secs() + 2) + 12;
+    assert!(calls <= most, "{calls} calls, {most} at most");
+    assert!(deployment.platform.watching() <= 3, "{} watches", deployment.platform.watching());
+    watch.end();
+}
+
+#[actix_rt::test]
+async fn the_platform_may_be_down_before_during_and_after_a_release() {
+    let mut deployment = start(small()).await;
+    let watch = Watch::over(&deployment);
+    deployment.platform.down();
+    serves(&deployment, "platform down").await;
+    // A box that starts meanwhile gets all from its peers.
+    let name = deployment.running()[0].clone();
+    deployment.kill(&name);
+    deployment.run_box(&name).expect("a new process");
+    assert!(in_force(&deployment, 1).await, "{}", deployment.log(&name));
+    deployment.publish().expect("a good release");
+    deployment.platform.up();
+    assert!(in_force(&deployment, 2).await);
+    deployment.platform.down();
+    serves(&deployment, "platform down again").await;
+    let made: u64 = deployment.status(&name).await.expect("it answers").platform_calls;
+    assert!(made < 200, "{made} calls by one box: that is a stampede");
+    watch.end();
+}
+
+#[actix_rt::test]
+async fn a_box_alone_without_platform_and_peers_is_not_ready() {
+    let mut deployment = Deployment::prepare(small(), program()).expect("stand-ins");
+    deployment.platform.down();
+    let name = deployment.boxes.keys().next().expect("a box").clone();
+    deployment.run_box(&name).expect("a process");
+    assert!(until(|| deployment.log(&name).contains("E202 PlatformUnreachable")).await);
+    let door = deployment.boxes[&name].callers;
+    let reply = Caller::new("large-1").ask(door, "too early", 5).await;
+    assert_eq!(code_of(&reply), (503, "not_ready".into(), "no".into()));
+    assert!(!deployment.status(&name).await.expect("it answers").ready);
+}
+
+#[actix_rt::test]
+async fn a_restarted_box_is_never_ready_on_a_stale_replicas_release() {
+    let mut deployment = start(small()).await;
+    let watch = Watch::over(&deployment);
+    // The replica stands still at release 1, the peers go on.
+    deployment.publish().expect("a good release");
+    assert!(in_force(&deployment, 2).await);
+    deployment.platform.put("manifest", deployment.release_of(1).expect("release 1").text.into_bytes());
+    let name = deployment.running()[1].clone();
+    deployment.kill(&name);
+    deployment.run_box(&name).expect("a new process");
+    let began = Instant::now();
+    loop {
+        if let Some(status) = deployment.status(&name).await {
+            assert!(!status.ready || status.release >= 2, "ready on release {}", status.release);
+            if status.ready {
+                break;
+            }
+        }
+        assert!(began.elapsed() < NEVER);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(deployment.until(NEVER, |s| s.release == 2).await, "nobody went back");
+    watch.end();
+}
+
+#[actix_rt::test]
+async fn when_all_watchers_are_killed_others_take_over() {
+    let mut deployment = start(Plan { halls: vec![("hall-lansing".into(), 5, 1, 0)], ..small() }).await;
+    let watch = Watch::over(&deployment);
+    let mut watchers = Vec::new();
+    for name in deployment.running() {
+        if deployment.status(&name).await.expect("it answers").watcher {
+            watchers.push(name);
+        }
+    }
+    assert_eq!(watchers.len(), 2);
+    for name in &watchers {
+        deployment.kill(name);
+        deployment.forget(name);
+    }
+    let number = deployment.publish().expect("a good release");
+    assert!(in_force(&deployment, number).await);
+    watch.end();
+}
+
+#[actix_rt::test]
+async fn two_operators_at_once_leave_one_release_on_all_boxes() {
+    let mut deployment = start(halls()).await;
+    let watch = Watch::over(&deployment);
+    let one = deployment.release_of(2).expect("a good release");
+    deployment.leaving = vec!["nobody".into()];
+    deployment.plan.slots = 7;
+    let other = deployment.release_of(2).expect("another good release");
+    assert_ne!(one.order(), other.order());
+    let newest = one.order().max(other.order()).digest.to_string();
+    // Each hall sees another one first; both are on the platform in the end.
+    deployment.platform.publish(&one);
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    deployment.platform.publish(&other);
+    deployment.platform.publish(if one.order() > other.order() { &one } else { &other });
+    assert!(deployment.until(NEVER, |s| s.digest == newest).await, "all boxes have the higher of both");
+    watch.end();
+}
+
+#[actix_rt::test]
+async fn a_bad_release_is_refused_everywhere_and_the_former_stays() {
+    let mut deployment = start(small()).await;
+    let watch = Watch::over(&deployment);
+    let good = deployment.release_of(1).expect("release 1");
+    let corrupt = {
+        // A part whose bytes don't have its digest: it never completes.
+        let mut release = deployment.release_of(5).expect("a release");
+        release.manifest.parts.insert("extra".into(), catalog::Digest::of(b"never published"));
+        release.text = release.manifest.render();
+        release
+    };
+    deployment.platform.publish(&corrupt);
+    let truncated = &good.text[..good.text.len() / 2];
+    deployment.platform.put("manifest", truncated.as_bytes().to_vec());
+    let contradictory = contradictory(&good);
+    deployment.platform.publish(&contradictory);
+    let refused = deployment.until(NEVER, |s| s.refused.iter().any(|r| r.number == 6)).await;
+    assert!(refused, "the contradictory release is shown as refused on every box: {}", logs(&deployment));
+    let newer = good.text.replace("format = 1", "format = 99");
+    deployment.platform.put("manifest", newer.into_bytes());
+    let shown = |s: &cleatshelf::Status| {
+        s.refused.iter().any(|r| r.reasons.iter().any(|why| why.contains("made by a newer cleatshelf")))
+    };
+    let watchers = Cell::new(0);
+    assert!(deployment.until(NEVER, |s| !s.watcher || shown(s)).await);
+    watchers.set(1);
+    assert!(deployment.until(NEVER, |s| s.release == 1 && s.ready).await, "the former release stays");
+    serves(&deployment, "former release").await;
+    deployment.release = 6;
+    let number = deployment.publish().expect("a good release");
+    assert!(in_force(&deployment, number).await, "a good release after bad ones is taken");
+    watch.end();
+}
+
+/// A release whose parts are whole but name a class that isn't there.
+fn contradictory(good: &Release) -> Release {
+    let mut release = good.clone();
+    release.manifest.number = 6;
+    let text = b"key_salt = \"x\"\n[[class]]\nname = \"other\"\nrank = 0\nurgent = true\nfirst_token_ms = 5\n".to_vec();
+    let digest = catalog::Digest::of(&text);
+    release.manifest.parts.insert("classes".into(), digest);
+    release.parts.insert(digest, text);
+    release.text = release.manifest.render();
+    release
+}
+
+#[actix_rt::test]
+async fn a_hall_cut_from_the_platform_learns_from_other_halls() {
+    let mut deployment = start(halls()).await;
+    let watch = Watch::over(&deployment);
+    deployment.platform_relays["hall-toledo"].set(Mode::Cut);
+    let number = deployment.publish().expect("a good release");
+    assert!(in_force(&deployment, number).await, "through the other hall's boxes");
+    watch.end();
+}
+
+#[actix_rt::test]
+async fn a_hall_cut_from_all_serves_on_and_catches_up() {
+    let mut deployment = start(halls()).await;
+    let watch = Watch::over(&deployment);
+    deployment.platform_relays["hall-toledo"].set(Mode::Cut);
+    deployment.relay_halls("hall-lansing", "hall-toledo", Mode::Cut);
+    let number = deployment.publish().expect("a good release");
+    serves(&deployment, "cut off").await;
+    let lansing = deployment.running().into_iter().filter(|n| n.contains("lansing"));
+    for name in lansing {
+        let began = Instant::now();
+        while deployment.status(&name).await.is_none_or(|s| s.release < number) {
+            assert!(began.elapsed() < NEVER);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    for name in deployment.running().into_iter().filter(|n| n.contains("toledo")) {
+        assert_eq!(deployment.status(&name).await.expect("it answers").release, 1);
+    }
+    deployment.relay_halls("hall-lansing", "hall-toledo", Mode::Pass(1));
+    assert!(in_force(&deployment, number).await, "healed through peers alone");
+    serves(&deployment, "healed").await;
+    watch.end();
+}
+
+#[actix_rt::test]
+async fn a_box_frozen_over_two_releases_wakes_to_the_newest() {
+    let mut deployment = start(small()).await;
+    let watch = Watch::over(&deployment);
+    let name = deployment.running()[0].clone();
+    deployment.signal(&name, Signal::STOP);
+    deployment.publish().expect("a good release");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let number = deployment.publish().expect("a good release");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    deployment.signal(&name, Signal::CONT);
+    assert!(in_force(&deployment, number).await);
+    serves(&deployment, "woke").await;
+    watch.end();
+}
+
+#[actix_rt::test]
+async fn a_leaving_upstream_gets_no_new_work_on_any_box_that_heard() {
+    let plan = Plan { halls: vec![("hall-lansing".into(), 3, 2, 0)], relayed: true, list_lag_ms: 300, ..small() };
+    for word in ["file", "list", "engine"] {
+        let mut deployment = start(plan.clone()).await;
+        let watch = Watch::over(&deployment);
+        let leaving = deployment.engines[0].1.clone();
+        serves(&deployment, "before").await;
+        match word {
+            "file" => {
+                deployment.leaving = vec![leaving.name().to_owned()];
+                deployment.publish().expect("a good release");
+            }
+            "list" => {
+                let list: Vec<_> =
+                    deployment.engines.iter().map(|(_, e)| (e.name().to_owned(), e.name() == leaving.name())).collect();
+                deployment.platform.list(&[], &list);
+            }
+            _ => leaving.leave(true),
+        }
+        // New work stops within three seconds; the lag of the list comes on top of it.
+        tokio::time::sleep(Duration::from_millis(3_300)).await;
+        let before = leaving.starts();
+        for i in 0..20 {
+            let doors = deployment.doors();
+            let reply = persist(&Caller::new("large-1"), &doors, &format!("{word} {i}"), 5).await;
+            assert_eq!(reply.stop, Stop::Whole);
+        }
+        assert_eq!(leaving.starts(), before, "new work on an upstream that is leaving by {word}");
+        watch.end();
+    }
+}
+
+#[actix_rt::test]
+async fn a_rolling_restart_under_load_cuts_and_fails_nothing() {
+    let mut deployment = start(Plan { token_ms: 20, ..small() }).await;
+    let watch = Watch::over(&deployment);
+    let doors = deployment.doors();
+    let stop = Rc::new(Cell::new(false));
+    let mut tasks = Vec::new();
+    for worker in 0..12usize {
+        let (doors, stop) = (doors.clone(), Rc::clone(&stop));
+        tasks.push(actix_rt::spawn(async move {
+            let mut ended = Vec::new();
+            for i in 0.. {
+                if stop.get() {
+                    break;
+                }
+                let caller = Caller::new("large-1").class(["hotline", "contract-check", "review"][worker % 3]);
+                let caller = if worker % 2 == 0 { caller.once() } else { caller };
+                let prompt = format!("rolling {worker} {i}");
+                ended.push((persist(&caller, &doors, &prompt, 40).await, prompt));
+            }
+            ended
+        }));
+    }
+    for name in deployment.running() {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        deployment.signal(&name, Signal::TERM);
+        let began = Instant::now();
+        while began.elapsed() < NEVER && !deployment.log(&name).contains("E103 StopClean") {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(deployment.wait(&name, NEVER), Some(0), "{}", deployment.log(&name));
+        deployment.run_box(&name).expect("a new process");
+        assert!(deployment.until(NEVER, |s| s.ready).await);
+    }
+    stop.set(true);
+    let mut count = 0;
+    for task in tasks {
+        for (reply, prompt) in task.await.expect("no panic") {
+            assert!(is_whole(&reply, &prompt, 40), "{prompt}: {:?}", reply.stop);
+            count += 1;
+        }
+    }
+    assert!(count > 30, "only {count} requests");
+    watch.end();
+}
+
+#[actix_rt::test]
+async fn an_owner_killed_during_its_handover_is_replaced() {
+    let mut deployment = start(small()).await;
+    let watch = Watch::over(&deployment);
+    let owner = deployment.owner("hall-lansing", MODEL).await.expect("an owner");
+    deployment.signal(&owner, Signal::TERM);
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    deployment.kill(&owner);
+    deployment.forget(&owner);
+    serves(&deployment, "after the handover").await;
+    assert!(at_rest(&deployment).await);
+    watch.end();
+}
