A stopping owner's leases are known at once; a starting box waits for its peers

Cause: breaking the code on purpose showed tests that didn't bite, and sharpening them showed faults. - A new owner asked only boxes that may own something, so the leases of a box that was leaving were unknown for up to a second (test a_stopping_owner_hands_over_before_it_ends failed first). Leaving boxes are asked as well. - A box that started behind slow links became ready on the platform's stale release before its peers had answered (test with links of 250 ms failed first). It now waits until each known box of its hall has answered or is found dead or leaving, five seconds at most, and suspects nobody in that time. - The log of a failing run showed a box taken as alive and, 3 ms later, as dead by an old rumour. What was just heard directly now beats a rumour of the same life. Found in the stand-in: the relay delayed each read after the other, so a handshake of five reads took five delays. It is a delay line now. Ruled out: a longer time for opening links (the handshake was the relay's doing).

--- a/crates/cleatshelf/src/control.rs
+++ b/crates/cleatshelf/src/control.rs
@@ -46,6 +46,9 @@
 /// Age of a key, made for a request, when it reaches its keeper, in milliseconds.
 const SKEW_MARGIN_MS: u64 = 200;
 
+/// A box that starts or wakes waits this long for boxes of its hall that neither answer nor are found dead.
+const SETTLE_MOST_MS: u64 = 5_000;
+
 /// Customers with a metric label of their own.
 const SERIES_MOST: usize = 100;
 
@@ -335,7 +338,7 @@
             match action {
                 fleet::Action::Send(to, message) => self.send(to, &Envelope::Fleet(message), context),
                 fleet::Action::View => {
-                    let actions = self.broker.set_boxes(self.probe.boxes(), self.now());
+                    let actions = self.broker.set_boxes(self.probe.boxes(), self.probe.leaving(), self.now());
                     self.do_policy(actions, context);
                 }
                 fleet::Action::Upstream(server, leaving) => {
@@ -552,13 +555,14 @@
 
     /// Takes calls once a release is here that isn't older than that of any peer that was heard.
     fn settle(&mut self, now: Time) {
-        let waited = now.since(self.began) >= SETTLE_MS;
+        let waited = now.since(self.began);
+        let asked = !self.probe.is_waiting() || waited >= SETTLE_MOST_MS;
         let newest = self.spread.order() >= self.best_heard;
         let refused = self.spread.refused().any(|r| Some(r.order) == self.best_heard);
         // Until then this box can't prove of any request key that it is new.
         let remembers = now.since(self.started) >= policy::SKEW_MS + SKEW_MARGIN_MS;
         let current = self.spread.order().is_some() && (newest || refused);
-        if !self.settled && remembers && current && (self.heard_peer || waited) {
+        if !self.settled && remembers && current && asked && (self.heard_peer || waited >= SETTLE_MS) {
             self.settled = true;
         }
         let ready = self.settled;
@@ -755,8 +759,7 @@
 
     fn started(&mut self, context: &mut Self::Context) {
         context.run_interval(TICK, Self::tick);
-        let boxes = self.probe.boxes();
-        let actions = self.broker.set_boxes(boxes, self.now());
+        let actions = self.broker.set_boxes(self.probe.boxes(), self.probe.leaving(), self.now());
         self.do_policy(actions, context);
     }
 }
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -48,6 +48,8 @@
     pub incarnation: u32,
     /// When `state` was entered.
     pub since: Time,
-    /// It was heard from directly, so the list's lag doesn't matter.
+    /// It was heard from directly since this box started or woke.
     pub heard: bool,
+    /// When it was last heard from directly.
+    pub heard_at: Time,
 }
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -31,11 +31,13 @@
     pub dead_ms: u64,
     /// After waking from a pause nobody is suspected for this long, in milliseconds.
     pub distrust_ms: u64,
+    /// After the start nobody is suspected for this long, in milliseconds: links are still being made.
+    pub start_ms: u64,
 }
 
 impl Default for Timing {
     fn default() -> Self {
-        Self { interval_ms: 250, ack_ms: 200, suspect_ms: 500, dead_ms: 600, distrust_ms: 1_000 }
+        Self { interval_ms: 250, ack_ms: 200, suspect_ms: 500, dead_ms: 600, distrust_ms: 1_000, start_ms: 5_000 }
     }
 }
 
@@ -96,7 +98,7 @@
             rumours: VecDeque::new(),
             probed: Time(0),
             ticked: now,
-            trust_after: now,
+            trust_after: now.after(timing.start_ms),
             random,
             out: Vec::new(),
         };
@@ -111,7 +113,7 @@
         if peer.id() == self.me.id() || self.members.contains_key(&peer.id()) {
             return;
         }
-        let member = Member { state: State::Alive, incarnation, since: now, heard: false, peer };
+        let member = Member { state: State::Alive, incarnation, since: now, heard: false, heard_at: Time(0), peer };
         self.members.insert(member.peer.id(), member);
         self.out.push(Action::View);
     }
@@ -155,6 +157,7 @@
     pub fn heard(&mut self, from: BoxId, now: Time) {
         let Some(member) = self.members.get_mut(&from) else { return };
         member.heard = true;
+        member.heard_at = now;
         if member.state != State::Suspect && member.state != State::Dead {
             return;
         }
@@ -221,7 +224,10 @@
         }
         let Some(member) = self.members.get_mut(&id) else { return };
         let newer = (incarnation, state) > (member.incarnation, member.state);
-        if !newer {
+        // What was just heard directly beats what others believe of the same life.
+        let just_heard = member.heard && now.since(member.heard_at) < self.timing.suspect_ms;
+        let contradicted = just_heard && incarnation == member.incarnation && state != State::Leaving;
+        if !newer || contradicted {
             return;
         }
         member.incarnation = incarnation;
@@ -360,6 +366,7 @@
             // It was this box that was away, so nobody's silence means anything.
             self.outstanding.clear();
             self.trust_after = now.after(self.timing.distrust_ms);
+            self.members.values_mut().for_each(|m| m.heard = false);
         }
         self.ticked = now;
         self.judge(now);
@@ -453,6 +460,20 @@
         halls
     }
 
+    /// Boxes of this hall that are leaving: they own nothing, but may still hold leases.
+    #[must_use]
+    pub fn leaving(&self) -> Vec<BoxId> {
+        let near = |m: &&Member| m.peer.hall == self.me.hall && m.state == State::Leaving;
+        self.members.values().filter(near).map(|m| m.peer.id()).collect()
+    }
+
+    /// True while some box of this hall has neither answered nor been found dead or leaving.
+    #[must_use]
+    pub fn is_waiting(&self) -> bool {
+        let open = |m: &Member| !m.heard && matches!(m.state, State::Alive | State::Suspect);
+        self.members.values().any(|m| m.peer.hall == self.me.hall && open(m))
+    }
+
     /// Every other box that was ever heard of.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -2,15 +2,16 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 /// What the relay does with the link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
-    /// Passes bytes on, each batch after this many milliseconds.
+    /// Passes bytes on, each this many milliseconds after it came.
     Pass(u64),
     /// Breaks connections and takes no new ones.
     Cut,
@@ -77,25 +78,35 @@
     }
 }
 
-async fn pass(
-    mut from: tokio::net::tcp::OwnedReadHalf,
-    mut to: tokio::net::tcp::OwnedWriteHalf,
-    mut modes: watch::Receiver<Mode>,
-) {
+/// Bytes on their way, and when they arrive.
+type Line = mpsc::UnboundedReceiver<(Instant, Vec<u8>)>;
+
+async fn pass(mut from: OwnedReadHalf, to: OwnedWriteHalf, mut modes: watch::Receiver<Mode>) {
+    let (line, arriving) = mpsc::unbounded_channel();
+    let writer = actix_rt::spawn(arrive(to, arriving, modes.clone()));
     let mut buffer = vec![0; 64 * 1024];
     loop {
         let read = tokio::select! {
             read = from.read(&mut buffer) => read,
-            _ = modes.wait_for(|mode| *mode == Mode::Cut) => return,
+            _ = modes.wait_for(|mode| *mode == Mode::Cut) => break,
         };
-        let Ok(count @ 1..) = read else { return };
-        let Ok(mode) = modes.wait_for(|mode| *mode != Mode::Freeze).await.map(|m| *m) else { return };
-        match mode {
-            Mode::Cut | Mode::Freeze => return,
-            Mode::Pass(0) => {}
-            Mode::Pass(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+        let Ok(count @ 1..) = read else { break };
+        let delay = if let Mode::Pass(ms) = *modes.borrow() { ms } else { 0 };
+        let at = Instant::now() + Duration::from_millis(delay);
+        if line.send((at, buffer[..count].to_vec())).is_err() {
+            break;
         }
-        if to.write_all(&buffer[..count]).await.is_err() {
+    }
+    drop(line);
+    // What is on its way still arrives, unless the link was cut.
+    let _ = writer.await;
+}
+
+async fn arrive(mut to: OwnedWriteHalf, mut line: Line, mut modes: watch::Receiver<Mode>) {
+    while let Some((at, bytes)) = line.recv().await {
+        tokio::time::sleep_until(at.into()).await;
+        let mode = modes.wait_for(|mode| *mode != Mode::Freeze).await.map(|m| *m);
+        if !matches!(mode, Ok(Mode::Pass(_))) || to.write_all(&bytes).await.is_err() {
             return;
         }
     }
--- a/crates/lab/tests/releases.rs
+++ b/crates/lab/tests/releases.rs
@@ -128,7 +128,7 @@
 
 #[actix_rt::test]
 async fn a_restarted_box_is_never_ready_on_a_stale_replicas_release() {
-    let mut deployment = start(small()).await;
+    let mut deployment = start(Plan { relayed: true, ..small() }).await;
     let watch = Watch::over(&deployment);
     // The replica stands still at release 1, the peers go on.
     deployment.publish().expect("a good release");
@@ -136,11 +136,17 @@
     deployment.platform.put("manifest", deployment.release_of(1).expect("release 1").text.into_bytes());
     let name = deployment.running()[1].clone();
     deployment.kill(&name);
+    // Peers are reachable but slow, so the platform's answer is there long before theirs.
+    for ((from, to), relay) in &deployment.relays {
+        if *from == name || *to == name {
+            relay.set(Mode::Pass(250));
+        }
+    }
     deployment.run_box(&name).expect("a new process");
     let began = Instant::now();
     loop {
         if let Some(status) = deployment.status(&name).await {
-            assert!(!status.ready || status.release >= 2, "ready on release {}", status.release);
+            assert!(!status.ready || status.release >= 2, "ready on release {}\n{}", status.release, logs(&deployment));
             if status.ready {
                 break;
             }
@@ -382,3 +388,31 @@
     assert!(at_rest(&deployment).await);
     watch.end();
 }
+
+#[actix_rt::test]
+async fn a_stopping_owner_hands_over_before_it_ends() {
+    let mut deployment = start(Plan { token_ms: 40, ..small() }).await;
+    let owner = deployment.owner("hall-lansing", MODEL).await.expect("an owner");
+    let door = deployment.boxes[&owner].callers;
+    let long = actix_rt::spawn(async move { Caller::new("large-1").ask(door, "long", 400).await });
+    let engines = deployment.engines.clone();
+    assert!(until(|| engines.iter().any(|(_, e)| e.running() > 0)).await, "it began");
+    deployment.signal(&owner, Signal::TERM);
+    let owns = |s: &cleatshelf::Status| s.shards.iter().any(|row| row.serves == MODEL && !row.recovering);
+    let began = Instant::now();
+    let mut next = None;
+    while next.is_none() && began.elapsed() < NEVER {
+        for name in deployment.running().into_iter().filter(|n| *n != owner) {
+            if deployment.status(&name).await.is_some_and(|s| owns(&s)) {
+                next = Some(name);
+            }
+        }
+    }
+    assert!(next.is_some(), "nobody took over");
+    assert!(!deployment.log(&owner).contains("E103 StopClean"), "it had not ended yet");
+    let held = |s: &cleatshelf::Status| s.shards.iter().filter(|r| r.serves == MODEL).map(|r| r.held).sum::<usize>();
+    let name = next.expect("a new owner");
+    assert!(deployment.status(&name).await.is_some_and(|s| held(&s) == 1), "it knows the lease that still runs");
+    assert!(is_whole(&long.await.expect("no panic"), "long", 400));
+    assert_eq!(deployment.wait(&owner, NEVER), Some(0));
+}
--- a/crates/policy/src/broker.rs
+++ b/crates/policy/src/broker.rs
@@ -82,6 +82,8 @@
     layout: Rc<Layout>,
     /// Boxes that may own something, by hall. Contains this box unless it is stopping.
     boxes: BTreeMap<String, Vec<BoxId>>,
+    /// Boxes of this hall that own nothing any more but may still hold leases.
+    leavers: Vec<BoxId>,
     /// Shards that this box owns, or that others still take it to own.
     owned: BTreeMap<ShardId, Shard>,
     /// This box's own share of a shard whose owner is out of reach; or the baselines' deciders.
@@ -117,6 +119,7 @@
             way,
             layout: Rc::default(),
             boxes: BTreeMap::new(),
+            leavers: Vec::new(),
             owned: BTreeMap::new(),
             local: BTreeMap::new(),
             lessee: Lessee::new(first),
@@ -146,8 +149,10 @@
         self.drain(now)
     }
 
-    /// The boxes that may own something changed. `boxes` holds this box too, unless it is stopping.
-    pub fn set_boxes(&mut self, boxes: BTreeMap<String, Vec<BoxId>>, now: Time) -> Vec<Action> {
+    /// The boxes changed. `boxes` may own something and hold this box too, unless it is stopping;
+    /// `leavers` are those of this hall that only hold leases still.
+    pub fn set_boxes(&mut self, boxes: BTreeMap<String, Vec<BoxId>>, leavers: Vec<BoxId>, now: Time) -> Vec<Action> {
+        self.leavers = leavers;
         if boxes == self.boxes {
             return Vec::new();
         }
@@ -167,6 +172,13 @@
         self.boxes.get(&self.hall).map_or(&[], Vec::as_slice)
     }
 
+    /// Boxes of this hall that may hold leases.
+    fn lessees(&self) -> Vec<BoxId> {
+        let mut ids = self.hall_boxes().to_vec();
+        ids.extend(&self.leavers);
+        ids
+    }
+
     fn settle_ownership(&mut self, now: Time) {
         if self.way != Way::Owner {
             return;
@@ -182,8 +194,7 @@
     fn begin_owning(&mut self, id: ShardId, now: Time) {
         let Some(spec) = self.layout.shards.get(&id) else { return };
         let mut shard = Shard::new(spec, Rc::clone(&self.layout));
-        let boxes = self.hall_boxes().to_vec();
-        let said = shard.recover(&boxes, now);
+        let said = shard.recover(&self.lessees(), now);
         self.leaving.iter().for_each(|server| shard.set_leaving(*server, true));
         self.owned.insert(id, shard);
         let detail =
@@ -922,7 +933,7 @@
         }
         self.ticked = now;
         self.out.push(Action::Note(Event::PauseNoticed, format!("ms={paused}")));
-        let boxes = self.hall_boxes().to_vec();
+        let boxes = self.lessees();
         let ids: Vec<ShardId> = self.owned.keys().copied().collect();
         for id in ids {
             self.at_owner(id, |s| s.recover(&boxes, now));
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -74,10 +74,10 @@
     let mut now = Time(10_000);
     let mut owner = broker(owner_id, &layout, now);
     let mut lessee = broker(lessee_id, &layout, now);
-    owner.set_boxes(view(&[owner_id, lessee_id]), now);
+    owner.set_boxes(view(&[owner_id, lessee_id]), Vec::new(), now);
     owner.receive(lessee_id, Message::Holding(shard_of(&layout), Vec::new()), now);
     owner.receive(owner_id, Message::Holding(shard_of(&layout), Vec::new()), now);
-    lessee.set_boxes(view(&[owner_id, lessee_id]), now);
+    lessee.set_boxes(view(&[owner_id, lessee_id]), Vec::new(), now);
 
     let (_, asked) = lessee.acquire(acquire(now), now);
     let ask = sent_to(&asked, owner_id).remove(0);
@@ -86,9 +86,9 @@
     owner.receive(lessee_id, ask, now);
     now = now.after(30);
     let elsewhere = third(&layout, owner_id, lessee_id);
-    lessee.set_boxes(view(&[owner_id, lessee_id, elsewhere]), now);
+    lessee.set_boxes(view(&[owner_id, lessee_id, elsewhere]), Vec::new(), now);
     now = now.after(60);
-    let asks = sent_to(&lessee.set_boxes(view(&[owner_id, lessee_id]), now), owner_id);
+    let asks = sent_to(&lessee.set_boxes(view(&[owner_id, lessee_id]), Vec::new(), now), owner_id);
     let mut expiries = Vec::new();
     for ask in asks {
         for grant in sent_to(&owner.receive(lessee_id, ask, now), lessee_id) {
@@ -112,7 +112,7 @@
     let shard = shard_of(&layout);
     let now = Time(10_000);
     let mut owner = broker(owner_id, &layout, now);
-    owner.set_boxes(view(&[owner_id, lessee_id]), now);
+    owner.set_boxes(view(&[owner_id, lessee_id]), Vec::new(), now);
     // While the owner recovers, an ask waits; its lessee got a slot elsewhere and the cancel is lost.
     let ask = policy::Ask {
         id: 7,
--- a/crates/policy/tests/world/mod.rs
+++ b/crates/policy/tests/world/mod.rs
@@ -197,7 +197,7 @@
     fn set_view(&mut self, index: usize, view: BTreeMap<String, Vec<BoxId>>) {
         let now = self.now;
         let Some(broker) = &mut self.nodes[index].broker else { return };
-        let actions = broker.set_boxes(view, now);
+        let actions = broker.set_boxes(view, Vec::new(), now);
         self.carry_out(index, actions);
     }
 
