Slopes and overhead measured; news of a death goes before old news

Cause: docs/CAPACITY.md needs slopes. The first run of `lab slopes` showed two that don't hold: the last box of a hall knew of a death after 1.2 s at 8 boxes but 29 s at 390 (75 ms more for each box), and an owner's time for a request grew with its leases.

Causes: changes rode along in a circle, so a new one waited behind hundreds of old ones; classes' running leases were counted anew at each decision. Ruled out for the first: the probe's own times (the first suspicion came within 2 s). Change: the change told least goes first; leases by class are counted as they come and go. `lab overhead` compares a box with calling the engine directly.

--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -137,16 +137,18 @@
         self.rumours.push_front(Rumour { change, left: 3 * (32 - size.leading_zeros()) });
     }
 
+    /// The changes that were told least go first, so that news isn't held up by what is nearly old.
     fn take_changes(&mut self) -> Vec<Change> {
-        let mut taken = Vec::new();
-        for _ in 0..self.rumours.len().min(CHANGES_MOST) {
-            let Some(mut rumour) = self.rumours.pop_front() else { break };
-            taken.push(rumour.change.clone());
-            rumour.left -= 1;
-            if rumour.left > 0 {
-                self.rumours.push_back(rumour);
-            }
+        if self.rumours.len() > CHANGES_MOST {
+            self.rumours.make_contiguous().sort_by_key(|rumour| std::cmp::Reverse(rumour.left));
         }
+        let told = self.rumours.iter_mut().take(CHANGES_MOST);
+        let taken = told.map(|rumour| {
+            rumour.left -= 1;
+            rumour.change.clone()
+        });
+        let taken = taken.collect();
+        self.rumours.retain(|rumour| rumour.left > 0);
         taken
     }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -25,6 +25,7 @@
     Load(LoadArgs),
     Compare(CompareArgs),
     Plot(PlotArgs),
+    Overhead(OverheadArgs),
     Slopes(SlopesArgs),
     Box(BoxArgs),
 }
@@ -110,10 +111,19 @@
     out: PathBuf,
 }
 
+/// measure what one box adds, against calling the engine stand-in directly; JSON
+#[derive(FromArgs)]
+#[argh(subcommand, name = "overhead")]
+struct OverheadArgs {}
+
 /// measure the slopes for docs/CAPACITY.md
 #[derive(FromArgs)]
 #[argh(subcommand, name = "slopes")]
-struct SlopesArgs {}
+struct SlopesArgs {
+    /// as JSON
+    #[argh(switch)]
+    json: bool,
+}
 
 /// run one box, as `cleatshelf serve` does; for this program's own use
 #[derive(FromArgs)]
@@ -133,10 +143,8 @@
         What::Load(args) => actix_rt::System::new().block_on(load(&args)),
         What::Compare(args) => actix_rt::System::new().block_on(compare_all(&args)),
         What::Plot(args) => draw(&args),
-        What::Slopes(_) => {
-            println!("{}", lab::slopes());
-            Ok(())
-        }
+        What::Overhead(_) => actix_rt::System::new().block_on(measure_overhead()),
+        What::Slopes(args) => measure_slopes(&args),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -253,6 +261,22 @@
     Ok(())
 }
 
+async fn measure_overhead() -> eyre::Result<()> {
+    let overhead = lab::overhead(&program()?).await?;
+    println!("{}", serde_json::to_string_pretty(&overhead)?);
+    Ok(())
+}
+
+fn measure_slopes(args: &SlopesArgs) -> eyre::Result<()> {
+    let slopes = lab::slopes();
+    if args.json {
+        println!("{}", serde_json::to_string(&slopes)?);
+    } else {
+        println!("{}", lab::slopes_table(&slopes));
+    }
+    Ok(())
+}
+
 fn draw(args: &PlotArgs) -> eyre::Result<()> {
     let text = std::fs::read_to_string(&args.from)?;
     let reports: Vec<Report> = text.lines().map(serde_json::from_str).collect::<Result<_, _>>()?;
--- /dev/null
+++ b/crates/lab/src/overhead.rs
@@ -0,0 +1,156 @@
+//! What a box adds: time to the first token, time for each token, and processor time, against calling
+//! the engine stand-in directly in the same run.
+
+use crate::client::{Caller, Reply, Stop};
+use crate::{Deployment, Plan};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Requests a second each way, and for how long.
+const RATE: u64 = 50;
+const SECONDS: u64 = 12;
+
+/// Answers of the long run; with 40 ms a token about 200 streams are open.
+const LONG: u32 = 160;
+
+/// Answers of the short run, so that requests and tokens can be told apart.
+const SHORT: u32 = 8;
+
+/// Kernel ticks in a second, as in /proc/PID/stat.
+const TICKS: f64 = 100.0;
+
+/// What was measured, in microseconds.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Overhead {
+    /// To the first token, directly: half, 99 in 100.
+    pub direct_first_us: (u64, u64),
+    /// To the first token, through one box.
+    pub box_first_us: (u64, u64),
+    /// Mean time for each token, directly: half, 99 in 100.
+    pub direct_token_us: (u64, u64),
+    /// Mean time for each token, through one box.
+    pub box_token_us: (u64, u64),
+    /// Most streams open at once through the box.
+    pub open_streams: u32,
+    /// The box's processor time for each streamed request without its tokens.
+    pub cpu_request_us: f64,
+    /// The box's processor time for each token.
+    pub cpu_token_us: f64,
+    /// Requests through the box, of both runs.
+    pub requests: u64,
+}
+
+struct Way {
+    first: Histogram<u64>,
+    token: Histogram<u64>,
+    tokens: u64,
+    requests: u64,
+}
+
+impl Way {
+    fn new() -> Self {
+        let histogram = || Histogram::new_with_max(60_000_000, 3).expect("valid bounds");
+        Self { first: histogram(), token: histogram(), tokens: 0, requests: 0 }
+    }
+
+    fn take(&mut self, sent: Instant, reply: &Reply) {
+        if reply.stop != Stop::Whole || reply.times.is_empty() {
+            return;
+        }
+        let first = reply.times[0];
+        self.first.saturating_record(first.duration_since(sent).as_micros() as u64);
+        let count = reply.times.len() as u64;
+        self.requests += 1;
+        self.tokens += count;
+        if count > 1 {
+            let span = reply.times[reply.times.len() - 1].duration_since(first).as_micros() as u64;
+            self.token.saturating_record(span / (count - 1));
+        }
+    }
+
+    fn figures(histogram: &Histogram<u64>) -> (u64, u64) {
+        (histogram.value_at_quantile(0.5), histogram.value_at_quantile(0.99))
+    }
+}
+
+/// Processor seconds that a process has used.
+fn cpu_seconds(pid: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let after_name = text.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let field = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    (field(11) + field(12)) / TICKS
+}
+
+async fn one_run(deployment: &Deployment, tokens: u32, direct: &mut Way, through: &mut Way) -> (f64, u64, u64, u32) {
+    let door = deployment.doors()[0];
+    let engines: Vec<SocketAddr> = deployment.engines.iter().map(|(_, e)| e.address()).collect();
+    let name = deployment.running()[0].clone();
+    let pid = deployment.pid(&name).unwrap_or(0);
+    let caller = Caller::new("large-1").class("contract-check");
+    let (began, before) = (Instant::now(), cpu_seconds(pid));
+    let (requests, token_count) = (through.requests, through.tokens);
+    let mut tasks = Vec::new();
+    let mut most_open = 0;
+    for i in 0..RATE * SECONDS {
+        tokio::time::sleep_until((began + Duration::from_micros(i * 1_000_000 / RATE)).into()).await;
+        for is_direct in [true, false] {
+            let caller = caller.clone();
+            let to = if is_direct { engines[i as usize % engines.len()] } else { door };
+            tasks.push(actix_rt::spawn(async move {
+                let sent = Instant::now();
+                // The same prompt both ways, so that both answers are of the same length.
+                (is_direct, sent, caller.ask(to, &format!("overhead {tokens} {i}"), tokens).await)
+            }));
+        }
+        if i % RATE == 0 {
+            let open = deployment.status(&name).await.map_or(0, |s| s.running as u32);
+            most_open = most_open.max(open);
+        }
+    }
+    for task in tasks {
+        if let Ok((is_direct, sent, reply)) = task.await {
+            (if is_direct { &mut *direct } else { &mut *through }).take(sent, &reply);
+        }
+    }
+    let cpu = cpu_seconds(pid) - before;
+    (cpu, through.requests - requests, through.tokens - token_count, most_open)
+}
+
+/// Measures what one box adds.
+///
+/// # Errors
+/// When the box can't be started or doesn't become ready.
+pub async fn overhead(program: &Path) -> eyre::Result<Overhead> {
+    let halls = vec![("hall-lansing".to_owned(), 1, 4, 0)];
+    let plan = Plan { halls, slots: 200, token_ms: 40, prefill_ms: 20, threads: 2, ..Plan::default() };
+    let deployment = Deployment::start(plan, program)?;
+    if !deployment.settled(Duration::from_secs(20)).await {
+        eyre::bail!("the box did not become ready");
+    }
+    let (mut direct, mut through) = (Way::new(), Way::new());
+    let long = one_run(&deployment, LONG, &mut direct, &mut through).await;
+    let figures = (
+        Way::figures(&direct.first),
+        Way::figures(&through.first),
+        Way::figures(&direct.token),
+        Way::figures(&through.token),
+    );
+    let short = one_run(&deployment, SHORT, &mut direct, &mut through).await;
+    // Two runs, two unknowns: cpu = requests x a + tokens x b.
+    let (r1, t1, r2, t2) = (long.1 as f64, long.2 as f64, short.1 as f64, short.2 as f64);
+    let under = r1 * t2 - r2 * t1;
+    Ok(Overhead {
+        direct_first_us: figures.0,
+        box_first_us: figures.1,
+        direct_token_us: figures.2,
+        box_token_us: figures.3,
+        open_streams: long.3,
+        cpu_request_us: 1e6 * (long.0 * t2 - short.0 * t1) / under,
+        cpu_token_us: 1e6 * (r1 * short.0 - r2 * long.0) / under,
+        requests: through.requests,
+    })
+}
--- /dev/null
+++ b/crates/lab/src/ownerlet.rs
@@ -0,0 +1,226 @@
+//! The owner's real code at several sizes, without a network.
+
+use crate::fleetlet::FRAME_AROUND;
+use catalog::{BoxId, Catalog, ClassId, CustomerId};
+use cleatshelf::Envelope;
+use policy::{
+    Acquire, Action, Ask, Broker, Cause, Decider, Decision, Layout, Message, Report, Return, Shard, Time, Way,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// Requests of one measurement.
+const REQUESTS: usize = 20_000;
+
+fn layout(servers: usize, slots: usize, classes: usize) -> Rc<Layout> {
+    let mut text = "key_salt = \"s\"\n".to_owned();
+    for i in 0..classes {
+        // Writing to a String can't fail.
+        let _ = write!(
+            text,
+            "[[class]]\nname = \"c{i}\"\nrank = {i}\nurgent = {}\nfirst_token_ms = 600000\nfloor = {}\npreemptible = false\npass_after_ms = 5000\n",
+            i == 0,
+            if i == 0 { 0.0 } else { 0.5 / classes as f64 }
+        );
+    }
+    let mut upstreams = String::new();
+    for i in 0..servers {
+        let _ = write!(
+            upstreams,
+            "[[upstream]]\nname = \"s{i}\"\nhall = \"h\"\nmodel = \"m\"\naddress = \"127.0.0.1:1\"\nslots = {slots}\nresume = true\n"
+        );
+    }
+    let catalog = Catalog::parse(&[("classes", &text), ("upstreams", &upstreams)]).expect("good files");
+    Rc::new(Layout::of(&catalog))
+}
+
+/// One owner of all servers, however many: the cut into shards is what is being weighed.
+fn owner(layout: &Rc<Layout>) -> Shard {
+    let mut specs = layout.shards.values();
+    let mut spec = specs.next().expect("one shard").clone();
+    for other in specs {
+        spec.servers.extend(other.servers.clone());
+    }
+    Shard::new(&spec, Rc::clone(layout))
+}
+
+fn ask(id: u64, classes: usize, random: &mut ChaCha8Rng) -> Ask {
+    Ask {
+        id,
+        class: ClassId::of(&format!("c{}", random.random_range(0..classes))),
+        customer: CustomerId(random.random_range(0..100)),
+        tokens: 100,
+        prefix: random.random_range(0..50),
+        age_ms: 1,
+        resumable: true,
+        begun: false,
+        remote: false,
+        avoid: None,
+    }
+}
+
+fn granted(decisions: &[Decision], held: &mut Vec<(BoxId, u64)>) {
+    for decision in decisions {
+        if let Decision::Tell(to, Message::Grant { id, .. }) = decision {
+            held.push((*to, *id));
+        }
+    }
+}
+
+/// Processor microseconds of an owner for one request, asked, granted and handed back, all slots full.
+#[must_use]
+pub fn owner_micros(servers: usize, slots: usize, classes: usize, seed: u64) -> f64 {
+    let layout = layout(servers, slots, classes);
+    let mut shard = owner(&layout);
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut now = Time(1_000);
+    let mut held = Vec::new();
+    let mut next = 0;
+    let mut put = |shard: &mut Shard, held: &mut Vec<(BoxId, u64)>, now, random: &mut ChaCha8Rng| {
+        next += 1;
+        let from = BoxId(random.random_range(0..8));
+        let said = shard.ask(from, ask(next, classes, random), now);
+        granted(&said, held);
+    };
+    for _ in 0..servers * slots + 50 {
+        put(&mut shard, &mut held, now, &mut random);
+    }
+    let report = Report { tokens: 100, first_ms: 50, between_tenths: 100, failed: false, unused: false };
+    let began = Instant::now();
+    for i in 0..REQUESTS {
+        if i % 20 == 0 {
+            now = now.after(20);
+            granted(&shard.tick(now), &mut held);
+        }
+        let (from, id) = held.swap_remove(random.random_range(0..held.len()));
+        let said = shard.give_back(from, &Return { id, report }, now);
+        granted(&said, &mut held);
+        put(&mut shard, &mut held, now, &mut random);
+    }
+    began.elapsed().as_secs_f64() * 1e6 / REQUESTS as f64
+}
+
+/// Processor microseconds of one tick with so many asks waiting.
+#[must_use]
+pub fn tick_micros(waiting: usize, seed: u64) -> f64 {
+    const TICKS: usize = 50;
+    let layout = layout(12, 8, 8);
+    let mut shard = owner(&layout);
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut now = Time(1_000);
+    for id in 0..(96 + waiting) as u64 {
+        let mut one = ask(id, 8, &mut random);
+        one.begun = true;
+        shard.ask(BoxId((id % 8) as u32), one, now);
+    }
+    let began = Instant::now();
+    for _ in 0..TICKS {
+        now = now.after(20);
+        shard.tick(now);
+    }
+    began.elapsed().as_secs_f64() * 1e6 / TICKS as f64
+}
+
+/// Processor microseconds to renew so many leases of one lessee.
+#[must_use]
+pub fn renew_micros(held: usize, seed: u64) -> f64 {
+    const TIMES: usize = 50;
+    let layout = layout(12, held.div_ceil(12), 2);
+    let mut shard = owner(&layout);
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut leases = Vec::new();
+    for id in 0..held as u64 {
+        granted(&shard.ask(BoxId(1), ask(id, 2, &mut random), Time(1_000)), &mut leases);
+    }
+    let began = Instant::now();
+    for i in 0..TIMES {
+        shard.renew(BoxId(1), 0, i as u64, Time(1_001));
+    }
+    began.elapsed().as_secs_f64() * 1e6 / TIMES as f64
+}
+
+/// Messages and bytes of frames for one request, in a hall of so many boxes with one shard of 12 servers.
+///
+/// Each box's requests come one after the other, at the rate that fills the shard to two thirds.
+#[must_use]
+pub fn traffic(boxes: usize, seed: u64) -> (f64, f64) {
+    const SECONDS: u64 = 20;
+    let layout = layout(12, 8, 8);
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut now = Time(10_000);
+    let ids: Vec<BoxId> = (0..boxes).map(|i| BoxId::of(&format!("b{i}"))).collect();
+    let view = BTreeMap::from([("h".to_owned(), ids.clone())]);
+    let mut brokers: Vec<Broker> = ids.iter().map(|id| Broker::new(*id, "h", Way::Owner, 0, now)).collect();
+    let mut mail: Vec<(usize, BoxId, Message)> = Vec::new();
+    let mut ends: Vec<(Time, usize, u64)> = Vec::new();
+    let (mut messages, mut bytes, mut requests) = (0u64, 0u64, 0u64);
+    let mut take = |from: usize,
+                    actions: Vec<Action>,
+                    mail: &mut Vec<(usize, BoxId, Message)>,
+                    ends: &mut Vec<(Time, usize, u64)>,
+                    now: Time,
+                    length: u64| {
+        for action in actions {
+            match action {
+                Action::Send(to, message) => {
+                    let envelope = Envelope::Policy(message.clone());
+                    bytes += (wire::Frame::of(&envelope).map_or(0, |f| f.0.len()) + FRAME_AROUND) as u64;
+                    messages += 1;
+                    mail.push((from, to, message));
+                }
+                Action::Granted { id, .. } => ends.push((now.after(length), from, id)),
+                _ => {}
+            }
+        }
+    };
+    for (i, broker) in brokers.iter_mut().enumerate() {
+        let actions = broker.set_layout(Rc::clone(&layout), now);
+        take(i, actions, &mut mail, &mut ends, now, 0);
+        let actions = broker.set_boxes(view.clone(), Vec::new(), now);
+        take(i, actions, &mut mail, &mut ends, now, 0);
+    }
+    // 96 slots, answers of 1.5 s on average: 43 requests a second fill two thirds.
+    while now.0 < 10_000 + SECONDS * 1_000 {
+        now = now.after(10);
+        for (from, to, message) in std::mem::take(&mut mail) {
+            let Some(target) = ids.iter().position(|id| *id == to) else { continue };
+            let actions = brokers[target].receive(ids[from], message, now);
+            take(target, actions, &mut mail, &mut ends, now, random.random_range(500..2_500));
+        }
+        if random.random_bool(0.43) {
+            let i = random.random_range(0..boxes);
+            let acquire = Acquire {
+                serves: "m".into(),
+                class: ClassId::of(&format!("c{}", random.random_range(0..8))),
+                customer: CustomerId(random.random_range(0..100)),
+                tokens: 100,
+                prefix: 7,
+                resumable: true,
+                arrived: now,
+                cause: Cause::First,
+                avoid: None,
+            };
+            requests += 1;
+            let (_, actions) = brokers[i].acquire(acquire, now);
+            take(i, actions, &mut mail, &mut ends, now, random.random_range(500..2_500));
+        }
+        let (over, going): (Vec<_>, Vec<_>) = std::mem::take(&mut ends).into_iter().partition(|(at, _, _)| *at <= now);
+        ends = going;
+        for (_, i, id) in over {
+            let report = Report { tokens: 100, first_ms: 50, between_tenths: 100, failed: false, unused: false };
+            let actions = brokers[i].give_back(id, report, now);
+            take(i, actions, &mut mail, &mut ends, now, 0);
+        }
+        if now.0.is_multiple_of(20) {
+            for (i, broker) in brokers.iter_mut().enumerate() {
+                let actions = broker.tick(now);
+                take(i, actions, &mut mail, &mut ends, now, random.random_range(500..2_500));
+            }
+        }
+    }
+    (messages as f64 / requests as f64, bytes as f64 / requests as f64)
+}
--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -1,7 +1,279 @@
-//! Measured slopes of the decision code, toward docs/CAPACITY.md.
+//! Measured slopes of each role, toward docs/CAPACITY.md.
+//!
+//! The real decision code runs in this process, without a network: its time is processor time. Light
+//! nodes (probing and spread of releases) run in virtual time, so hundreds fit; their bytes are those
+//! of the frames that would be sent.
 
-/// Measures every slope and gives them as JSON.
+use crate::fleetlet::{self, Outcome};
+use crate::ownerlet;
+use catalog::{Catalog, Release};
+use policy::{Limit, Memory, Meter, Share, Time, Usage};
+use serde::Serialize;
+use std::fmt::Write as _;
+use std::time::Instant;
+
+/// Each point is measured this often.
+const REPEATS: usize = 3;
+
+/// One size and what was measured there.
+#[derive(Clone, Debug, Serialize)]
+pub struct Point {
+    /// The size.
+    pub size: f64,
+    /// The middle of the repeats.
+    pub value: f64,
+    /// The lowest and the highest.
+    pub spread: (f64, f64),
+}
+
+/// One figure at several sizes.
+#[derive(Clone, Debug, Serialize)]
+pub struct Slope {
+    /// The role.
+    pub role: &'static str,
+    /// What was measured, with its unit.
+    pub what: &'static str,
+    /// What the size counts.
+    pub size: &'static str,
+    /// The points.
+    pub points: Vec<Point>,
+    /// Least squares: value at size 0, and growth for each unit of size.
+    pub line: (f64, f64),
+}
+
+fn line(points: &[Point]) -> (f64, f64) {
+    let n = points.len() as f64;
+    let mean_x = points.iter().map(|p| p.size).sum::<f64>() / n;
+    let mean_y = points.iter().map(|p| p.value).sum::<f64>() / n;
+    let over = points.iter().map(|p| (p.size - mean_x) * (p.value - mean_y)).sum::<f64>();
+    let under = points.iter().map(|p| (p.size - mean_x).powi(2)).sum::<f64>();
+    let slope = if under == 0.0 { 0.0 } else { over / under };
+    (mean_y - slope * mean_x, slope)
+}
+
+fn measure(
+    role: &'static str,
+    what: &'static str,
+    size: &'static str,
+    sizes: &[usize],
+    mut run: impl FnMut(usize, u64) -> f64,
+) -> Slope {
+    let mut points = Vec::new();
+    for size in sizes {
+        let mut values: Vec<f64> = (0..REPEATS).map(|i| run(*size, i as u64 + 1)).collect();
+        values.sort_by(f64::total_cmp);
+        points.push(Point { size: *size as f64, value: values[REPEATS / 2], spread: (values[0], values[REPEATS - 1]) });
+    }
+    let line = line(&points);
+    Slope { role, what, size, points, line }
+}
+
+fn micros(began: Instant, count: usize) -> f64 {
+    began.elapsed().as_secs_f64() * 1e6 / count as f64
+}
+
+/// The three files of a release with so many customers.
+fn files(customers: usize) -> (String, String, String) {
+    let classes = include_str!("../../../examples/lakes/classes.toml").to_owned();
+    let mut text = String::new();
+    for i in 0..customers {
+        // Writing to a String can't fail.
+        let _ = write!(
+            text,
+            "[[customer]]\nname = \"customer-{i:05}\"\nkey_hash = \"{i:032x}\"\nclasses = [\"hotline\", \"review\"]\nweight = 1\n\n"
+        );
+    }
+    let upstreams =
+        "[[upstream]]\nname = \"a\"\nhall = \"h\"\nmodel = \"m\"\naddress = \"127.0.0.1:1\"\nslots = 8\nresume = true\n".to_owned();
+    (classes, text, upstreams)
+}
+
+/// A release with so many customers.
+///
+/// # Panics
+/// Never: the files are good.
+#[must_use]
+pub fn release(number: u64, customers: usize, changed: usize) -> Release {
+    let (classes, mut text, upstreams) = files(customers);
+    if changed > 0 {
+        text = text.replacen("weight = 1", &format!("weight = {}", 1 + changed), 1);
+    }
+    Release::pack(number, &classes, &text, &upstreams).expect("good files")
+}
+
+fn resident_bytes() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find(|l| l.starts_with("VmRSS:"));
+    let kilobytes: f64 = line.and_then(|l| l.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0.0);
+    kilobytes * 1024.0
+}
+
+fn release_slopes(out: &mut Vec<Slope>) {
+    let sizes = [3_500, 7_000, 14_000, 28_000];
+    // First of all, while nothing that was freed can be used again. Each size adds to what is kept.
+    let mut kept = Vec::new();
+    out.push(measure("release", "bytes of memory for a release in force", "customers", &sizes, |size, _| {
+        let before = resident_bytes();
+        let release = release(1, size, 0);
+        let catalog: Catalog = release.check().expect("a good release");
+        let layout = policy::Layout::of(&catalog);
+        kept.push((release, catalog, layout));
+        (resident_bytes() - before).max(0.0)
+    }));
+    drop(kept);
+    out.push(measure("release", "ms to check a release", "customers", &sizes, |size, _| {
+        let release = release(1, size, 0);
+        let began = Instant::now();
+        let checked = release.check();
+        assert!(checked.is_ok());
+        began.elapsed().as_secs_f64() * 1e3
+    }));
+    out.push(measure("release", "ms to take a change of one customer into force", "customers", &sizes, |size, _| {
+        fleetlet::change_ms(size)
+    }));
+    out.push(measure("release", "bytes that one changed customer moves to a box", "customers", &sizes, |size, _| {
+        fleetlet::change_bytes(size) as f64
+    }));
+}
+
+fn spread_slopes(out: &mut Vec<Slope>) {
+    let sizes = [8, 78, 195, 390];
+    let runs: Vec<(usize, Vec<Outcome>)> =
+        sizes.iter().map(|n| (*n, (0..REPEATS).map(|seed| fleetlet::run(*n, 5, seed as u64)).collect())).collect();
+    let mut push = |role, what, value: &dyn Fn(&Outcome) -> f64| {
+        out.push(measure(role, what, "boxes in 5 halls", &sizes, |size, seed| {
+            let found = runs.iter().find(|(n, _)| *n == size).map(|(_, outcomes)| &outcomes[seed as usize - 1]);
+            found.map_or(0.0, value)
+        }));
+    };
+    push("spread", "ms from publishing to in force, half of the boxes", &|o| o.half_ms);
+    push("spread", "ms from publishing to in force, 99 in 100", &|o| o.most_ms);
+    push("spread", "ms from publishing to in force, last box", &|o| o.last_ms);
+    push("spread", "ms from publishing to in force, last box, hall cut from the platform", &|o| o.cut_ms);
+    push("probe", "bytes a second sent by a box, nothing changing", &|o| o.quiet_bytes);
+    push("probe", "messages a second sent by a box, nothing changing", &|o| o.quiet_messages);
+    push("probe", "processor us a second of a box, nothing changing", &|o| o.quiet_micros);
+    push("probe", "ms from a box's death to the last box of its hall knowing", &|o| o.death_ms);
+    push("probe", "bytes a second sent by a box while one box dies", &|o| o.death_bytes);
+}
+
+fn owner_slopes(out: &mut Vec<Slope>) {
+    let servers = [3, 6, 12, 24];
+    out.push(measure(
+        "shard owner",
+        "processor us a request, full, 8 classes",
+        "servers of 8 slots",
+        &servers,
+        |n, seed| ownerlet::owner_micros(n, 8, 8, seed),
+    ));
+    let slots = [8, 45, 90, 180];
+    out.push(measure(
+        "shard owner",
+        "processor us a request, full, 12 servers, 8 classes",
+        "slots of a server",
+        &slots,
+        |n, seed| ownerlet::owner_micros(12, n, 8, seed),
+    ));
+    let classes = [2, 4, 8, 16];
+    out.push(measure("shard owner", "processor us a request, full, 12 servers", "classes", &classes, |n, seed| {
+        ownerlet::owner_micros(12, 8, n, seed)
+    }));
+    let waiting = [100, 400, 1_600, 3_200];
+    out.push(measure(
+        "shard owner",
+        "processor us a tick with so many waiting",
+        "asks",
+        &waiting,
+        ownerlet::tick_micros,
+    ));
+    let held = [100, 400, 1_600, 6_400];
+    out.push(measure(
+        "shard owner",
+        "processor us to renew a lessee's leases",
+        "leases held",
+        &held,
+        ownerlet::renew_micros,
+    ));
+    let boxes = [8, 26, 52, 78];
+    out.push(measure(
+        "shard owner",
+        "messages a request, owner and lessee together",
+        "boxes in the hall",
+        &boxes,
+        |n, seed| ownerlet::traffic(n, seed).0,
+    ));
+    out.push(measure(
+        "shard owner",
+        "bytes of frames a request, owner and lessee together",
+        "boxes in the hall",
+        &boxes,
+        |n, seed| ownerlet::traffic(n, seed).1,
+    ));
+}
+
+fn keeper_slopes(out: &mut Vec<Slope>) {
+    let sizes = [100, 1_000, 7_000, 28_000];
+    out.push(measure(
+        "limit keeper",
+        "processor us for all boxes' words of a second",
+        "active customers",
+        &sizes,
+        |n, _| {
+            let usages: Vec<Usage> =
+                (0..n).map(|i| Usage { customer: catalog::CustomerId(i as u32), running: 1, tokens: 100 }).collect();
+            let mut limit = Limit::default();
+            let began = Instant::now();
+            limit.note(catalog::BoxId(1), &usages, Time(1));
+            began.elapsed().as_secs_f64() * 1e6
+        },
+    ));
+    out.push(measure("limit meter", "processor us to tell a second's use", "active customers", &sizes, |n, _| {
+        let mut meter = Meter::default();
+        let none = Share { weight: 1, concurrent: 0, tokens_per_minute: 0 };
+        for i in 0..n {
+            assert!(meter.enter(catalog::CustomerId(i as u32), none, Time(1)));
+        }
+        let began = Instant::now();
+        let told = meter.usage(Time(2)).len();
+        assert_eq!(told, n);
+        began.elapsed().as_secs_f64() * 1e6
+    }));
+    let keys = [10_000, 50_000, 100_000, 400_000];
+    out.push(measure("key keeper", "processor us a claim", "keys remembered", &keys, |n, _| {
+        let mut memory = Memory::new(Time(0));
+        let claim = |key: u64| policy::Claim { key: key.wrapping_mul(0x9e37_79b9), delivery: key, age_ms: Some(0) };
+        (0..n as u64).for_each(|key| {
+            memory.claim(&claim(key), Time(5_000));
+        });
+        let began = Instant::now();
+        (0..1_000).for_each(|key| {
+            memory.claim(&claim(n as u64 + key), Time(5_001));
+        });
+        micros(began, 1_000)
+    }));
+}
+
+/// Measures every slope.
+#[must_use]
+pub fn slopes() -> Vec<Slope> {
+    let mut out = Vec::new();
+    release_slopes(&mut out);
+    owner_slopes(&mut out);
+    keeper_slopes(&mut out);
+    spread_slopes(&mut out);
+    out
+}
+
+/// Slopes as a table for people.
 #[must_use]
-pub fn slopes() -> serde_json::Value {
-    serde_json::json!({})
+pub fn table(slopes: &[Slope]) -> String {
+    let mut text = String::new();
+    for slope in slopes {
+        let _ = writeln!(text, "{}: {} by {}", slope.role, slope.what, slope.size);
+        for p in &slope.points {
+            let _ = writeln!(text, "  {:>8} {:>14.2}   ({:.2} to {:.2})", p.size, p.value, p.spread.0, p.spread.1);
+        }
+        let _ = writeln!(text, "  line     {:.3} + {:.6} x size", slope.line.0, slope.line.1);
+    }
+    text
 }
--- a/crates/policy/src/shard.rs
+++ b/crates/policy/src/shard.rs
@@ -100,6 +100,8 @@
     layout: Rc<Layout>,
     queues: BTreeMap<ClassId, Queue>,
     leases: BTreeMap<(BoxId, u64), Lease>,
+    /// Leases by class: counts `leases`, so that no decision has to.
+    running: BTreeMap<ClassId, u32>,
     hold_ms: BTreeMap<ClassId, f64>,
     /// Slots that each class has had on average of late.
     had: BTreeMap<ClassId, f64>,
@@ -127,6 +129,7 @@
             layout,
             queues: BTreeMap::new(),
             leases: BTreeMap::new(),
+            running: BTreeMap::new(),
             hold_ms: BTreeMap::new(),
             had: BTreeMap::new(),
             had_at: Time(0),
@@ -227,7 +230,23 @@
     }
 
     fn running(&self, class: ClassId) -> u32 {
-        self.leases.values().filter(|l| l.class == class).count() as u32
+        self.running.get(&class).copied().unwrap_or(0)
+    }
+
+    /// Puts a lease in; the one that had its place, which there never should be, comes back.
+    fn put_lease(&mut self, key: (BoxId, u64), lease: Lease) -> Option<Lease> {
+        *self.running.entry(lease.class).or_insert(0) += 1;
+        let old = self.leases.insert(key, lease);
+        if let Some(old) = &old {
+            self.count_down(old.class);
+        }
+        old
+    }
+
+    fn count_down(&mut self, class: ClassId) {
+        if let Some(count) = self.running.get_mut(&class) {
+            *count = count.saturating_sub(1);
+        }
     }
 
     /// Slots that a class may always use while it has work.
@@ -492,7 +511,7 @@
         };
         let grant = Message::Grant { shard: self.id, id: ask.id, server: lease.server, waited: lease.waited };
         self.ledger.granted += 1;
-        if self.leases.insert((waiting.from, ask.id), lease).is_some() {
+        if self.put_lease((waiting.from, ask.id), lease).is_some() {
             // `ask` refuses a number that is held, so this can't be.
             self.broken(Event::LeaseCountBroken, "a lease was granted twice");
         }
@@ -645,7 +664,7 @@
             recalled: false,
             passing: false,
         };
-        self.leases.insert((from, held.id), lease);
+        self.put_lease((from, held.id), lease);
         self.ledger.adopted += 1;
     }
 
@@ -661,6 +680,7 @@
 
     fn drop_lease(&mut self, key: (BoxId, u64)) -> Option<Lease> {
         let lease = self.leases.remove(&key)?;
+        self.count_down(lease.class);
         if let Some(server) = self.servers.iter_mut().find(|s| s.id == lease.server) {
             server.used = server.used.saturating_sub(1);
         }
