--- a/crates/cleatshelf/src/command.rs
+++ b/crates/cleatshelf/src/command.rs
@@ -171,7 +171,11 @@
     };
     let env = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(env).format_timestamp_millis().init();
-    let clean = serve(settings)?;
+    let served = serve(settings);
+    if let Err(why) = &served {
+        telemetry::emit(telemetry::Event::StartFailed, format_args!("why=\"{why:#}\""));
+    }
+    let clean = served?;
     Ok(if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
--- a/crates/cleatshelf/src/control.rs
+++ b/crates/cleatshelf/src/control.rs
@@ -102,6 +102,8 @@
 struct Platform {
     /// A manifest is being read or watched for.
     busy: bool,
+    /// This box is one that holds the watch.
+    watcher: bool,
     /// The list is being read.
     listing: bool,
     /// Parts are being fetched.
@@ -398,6 +400,10 @@
             return;
         }
         let watcher = self.is_watcher();
+        if watcher != self.platform.watcher {
+            self.platform.watcher = watcher;
+            telemetry::emit(Event::WatchRole, format_args!("watcher={watcher}"));
+        }
         if !self.platform.busy {
             self.read_manifest(watcher && self.platform.revision > 0, context);
         }
--- a/crates/gateway/src/drive.rs
+++ b/crates/gateway/src/drive.rs
@@ -142,6 +142,7 @@
         let mut cause = Cause::First;
         let mut avoid = None;
         let (mut failures, mut recalls) = (0, 0);
+        let mut may_have_run = false;
         loop {
             let acquire = self.wish(cause, avoid, recalls);
             let (lease, permit) = match Lease::acquire(&self.desk, acquire).await {
@@ -160,15 +161,16 @@
             if let Some(claim) = claim {
                 claim.ran = true;
             }
+            let sent = self.check_first_send(sent, may_have_run)?;
             let stop = match self.one_try(lease, sent, passing).await {
                 Ok(()) => return Ok(()),
                 Err(stop) => stop,
             };
             let was_recalled = matches!(stop, Stop::Recalled(_));
-            if matches!(stop, Stop::Unreached(_)) {
-                if let Some(claim) = claim {
-                    claim.ran = false;
-                }
+            let unreached = matches!(stop, Stop::Unreached(_));
+            may_have_run |= !unreached;
+            if let Some(claim) = claim.as_mut().filter(|_| unreached) {
+                claim.ran = false;
             }
             failures += u32::from(!was_recalled);
             recalls += u32::from(was_recalled);
@@ -179,6 +181,17 @@
         }
     }
 
+    /// The invariant at each send: what isn't repeatable has reached no upstream before.
+    ///
+    /// The types make the opposite impossible; this says so, should they ever be changed.
+    fn check_first_send(&self, sent: Sent, may_have_run: bool) -> Result<Sent, Option<Problem>> {
+        if self.caller.repeatable || !may_have_run {
+            return Ok(sent);
+        }
+        telemetry::emit(Event::SecondSendBroken, format_args!("class={}", self.caller.class.name));
+        Err(Some(failed("it was about to be sent twice", Ran::Unknown)))
+    }
+
     fn wish(&self, cause: Cause, avoid: Option<ServerId>, recalls: u32) -> Acquire {
         Acquire {
             serves: self.model.clone(),
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -3,6 +3,7 @@
 use crate::Outcome;
 use metrics::Histogram;
 use std::time::Instant;
+use telemetry::Event;
 
 /// The figures of one request. Counts one outcome: the one it is closed with, or `gone`.
 pub struct Journal {
@@ -51,6 +52,10 @@
 
     fn count(&mut self, outcome: Outcome) {
         if self.closed {
+            // Dropping a closed journal is the rule; closing it once more would be a second outcome.
+            if outcome != Outcome::Gone {
+                telemetry::emit(Event::SecondOutcomeBroken, format_args!("outcome={}", outcome.word()));
+            }
             return;
         }
         self.closed = true;
