--- a/crates/catalog/src/reader.rs
+++ b/crates/catalog/src/reader.rs
@@ -83,6 +83,16 @@
         parsed
     }
 
+    /// A value that parses from a text and must stand there; one fault if it doesn't.
+    pub fn parsed<T: std::str::FromStr>(&mut self, key: &str, what: &str) -> Option<T> {
+        let stands = self.table.contains_key(key);
+        let parsed = self.parsed_opt(key, what);
+        if !stands {
+            self.fault(key, format!("is missing: {what} is needed"));
+        }
+        parsed
+    }
+
     /// A list of texts; empty when the key isn't there.
     pub fn texts(&mut self, key: &str) -> Vec<String> {
         let Some(value) = self.table.remove(key) else { return Vec::new() };
--- a/crates/catalog/src/upstream.rs
+++ b/crates/catalog/src/upstream.rs
@@ -59,10 +59,7 @@
         if model.is_some() == service.is_some() {
             reader.fault("model", "name either a model or a service, and not both");
         }
-        let address = reader.parsed_opt("address", "an address such as 10.0.0.5:8000");
-        if address.is_none() {
-            reader.fault("address", "is needed");
-        }
+        let address = reader.parsed("address", "an address such as 10.0.0.5:8000");
         Self {
             name,
             pool: Pool { hall, serves: model.or(service).unwrap_or_default() },
--- /dev/null
+++ b/crates/catalog/tests/files.rs
@@ -0,0 +1,140 @@
+//! The operators' files: every fault at once, and releases that are what they say.
+
+use catalog::{Catalog, Digest, Fault, Key, Manifest, Release, CUSTOMER_PARTS, PART_LIMIT};
+use proptest::prelude::*;
+
+const CLASSES: &str = include_str!("../../../examples/lakes/classes.toml");
+const CUSTOMERS: &str = include_str!("../../../examples/lakes/customers.toml");
+const UPSTREAMS: &str = include_str!("../../../examples/lakes/upstreams.toml");
+
+fn lines(faults: &[Fault]) -> String {
+    faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
+}
+
+#[test]
+fn every_fault_of_every_file_is_told_at_once() {
+    let classes = r#"
+colour = "red"
+[[class]]
+name = "hotline"
+rank = 300
+urgent = true
+preemptible = true
+first_token_ms = 560
+[[class]]
+name = "review"
+rank = 1
+first_token_ms = "soon"
+"#;
+    let customers = r#"
+[[customer]]
+name = "a b"
+key_hash = "short"
+classes = ["hotline", "unknown"]
+[[customer]]
+name = "twin"
+key_hash = "00000000000000000000000000000001"
+classes = []
+[[customer]]
+name = "twin"
+key_hash = "00000000000000000000000000000001"
+classes = ["hotline"]
+default_class = "review"
+"#;
+    let upstreams = r#"
+[[upstream]]
+name = "u"
+hall = "h"
+model = "m"
+service = "s"
+address = "somewhere"
+slots = 0
+[[upstream]]
+name = "v"
+hall = "h"
+service = "undeclared"
+address = "10.0.0.1:1"
+slots = 1
+"#;
+    let parts = [("classes", classes), ("customers", customers), ("upstreams", upstreams)];
+    let faults = Catalog::parse(&parts).expect_err("many faults");
+    insta::assert_snapshot!(lines(&faults));
+}
+
+#[test]
+fn the_examples_pack_and_one_changed_customer_moves_one_part() {
+    let one = Release::pack(1, CLASSES, CUSTOMERS, UPSTREAMS).expect("a good release");
+    let changed = CUSTOMERS.replacen("weight = 4", "weight = 5", 1);
+    let two = Release::pack(2, CLASSES, &changed, UPSTREAMS).expect("a good release");
+    let moved = two.parts.keys().filter(|digest| !one.parts.contains_key(*digest)).count();
+    assert_eq!(moved, 1);
+    assert!(two.check_against(&one).is_empty());
+    assert_eq!(one.check_against(&two).len(), 1);
+    assert_eq!(two.check_against(&two).len(), 1, "the same number again is refused before publishing");
+}
+
+#[test]
+fn twenty_eight_thousand_customers_fit_the_platforms_values() {
+    let customer = |i: usize| {
+        format!("[[customer]]\nname = \"customer-{i:05}\"\nkey_hash = \"{i:032x}\"\nclasses = [\"hotline\"]\n\n")
+    };
+    let customers: String = (0..28_000).map(customer).collect();
+    let release = Release::pack(1, CLASSES, &customers, UPSTREAMS).expect("a good release");
+    assert_eq!(release.parts.len(), CUSTOMER_PARTS + 2);
+    let largest = release.parts.values().map(Vec::len).max().expect("parts");
+    assert!(largest < 20_000, "{largest} bytes in one part");
+    assert!(release.text.len() < PART_LIMIT);
+    assert_eq!(release.check().expect("a good release").customers.len(), 28_000);
+}
+
+#[test]
+fn a_corrupt_a_missing_and_an_oversized_part_are_refused() {
+    let good = Release::pack(1, CLASSES, CUSTOMERS, UPSTREAMS).expect("a good release");
+    let digest = good.manifest.parts["classes"];
+    let mut corrupt = good.clone();
+    corrupt.parts.insert(digest, b"other bytes".to_vec());
+    assert!(lines(&corrupt.check().expect_err("corrupt")).contains("don't match"));
+    let mut missing = good.clone();
+    missing.parts.remove(&digest);
+    assert!(lines(&missing.check().expect_err("missing")).contains("missing"));
+    let mut oversized = good.clone();
+    oversized.parts.insert(digest, vec![b'#'; PART_LIMIT + 1]);
+    assert!(lines(&oversized.check().expect_err("oversized")).contains("is the most"));
+}
+
+#[test]
+fn a_manifest_of_a_newer_format_is_refused_with_that_reason_alone() {
+    let good = Release::pack(1, CLASSES, CUSTOMERS, UPSTREAMS).expect("a good release");
+    let newer = format!("{}\nsomething_new = true\n", good.text.replace("format = 1", "format = 2"));
+    let faults = Manifest::parse(&newer).expect_err("a newer format");
+    assert_eq!(faults.len(), 1);
+    assert!(faults[0].reason.contains("newer cleatshelf"));
+}
+
+#[test]
+fn a_key_is_found_by_its_hash_only_under_the_right_salt() {
+    let hash = Key::new("lakes-east-2026").hash("a key");
+    let customers = format!("[[customer]]\nname = \"a\"\nkey_hash = \"{hash}\"\nclasses = [\"hotline\"]\n");
+    let catalog = Catalog::parse(&[("classes", CLASSES), ("customers", &customers)]).expect("good files");
+    assert_eq!(catalog.customer_of("a key").map(|(index, _)| index), Some(0));
+    assert!(catalog.customer_of("another key").is_none());
+    assert_ne!(hash, Key::new("another salt").hash("a key"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_text_whatever_makes_the_checks_panic(text in "\\PC{0,200}", name in "classes|customers-001|upstreams|else") {
+        let _ = Catalog::parse(&[(name.as_str(), text.as_str())]);
+        let _ = Manifest::parse(&text);
+        let _ = Digest::parse(&text);
+    }
+
+    #[test]
+    fn a_manifest_reads_as_it_was_written(number in 1..u64::MAX / 4, names in prop::collection::btree_set("[a-z]{1,9}", 0..9)) {
+        let parts = names.iter().map(|n| (n.clone(), Digest::of(n.as_bytes()))).collect();
+        let manifest = Manifest { format: 1, number, parts };
+        prop_assert_eq!(Manifest::parse(&manifest.render()).expect("its own form"), manifest);
+    }
+}
--- a/crates/cleatshelf/src/settings.rs
+++ b/crates/cleatshelf/src/settings.rs
@@ -51,10 +51,7 @@
 }
 
 fn address(reader: &mut Reader<'_>, key: &str) -> SocketAddr {
-    let parsed = reader.parsed_opt(key, "an IP address with a port, such as 10.0.0.5:7000");
-    if parsed.is_none() {
-        reader.fault(key, "an IP address with a port is needed");
-    }
+    let parsed = reader.parsed(key, "an IP address with a port, such as 10.0.0.5:7000");
     parsed.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
 }
 
