--- a/crates/gateway/src/hangup.rs
+++ b/crates/gateway/src/hangup.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// How often the socket is looked at.
-const LOOK_EVERY: Duration = Duration::from_millis(100);
+const LOOK_EVERY: Duration = Duration::from_millis(250);
 
 /// A second handle on a caller's socket, to look whether it was closed.
 #[derive(Clone, Debug)]
