--- /dev/null
+++ b/crates/lab/src/fleetrun.rs
@@ -0,0 +1,146 @@
+//! The fleet on real processes: how fast releases are in force, what an idle box costs, and what callers
+//! see of a killed owner.
+
+use crate::client::{Caller, Stop};
+use crate::{Deployment, Mode, Plan};
+use serde::Serialize;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Releases published for each figure.
+const RELEASES: usize = 20;
+
+/// Owners killed.
+const DEATHS: usize = 3;
+
+/// Hotline requests while an owner dies: how many, and how far apart.
+const CALLS: u64 = 150;
+const CALL_EVERY: Duration = Duration::from_millis(20);
+
+/// How long idle boxes are looked at.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// Longest wait for anything.
+const MOST: Duration = Duration::from_secs(20);
+
+/// What was measured.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct FleetRun {
+    /// Boxes.
+    pub boxes: usize,
+    /// Milliseconds from publishing to in force on the last box: half, worst.
+    pub in_force_ms: (u64, u64),
+    /// The same on the boxes of a hall that is cut from the platform.
+    pub through_peers_ms: (u64, u64),
+    /// Calls a second to the platform of all boxes, idle.
+    pub platform_calls: f64,
+    /// Bytes of frames a second sent by a box, idle.
+    pub idle_bytes: f64,
+    /// Messages a second sent by a box, idle.
+    pub idle_messages: f64,
+    /// Worst milliseconds to the first token of a hotline call through other boxes while an owner dies.
+    pub failover_worst_ms: Vec<u64>,
+    /// Calls of those that weren't answered whole.
+    pub failover_lost: usize,
+}
+
+fn summary(mut times: Vec<u64>) -> (u64, u64) {
+    times.sort_unstable();
+    (times.get(times.len() / 2).copied().unwrap_or(0), times.last().copied().unwrap_or(0))
+}
+
+async fn publish(deployment: &mut Deployment) -> eyre::Result<u64> {
+    let began = Instant::now();
+    let number = deployment.publish()?;
+    if !deployment.until(MOST, |s| s.release >= number).await {
+        eyre::bail!("release {number} is not in force everywhere");
+    }
+    Ok(began.elapsed().as_millis() as u64)
+}
+
+async fn idle(deployment: &Deployment, run: &mut FleetRun) {
+    let sums = |statuses: &[cleatshelf::Status]| {
+        let bytes: u64 = statuses.iter().map(|s| s.sent_bytes).sum();
+        let messages: u64 = statuses.iter().map(|s| s.sent_messages).sum();
+        (bytes as f64, messages as f64)
+    };
+    let before = (sums(&all(deployment).await), deployment.platform.calls());
+    tokio::time::sleep(IDLE).await;
+    let after = (sums(&all(deployment).await), deployment.platform.calls());
+    let share = IDLE.as_secs_f64() * run.boxes as f64;
+    run.idle_bytes = (after.0 .0 - before.0 .0) / share;
+    run.idle_messages = (after.0 .1 - before.0 .1) / share;
+    run.platform_calls = (after.1 - before.1) as f64 / IDLE.as_secs_f64();
+}
+
+async fn all(deployment: &Deployment) -> Vec<cleatshelf::Status> {
+    let mut statuses = Vec::new();
+    for name in deployment.running() {
+        statuses.extend(deployment.status(&name).await);
+    }
+    statuses
+}
+
+/// Kills the owner of the first hall's engines under hotline calls and starts it again.
+async fn kill_owner(deployment: &mut Deployment, run: &mut FleetRun) -> eyre::Result<()> {
+    let hall = deployment.plan.halls[0].0.clone();
+    let owner = deployment.owner(&hall, crate::MODEL).await.ok_or_else(|| eyre::eyre!("no owner"))?;
+    let near = deployment.boxes.values().filter(|b| b.peer.hall == hall && b.peer.name != owner);
+    let doors: Vec<_> = near.map(|b| b.callers).collect();
+    let mut calls = Vec::new();
+    for i in 0..CALLS {
+        let door = doors[i as usize % doors.len()];
+        calls.push(actix_rt::spawn(async move {
+            let sent = Instant::now();
+            let reply = Caller::new("large-1").class("hotline").once().ask(door, &format!("failover {i}"), 8).await;
+            let first = reply.times.first().map(|at| at.duration_since(sent).as_millis() as u64);
+            first.filter(|_| reply.stop == Stop::Whole)
+        }));
+        if i == CALLS / 3 {
+            deployment.kill(&owner);
+        }
+        tokio::time::sleep(CALL_EVERY).await;
+    }
+    let mut worst = 0;
+    for call in calls {
+        match call.await {
+            Ok(Some(first)) => worst = worst.max(first),
+            _ => run.failover_lost += 1,
+        }
+    }
+    run.failover_worst_ms.push(worst);
+    deployment.run_box(&owner)?;
+    if !deployment.settled(MOST).await {
+        eyre::bail!("the boxes did not become ready again");
+    }
+    Ok(())
+}
+
+/// Measures the fleet on processes at today's size.
+///
+/// # Errors
+/// When boxes can't be started or don't become ready.
+pub async fn fleet_run(program: &Path) -> eyre::Result<FleetRun> {
+    let plan = Plan { relayed: true, ..Plan::default() };
+    let mut deployment = Deployment::start(plan, program)?;
+    if !deployment.settled(MOST).await {
+        eyre::bail!("the boxes did not become ready");
+    }
+    let mut run = FleetRun { boxes: deployment.boxes.len(), ..FleetRun::default() };
+    idle(&deployment, &mut run).await;
+    let mut times = Vec::new();
+    for _ in 0..RELEASES {
+        times.push(publish(&mut deployment).await?);
+    }
+    run.in_force_ms = summary(std::mem::take(&mut times));
+    deployment.platform_relays[&deployment.plan.halls[0].0].set(Mode::Cut);
+    for _ in 0..RELEASES {
+        times.push(publish(&mut deployment).await?);
+    }
+    run.through_peers_ms = summary(times);
+    deployment.platform_relays[&deployment.plan.halls[0].0].set(Mode::Pass(0));
+    for _ in 0..DEATHS {
+        kill_owner(&mut deployment, &mut run).await?;
+    }
+    Ok(run)
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -25,6 +25,7 @@
     Load(LoadArgs),
     Compare(CompareArgs),
     Plot(PlotArgs),
+    Fleet(FleetArgs),
     Overhead(OverheadArgs),
     Slopes(SlopesArgs),
     Box(BoxArgs),
@@ -111,6 +112,11 @@
     out: PathBuf,
 }
 
+/// measure releases, idle cost and an owner's death on eight boxes; JSON
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet")]
+struct FleetArgs {}
+
 /// measure what one box adds, against calling the engine stand-in directly; JSON
 #[derive(FromArgs)]
 #[argh(subcommand, name = "overhead")]
@@ -143,6 +149,7 @@
         What::Load(args) => actix_rt::System::new().block_on(load(&args)),
         What::Compare(args) => actix_rt::System::new().block_on(compare_all(&args)),
         What::Plot(args) => draw(&args),
+        What::Fleet(_) => actix_rt::System::new().block_on(measure_fleet()),
         What::Overhead(_) => actix_rt::System::new().block_on(measure_overhead()),
         What::Slopes(args) => measure_slopes(&args),
     };
@@ -261,6 +268,11 @@
     Ok(())
 }
 
+async fn measure_fleet() -> eyre::Result<()> {
+    println!("{}", serde_json::to_string_pretty(&lab::fleet_run(&program()?).await?)?);
+    Ok(())
+}
+
 async fn measure_overhead() -> eyre::Result<()> {
     let overhead = lab::overhead(&program()?).await?;
     println!("{}", serde_json::to_string_pretty(&overhead)?);
