--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -28,11 +28,14 @@
         Ok((drive, streamed)) => {
             let (out, parts) = mpsc::channel(UNREAD_MOST);
             // A task of its own: the answer goes on when the handler has returned its head.
+            let most = app.limits.request_time;
             let hangup = request.conn_data::<Hangup>().cloned();
             actix_rt::spawn(async move {
                 tokio::select! {
                     () = drive.run(out) => {}
                     () = Hangup::wait(hangup) => {}
+                    // The caller sees an answer that broke off.
+                    () = tokio::time::sleep(most) => {}
                 }
                 drop(place);
             });
--- a/crates/gateway/src/drive.rs
+++ b/crates/gateway/src/drive.rs
@@ -93,6 +93,7 @@
         };
         let Err((problem, journal)) = whole else { return };
         journal.close(problem.outcome());
+        metrics::counter!("cleatshelf_problems_total", "code" => problem.code.word()).increment(1);
         if problem.ran == Ran::Unknown && problem.code != Code::KeyUsed {
             let detail = format_args!("class={} code={}", self.caller.class.name, problem.code.word());
             telemetry::emit(Event::OutcomeUnknown, detail);
--- a/crates/policy/src/alone.rs
+++ b/crates/policy/src/alone.rs
@@ -1,5 +1,6 @@
 //! The simpler ways, kept as baselines: each box decides alone, by lagged reports.
 
+use crate::patience::give_up_ms;
 use crate::{Ask, Decider, Decision, Layout, Load, Message, Reason, Refusal, Return, Spec, Time, Waiting};
 use catalog::{BoxId, ServerId, ShardId};
 use rand::{Rng, SeedableRng};
@@ -7,12 +8,6 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// A waiting request is given up after this many times its class's target, as at an owner.
-const GIVE_UP_TARGETS: u64 = 4;
-
-/// No request is given up for being late before this age, in milliseconds.
-const GIVE_UP_LEAST_MS: u64 = 2_000;
-
 /// In which order a box alone serves what waits in it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Discipline {
@@ -144,10 +139,7 @@
 
     fn tick(&mut self, now: Time) -> Vec<Decision> {
         let layout = Rc::clone(&self.layout);
-        let late = |w: &Waiting| {
-            let target = layout.class(w.ask.class).first_token_ms;
-            now.since(w.arrived) >= (target * GIVE_UP_TARGETS).max(GIVE_UP_LEAST_MS)
-        };
+        let late = |w: &Waiting| now.since(w.arrived) >= give_up_ms(&layout.class(w.ask.class));
         let (late, line): (Vec<_>, Vec<_>) = self.line.drain(..).partition(late);
         self.line = line;
         let mut out = self.dispatch(now);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod memory;
 mod message;
 mod outcome;
+mod patience;
 mod queue;
 mod rank;
 mod server;
--- /dev/null
+++ b/crates/policy/src/patience.rs
@@ -0,0 +1,14 @@
+//! How long a request may wait before it is given up, the same for every way of deciding.
+
+use catalog::Class;
+
+/// A waiting request is given up after this many times its class's target.
+const TARGETS: u64 = 4;
+
+/// No request is given up for being late before this age, in milliseconds.
+const LEAST_MS: u64 = 2_000;
+
+/// Age in milliseconds at which a waiting request of this class is given up.
+pub(crate) fn give_up_ms(class: &Class) -> u64 {
+    (class.first_token_ms * TARGETS).max(LEAST_MS)
+}
--- a/crates/policy/src/shard.rs
+++ b/crates/policy/src/shard.rs
@@ -32,12 +32,6 @@
 /// Most of a shard's capacity that other halls may use, as a divisor.
 const REMOTE_DIVISOR: u32 = 4;
 
-/// A waiting request is given up after this many times its class's target.
-const GIVE_UP_TARGETS: u64 = 4;
-
-/// No request is given up for being late before this age, in milliseconds.
-const GIVE_UP_LEAST_MS: u64 = 2_000;
-
 /// A request that was accepted before isn't given up before this age, in milliseconds.
 const GIVE_UP_BEGUN_MS: u64 = 60_000;
 
--- a/crates/policy/src/shard/admission.rs
+++ b/crates/policy/src/shard/admission.rs
@@ -1,6 +1,7 @@
 //! Which asks an owner takes, and when it gives one up.
 
 use super::*;
+use crate::patience::give_up_ms;
 
 impl Shard {
     pub(super) fn capacity(&self, now: Time) -> u32 {
@@ -125,14 +126,10 @@
         free > 0 && remote < (self.capacity(now) / REMOTE_DIVISOR).max(1) && !self.queues.iter().any(waiting_before)
     }
 
-    fn give_up_ms(class: &Class) -> u64 {
-        (class.first_token_ms * GIVE_UP_TARGETS).max(GIVE_UP_LEAST_MS)
-    }
-
     pub(super) fn refuse_late(&mut self, now: Time) {
         let mut late = Vec::new();
         for (id, queue) in &self.queues {
-            let limit = Self::give_up_ms(&self.layout.class(*id));
+            let limit = give_up_ms(&self.layout.class(*id));
             let limit_of = |w: &Waiting| if w.ask.begun { limit.max(GIVE_UP_BEGUN_MS) } else { limit };
             let waits = queue.iter().filter(|w| now.since(w.arrived) >= limit_of(w));
             late.extend(waits.map(|w| (*id, w.from, w.ask.id)));
--- /dev/null
+++ b/crates/wire/tests/frames.rs
@@ -0,0 +1,77 @@
+//! Frames: what is malformed, too large, replayed or not proved is refused, and no bytes make it panic.
+
+use bytes::{Bytes, BytesMut};
+use proptest::prelude::*;
+use wire::{Codec, Frame, Key, Malformed, FRAME_MOST};
+
+fn codec(secret: &str, from: &str) -> Codec<Vec<u32>> {
+    Codec::new(Key::new(secret).session("challenge", from, "b"))
+}
+
+fn written(messages: &[Vec<u32>]) -> Bytes {
+    let mut writer = codec("secret", "a");
+    let mut out = BytesMut::new();
+    for message in messages {
+        writer.write(&Frame::of(message).expect("a small message"), &mut out);
+    }
+    out.freeze()
+}
+
+#[test]
+fn messages_come_out_as_they_went_in_however_they_are_cut() {
+    let messages = vec![vec![1, 2, 3], vec![], vec![7; 1_000]];
+    let bytes = written(&messages);
+    let mut reader = codec("secret", "a");
+    let mut read = Vec::new();
+    for piece in bytes.chunks(7) {
+        reader.feed(&Bytes::copy_from_slice(piece));
+        while let Some(message) = reader.read().expect("good frames") {
+            read.push(message);
+        }
+    }
+    assert_eq!(read, messages);
+}
+
+#[test]
+fn another_key_another_name_and_a_replay_are_refused() {
+    let bytes = written(&[vec![1]]);
+    for mut reader in [codec("another", "a"), codec("secret", "c")] {
+        reader.feed(&bytes);
+        assert_eq!(reader.read(), Err(Malformed::Unproved));
+        assert!(!reader.proved);
+    }
+    let mut reader = codec("secret", "a");
+    reader.feed(&bytes);
+    assert_eq!(reader.read(), Ok(Some(vec![1])));
+    reader.feed(&bytes);
+    assert_eq!(reader.read(), Err(Malformed::Unproved), "the same frame a second time");
+}
+
+#[test]
+fn too_large_a_frame_is_refused_before_it_is_taken_in() {
+    assert_eq!(Frame::of(&vec![u32::MAX; FRAME_MOST / 4]), Err(Malformed::TooLarge));
+    let mut reader = codec("secret", "a");
+    reader.feed(&Bytes::copy_from_slice(&(FRAME_MOST as u32 + 1).to_le_bytes()));
+    assert_eq!(reader.read(), Err(Malformed::TooLarge));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_bytes_whatever_get_in_or_make_it_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let mut reader = codec("secret", "a");
+        reader.feed(&Bytes::from(bytes));
+        prop_assert!(!matches!(reader.read(), Ok(Some(_))));
+    }
+
+    #[test]
+    fn one_changed_bit_is_refused(at in 0..60usize, bit in 0..8u8) {
+        let mut bytes = written(&[vec![1, 2, 3, 4]]).to_vec();
+        let at = at % bytes.len();
+        bytes[at] ^= 1 << bit;
+        let mut reader = codec("secret", "a");
+        reader.feed(&Bytes::from(bytes));
+        prop_assert!(!matches!(reader.read(), Ok(Some(_))));
+    }
+}
