Whoever takes the platform's watch over reads at once

Cause: read as a newcomer: a box without the watch reads the platform every 30 s, give or take a half, and kept to that when it became a watcher. With both watchers of a hall killed, a release took up to 45 s. Ruled out: a shorter time for direct reads, which would grow with the fleet. Change: the role is settled when the view changes, and a new watcher's wait is dropped.

--- a/crates/cleatshelf/src/control.rs
+++ b/crates/cleatshelf/src/control.rs
@@ -351,6 +351,7 @@
 
     fn started(&mut self, context: &mut Self::Context) {
         context.run_interval(TICK, Self::tick);
+        self.settle_watch();
         let actions = self.broker.set_boxes(self.probe.boxes(), self.probe.leaving(), self.now());
         self.do_policy(actions, context);
     }
--- a/crates/cleatshelf/src/control/carry.rs
+++ b/crates/cleatshelf/src/control/carry.rs
@@ -98,6 +98,7 @@
             match action {
                 fleet::Action::Send(to, message) => self.send(to, &Envelope::Fleet(message), context),
                 fleet::Action::View => {
+                    self.settle_watch();
                     let actions = self.broker.set_boxes(self.probe.boxes(), self.probe.leaving(), self.now());
                     self.do_policy(actions, context);
                 }
--- a/crates/cleatshelf/src/control/reading.rs
+++ b/crates/cleatshelf/src/control/reading.rs
@@ -16,25 +16,31 @@
             // Peers may have the whole release at hand; the platform would have to be asked part by part.
             return;
         }
-        if now < self.platform.not_before || !self.allowance_for_platform(now) {
+        if now < self.platform.not_before {
             return;
         }
-        let watcher = self.is_watcher();
-        if watcher != self.platform.watcher {
-            self.platform.watcher = watcher;
-            telemetry::emit(Event::WatchRole, format_args!("watcher={watcher}"));
-        }
+        let watcher = self.platform.watcher;
         if !self.platform.busy {
             self.read_manifest(watcher && self.platform.revision > 0, context);
         }
-        if !self.platform.listing && now >= self.platform.list_at && (watcher || self.platform.list_at == Time(0)) {
+        let never_read = self.platform.list_at == Time(0);
+        if !self.platform.listing && now >= self.platform.list_at && (watcher || never_read) {
             self.read_listing(context);
         }
     }
 
-    fn allowance_for_platform(&self, now: Time) -> bool {
-        let idle = !self.platform.busy || (!self.platform.listing && now >= self.platform.list_at);
-        idle && self.allowance.clone().take(now)
+    /// The boxes changed, and with them perhaps who holds the watch.
+    pub(super) fn settle_watch(&mut self) {
+        let watcher = self.is_watcher();
+        if watcher == self.platform.watcher {
+            return;
+        }
+        self.platform.watcher = watcher;
+        telemetry::emit(Event::WatchRole, format_args!("watcher={watcher}"));
+        if watcher {
+            // A box without the watch reads seldom; whoever takes the watch over reads at once.
+            self.platform.not_before = Time(0);
+        }
     }
 
     fn read_manifest(&mut self, watch: bool, context: &mut Context<Self>) {
--- a/crates/lab/tests/releases.rs
+++ b/crates/lab/tests/releases.rs
@@ -12,6 +12,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// A release must be in force everywhere within this time.
+const IN_FORCE_MOST: Duration = Duration::from_secs(12);
+
 /// Watches the release of every box from outside, as long as it lives.
 struct Watch {
     fell: Rc<RefCell<Vec<String>>>,
@@ -174,8 +177,11 @@
         deployment.kill(name);
         deployment.forget(name);
     }
+    let began = Instant::now();
     let number = deployment.publish().expect("a good release");
     assert!(in_force(&deployment, number).await);
+    // What the users ask of a release, whoever died.
+    assert!(began.elapsed() < IN_FORCE_MOST, "in force after {:?}", began.elapsed());
     watch.end();
 }
 
