--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -40,7 +40,7 @@
     });
     let name = format!("{}{}", case.way, if case.faults { "+faults" } else { "" });
     let before = deployment.generated();
-    let load = Load { name: &name, profile: &profile, doors: deployment.doors(), progress: false };
+    let load = Load { name: &name, profile: &profile, doors: deployment.doors(), progress: true };
     let mut report = run_load(load).await;
     if let Some(faults) = faults {
         faults.abort();
--- a/crates/lab/tests/path.rs
+++ b/crates/lab/tests/path.rs
@@ -106,6 +106,35 @@
     assert!(at_rest(&deployment).await, "something leaked");
     let starts: u64 = deployment.engines.iter().map(|(_, e)| e.starts()).sum();
     assert_eq!(starts, 0, "refused as not run is true");
+    let scrape = scrape(&deployment).await;
+    for code in ["invalid_json", "invalid_request", "not_found", "invalid_api_key", "unknown_class", "body_too_large"] {
+        let counted = format!("cleatshelf_problems_total{{code=\"{code}\"}}");
+        assert!(scrape.contains(&counted), "{code} is not counted:\n{scrape}");
+    }
+    assert!(scrape.contains("cleatshelf_requests_total{class=\"none\",outcome=\"wrong\"}"));
+}
+
+/// The first box's metrics.
+async fn scrape(deployment: &lab::Deployment) -> String {
+    let name = &deployment.running()[0];
+    let url = format!("http://{}/metrics", deployment.boxes[name].operators);
+    let mut response = awc::Client::default().get(url).send().await.expect("metrics");
+    let body = response.body().limit(16 << 20).await.expect("a body");
+    String::from_utf8_lossy(&body).into_owned()
+}
+
+#[actix_rt::test]
+async fn a_served_request_shows_in_the_histograms_of_its_class_and_customer() {
+    let deployment = start(small()).await;
+    let door = first_door(&deployment);
+    let reply = Caller::new("large-1").class("review").ask(door, "measured", 10).await;
+    assert!(is_whole(&reply, "measured", 10));
+    let text = scrape(&deployment).await;
+    for name in ["first_token", "between_tokens", "whole_answer"] {
+        let series = format!("cleatshelf_{name}_seconds_bucket{{class=\"review\",customer=\"large-1\"");
+        assert!(text.contains(&series), "{series} is missing:\n{text}");
+    }
+    assert!(text.contains("cleatshelf_requests_total{class=\"review\",outcome=\"whole\"} 1"), "{text}");
 }
 
 #[actix_rt::test]
--- a/crates/lab/tests/releases.rs
+++ b/crates/lab/tests/releases.rs
@@ -20,8 +20,16 @@
     fell: Rc<RefCell<Vec<String>>>,
     looks: Rc<Cell<u64>>,
     task: actix_rt::task::JoinHandle<()>,
+    platform: lab::Platform,
+    calls: u64,
+    boxes: u64,
+    began: Instant,
 }
 
+/// Calls to the platform that a box may make: in a second in the long run, and at its start.
+const CALLS_PER_SECOND: f64 = 4.0;
+const CALLS_AT_START: u64 = 40;
+
 impl Watch {
     fn over(deployment: &Deployment) -> Self {
         let doors: Vec<_> = deployment.boxes.iter().map(|(n, b)| (n.clone(), b.operators)).collect();
@@ -55,13 +63,19 @@
                 tokio::time::sleep(Duration::from_millis(30)).await;
             }
         });
-        Self { fell, looks, task }
+        let (platform, calls) = (deployment.platform.clone(), deployment.platform.calls());
+        let boxes = deployment.boxes.len() as u64;
+        Self { fell, looks, task, platform, calls, boxes, began: Instant::now() }
     }
 
     fn end(self) {
         self.task.abort();
         assert!(self.looks.get() > 0, "nothing was watched");
         assert!(self.fell.borrow().is_empty(), "{:?}", self.fell.borrow());
+        let calls = self.platform.calls() - self.calls;
+        let long_run = CALLS_PER_SECOND * self.began.elapsed().as_secs_f64();
+        let most = self.boxes * (long_run as u64 + CALLS_AT_START);
+        assert!(calls <= most, "{calls} calls to the platform, {most} at the most");
     }
 }
 
@@ -209,14 +223,14 @@
     let mut deployment = start(small()).await;
     let watch = Watch::over(&deployment);
     let good = deployment.release_of(1).expect("release 1");
-    let corrupt = {
-        // A part whose bytes don't have its digest: it never completes.
+    let incomplete = {
+        // It names a part that is never published, so it never completes.
         let mut release = deployment.release_of(5).expect("a release");
         release.manifest.parts.insert("extra".into(), catalog::Digest::of(b"never published"));
         release.text = release.manifest.render();
         release
     };
-    deployment.platform.publish(&corrupt);
+    deployment.platform.publish(&incomplete);
     let truncated = &good.text[..good.text.len() / 2];
     deployment.platform.put("manifest", truncated.as_bytes().to_vec());
     let contradictory = contradictory(&good);
