--- a/crates/lab/tests/path.rs
+++ b/crates/lab/tests/path.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::*;
-use lab::{Caller, Stop, MODEL};
+use lab::{Caller, Plan, Stop, MODEL};
 use rustix::process::Signal;
 use serde_json::json;
 use std::time::Duration;
@@ -175,6 +175,24 @@
     assert!(at_rest(&deployment).await, "something leaked");
 }
 
+#[actix_rt::test]
+async fn callers_that_go_away_leave_no_connection_open() {
+    const GONE: usize = 40;
+    let deployment = start(Plan { token_ms: 20, ..small() }).await;
+    let door = first_door(&deployment);
+    let pid = deployment.pid(&deployment.running()[0]).expect("a process");
+    let handles = || std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
+    let before = handles();
+    for i in 0..GONE {
+        let task = actix_rt::spawn(async move { Caller::new("large-1").ask(door, &format!("gone {i}"), 400).await });
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        task.abort();
+    }
+    assert!(at_rest(&deployment).await, "something leaked");
+    // A few connections to engines are kept for the next request.
+    assert!(until(|| handles() < before + GONE / 2).await, "{} handles, {before} before", handles());
+}
+
 #[actix_rt::test]
 async fn a_planned_stop_cuts_nothing_off_and_takes_nothing_new() {
     let plan = lab::Plan { token_ms: 20, ..small() };
