--- a/crates/lab/tests/releases.rs
+++ b/crates/lab/tests/releases.rs
@@ -233,6 +233,10 @@
     deployment.platform.publish(&incomplete);
     let truncated = &good.text[..good.text.len() / 2];
     deployment.platform.put("manifest", truncated.as_bytes().to_vec());
+    deployment.platform.publish(&with_classes(&good, 4, vec![b'#'; catalog::PART_LIMIT + 1]));
+    let too_large =
+        |s: &cleatshelf::Status| s.refused.iter().any(|r| r.number == 4 && r.reasons[0].contains("the most"));
+    assert!(deployment.until(NEVER, |s| !s.watcher || too_large(s)).await, "{}", logs(&deployment));
     let contradictory = contradictory(&good);
     deployment.platform.publish(&contradictory);
     let refused = deployment.until(NEVER, |s| s.refused.iter().any(|r| r.number == 6)).await;
@@ -255,9 +259,14 @@
 
 /// A release whose parts are whole but name a class that isn't there.
 fn contradictory(good: &Release) -> Release {
-    let mut release = good.clone();
-    release.manifest.number = 6;
     let text = b"key_salt = \"x\"\n[[class]]\nname = \"other\"\nrank = 0\nurgent = true\nfirst_token_ms = 5\n".to_vec();
+    with_classes(good, 6, text)
+}
+
+/// The release under another number and with other bytes for its classes.
+fn with_classes(good: &Release, number: u64, text: Vec<u8>) -> Release {
+    let mut release = good.clone();
+    release.manifest.number = number;
     let digest = catalog::Digest::of(&text);
     release.manifest.parts.insert("classes".into(), digest);
     release.parts.insert(digest, text);
@@ -349,6 +358,29 @@
     }
 }
 
+#[actix_rt::test]
+async fn a_leaving_word_reaches_boxes_that_can_not_see_the_list() {
+    let deployment = start(halls()).await;
+    let watch = Watch::over(&deployment);
+    deployment.platform_relays["hall-toledo"].set(Mode::Cut);
+    let leaving = deployment.engines.iter().find(|(hall, _)| hall == "hall-toledo").expect("an engine").1.clone();
+    let list: Vec<_> =
+        deployment.engines.iter().map(|(_, e)| (e.name().to_owned(), e.name() == leaving.name())).collect();
+    deployment.platform.list(&[], &list);
+    // The list's own lag, and three seconds for the word to go round through the other hall's boxes.
+    tokio::time::sleep(Duration::from_millis(deployment.plan.list_lag_ms + 3_000)).await;
+    let before = leaving.starts();
+    let toledo: Vec<_> =
+        deployment.boxes.iter().filter(|(n, _)| n.contains("toledo")).map(|(_, b)| b.callers).collect();
+    for i in 0..10 {
+        let prompt = format!("unseen list {i}");
+        let reply = persist(&Caller::new("large-1").class("review"), &toledo, &prompt, 5).await;
+        assert!(is_whole(&reply, &prompt, 5), "{prompt}: {:?}", reply.stop);
+    }
+    assert_eq!(leaving.starts(), before, "new work on an upstream that is leaving");
+    watch.end();
+}
+
 #[actix_rt::test]
 async fn a_rolling_restart_under_load_cuts_and_fails_nothing() {
     let mut deployment = start(Plan { token_ms: 20, ..small() }).await;
