--- a/crates/cleatshelf/src/control.rs
+++ b/crates/cleatshelf/src/control.rs
@@ -15,6 +15,7 @@
 use policy::{Action, Broker, Layout, Load, Permit, Refusal, Time, Verdict};
 use rand::Rng;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -132,7 +133,8 @@
     probe: Probe,
     spread: Spread,
     key: Key,
-    links: HashMap<BoxId, Link<Envelope>>,
+    /// Links to other boxes, each with the address that it was made for.
+    links: HashMap<BoxId, (SocketAddr, Link<Envelope>)>,
     listener: Option<Listener<Envelope>>,
     /// Traffic's wishes that wait for an answer, by the broker's number.
     wishes: HashMap<u64, (u64, oneshot::Sender<Result<Offer, Refusal>>)>,
--- a/crates/cleatshelf/src/control/carry.rs
+++ b/crates/cleatshelf/src/control/carry.rs
@@ -6,12 +6,16 @@
     pub(super) fn send(&mut self, to: BoxId, envelope: &Envelope, context: &mut Context<Self>) {
         let Some(peer) = self.probe.peer(to) else { return };
         let (key, me) = (&self.key, &self.settings.me.name);
-        let link = self.links.entry(to).or_insert_with(|| {
-            let address = context.address();
-            let broke = Box::new(move || address.do_send(Broke(to)));
-            Link::open(key, me, &peer.name, peer.address, broke)
-        });
-        link.send(envelope);
+        let open = || {
+            let control = context.address();
+            let broke = Box::new(move || control.do_send(Broke(to)));
+            (peer.address, Link::open(key, me, &peer.name, peer.address, broke))
+        };
+        let link = self.links.entry(to).or_insert_with(open);
+        if link.0 != peer.address {
+            *link = open();
+        }
+        link.1.send(envelope);
         self.sent_messages += 1;
     }
 
--- a/crates/cleatshelf/src/control/telling.rs
+++ b/crates/cleatshelf/src/control/telling.rs
@@ -21,7 +21,7 @@
             running: self.running.load(Ordering::Relaxed),
             watcher: self.is_watcher(),
             platform_calls: self.allowance.made,
-            sent_bytes: self.links.values().map(Link::bytes).sum(),
+            sent_bytes: self.links.values().map(|(_, link)| link.bytes()).sum(),
             received_bytes: self.listener.as_ref().map_or(0, Listener::bytes),
             sent_messages: self.sent_messages,
             broken: self.broken,
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -42,6 +42,8 @@
 pub struct Member {
     /// Who it is.
     pub peer: Peer,
+    /// The settings name its address, which no news changes.
+    pub fixed: bool,
     /// What is believed of it.
     pub state: State,
     /// Rises each time the box starts or speaks up against a wrong belief; only the box raises it.
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -105,15 +105,31 @@
         for peer in peers {
             probe.add(peer.clone(), 0, now);
         }
+        probe.members.values_mut().for_each(|m| m.fixed = true);
         probe.spread_self();
         probe
     }
 
     fn add(&mut self, peer: Peer, incarnation: u32, now: Time) {
-        if peer.id() == self.me.id() || self.members.contains_key(&peer.id()) {
+        if peer.id() == self.me.id() {
             return;
         }
-        let member = Member { state: State::Alive, incarnation, since: now, heard: false, heard_at: Time(0), peer };
+        if let Some(known) = self.members.get_mut(&peer.id()) {
+            // A younger life may have come up elsewhere; links are made to where it says it is.
+            if !known.fixed && incarnation > known.incarnation {
+                known.peer = peer;
+            }
+            return;
+        }
+        let member = Member {
+            fixed: false,
+            state: State::Alive,
+            incarnation,
+            since: now,
+            heard: false,
+            heard_at: Time(0),
+            peer,
+        };
         self.members.insert(member.peer.id(), member);
         self.out.push(Action::View);
     }
