A box tries an address in use again for three seconds

Cause: two of three whole runs failed at a box's start with "Address already in use", on a port of our own range that nobody else has. The likely cause, not shown: while one test thread lets go of a port it had looked for, another one starts a process, which holds a copy of the socket until it runs its program. Ruled out: the kernel's own ports (32768 and up), boxes left over (none); waiting for the port in the test (tried, failed the same way, reverted). Change: a box retries the address, which also helps a restart while the former process is just ending.

--- a/crates/cleatshelf/src/serve.rs
+++ b/crates/cleatshelf/src/serve.rs
@@ -11,6 +11,7 @@
 use eyre::WrapErr;
 use gateway::Snapshot;
 use platform::{BootClock, Clock};
+use std::io::ErrorKind;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -31,6 +32,10 @@
 /// Shortest planned stop, so that other boxes hear of it and take over.
 const STOP_LEAST: Duration = Duration::from_millis(800);
 
+/// How long, and how often, an address in use is tried again at the start.
+const BIND_MOST: Duration = Duration::from_secs(3);
+const BIND_AGAIN: Duration = Duration::from_millis(50);
+
 /// How often metrics are moved into their buckets.
 const UPKEEP: Duration = Duration::from_secs(5);
 
@@ -76,8 +81,17 @@
     Ok(clean)
 }
 
+/// Binds an address; one that is still in use, as by a former process that is just ending, is tried again.
 fn bind(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address).wrap_err_with(|| format!("can't listen on {address}"))
+    let began = Instant::now();
+    loop {
+        match TcpListener::bind(address) {
+            Err(why) if why.kind() == ErrorKind::AddrInUse && began.elapsed() < BIND_MOST => {
+                std::thread::sleep(BIND_AGAIN);
+            }
+            bound => return bound.wrap_err_with(|| format!("can't listen on {address}")),
+        }
+    }
 }
 
 fn callers(settings: &Settings, desk: Arc<ControlDesk>, running: Arc<AtomicUsize>) -> eyre::Result<ServerHandle> {
