A refused release is shown on every box within seconds

A real fault: refusals weren't passed on between boxes at all. Ruled out: a slow machine (the box's log shows no read of the platform for 40 s); a longer wait in the test. Change: a refusal rides along on probes with its first reason; what others refused is shown, and keeps nothing out, since acceptance is each box's own finding.

--- a/crates/cleatshelf/src/control.rs
+++ b/crates/cleatshelf/src/control.rs
@@ -279,7 +279,7 @@
         let waited = now.since(self.began);
         let asked = !self.probe.is_waiting() || waited >= SETTLE_MOST_MS;
         let newest = self.spread.order() >= self.best_heard;
-        let refused = self.spread.refused().any(|r| Some(r.order) == self.best_heard);
+        let refused = self.best_heard.is_some_and(|best| self.spread.has_refused(best));
         // Until then this box can't prove of any request key that it is new.
         let remembers = now.since(self.started) >= policy::SKEW_MS + SKEW_MARGIN_MS;
         let current = self.spread.order().is_some() && (newest || refused);
--- a/crates/cleatshelf/src/control/carry.rs
+++ b/crates/cleatshelf/src/control/carry.rs
@@ -110,6 +110,11 @@
                     let actions = self.broker.upstream_leaving(server, leaving, self.now());
                     self.do_policy(actions, context);
                 }
+                fleet::Action::Spread(change) => self.probe.spread(change),
+                fleet::Action::Refused(order, reason) => {
+                    let actions = self.spread.told(order, &reason);
+                    self.do_fleet(actions, context);
+                }
                 fleet::Action::Adopt(release, catalog) => self.adopt(&release, *catalog, context),
                 fleet::Action::Fetch(digests) => self.fetch(digests, context),
                 fleet::Action::Note(event, detail) => self.note(event, &detail),
--- a/crates/fleet/src/action.rs
+++ b/crates/fleet/src/action.rs
@@ -1,7 +1,7 @@
 //! What the fleet's state machines want done.
 
-use crate::Message;
-use catalog::{BoxId, Catalog, Digest, Release, ServerId};
+use crate::{Change, Message};
+use catalog::{BoxId, Catalog, Digest, Order, Release, ServerId};
 use telemetry::Event;
 
 /// What the fleet's state machines want done.
@@ -13,6 +13,10 @@
     View,
     /// A server is leaving, or is back.
     Upstream(ServerId, bool),
+    /// Let this change ride along on probes.
+    Spread(Change),
+    /// Another box refused a release, for this reason: to be shown here as well.
+    Refused(Order, String),
     /// This release is in force from now on.
     Adopt(Box<Release>, Box<Catalog>),
     /// Get these parts from the platform, for a manifest that it offered.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,6 @@
 
 pub use action::Action;
 pub use member::{Member, Peer, State};
-pub use message::{Change, Delta, Message};
+pub use message::{Change, Delta, Message, REASON_MOST};
 pub use probe::{Probe, Timing};
 pub use spread::{watchers, Refused, Spread, WATCHERS};
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -28,8 +28,18 @@
         /// The list's revision; the higher one wins.
         revision: u64,
     },
+    /// A release that a box was offered by the platform and refused. Only shown, never obeyed.
+    Refused {
+        /// Where it stands among others.
+        order: Order,
+        /// The first of its faults, cut to [`REASON_MOST`] characters.
+        reason: String,
+    },
 }
 
+/// Longest reason for a refused release that is told to others, in characters.
+pub const REASON_MOST: usize = 160;
+
 /// How one manifest differs from an earlier one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -141,11 +141,12 @@
         self.spread(change);
     }
 
-    /// A change is told about three times the logarithm of the fleet's size.
-    fn spread(&mut self, change: Change) {
+    /// Lets a change ride along on probes: about three times the logarithm of the fleet's size.
+    pub fn spread(&mut self, change: Change) {
         let same = |r: &Rumour| match (&r.change, &change) {
             (Change::Box { id: a, .. }, Change::Box { id: b, .. }) => a == b,
             (Change::Upstream { id: a, .. }, Change::Upstream { id: b, .. }) => a == b,
+            (Change::Refused { order: a, .. }, Change::Refused { order: b, .. }) => a == b,
             _ => false,
         };
         self.rumours.retain(|r| !same(r));
@@ -231,6 +232,7 @@
                     self.believe(*id, *state, *incarnation, now);
                 }
                 Change::Upstream { id, leaving, revision } => self.upstream(*id, *leaving, *revision),
+                Change::Refused { order, reason } => self.out.push(Action::Refused(*order, reason.clone())),
             }
         }
     }
--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -1,6 +1,6 @@
 //! Releases: from the platform to few boxes, from them to all, and never back.
 
-use crate::{Action, Delta, Message};
+use crate::{Action, Change, Delta, Message, REASON_MOST};
 use catalog::{BoxId, Digest, Manifest, Order, Parsed, Release};
 use policy::Time;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -72,7 +72,10 @@
     history: VecDeque<(Order, Manifest)>,
     pull: Option<Pull>,
     parsed: Parsed,
+    /// What this box found wrong itself. Keeps a release out.
     refused: VecDeque<Refused>,
+    /// What others refused and this box wasn't offered. Only shown: acceptance is each box's own finding.
+    told: VecDeque<Refused>,
     out: Vec<Action>,
 }
 
@@ -89,14 +92,20 @@
         self.history.back().map(|(order, _)| *order)
     }
 
-    /// Releases that this box refused, newest last.
+    /// Releases that this box refused, and those that others were heard to refuse.
     pub fn refused(&self) -> impl Iterator<Item = &Refused> {
-        self.refused.iter()
+        self.refused.iter().chain(&self.told)
+    }
+
+    /// True when this box itself found a release wrong.
+    #[must_use]
+    pub fn has_refused(&self, order: Order) -> bool {
+        self.refused.iter().any(|r| r.order == order)
     }
 
     fn wants(&self, order: Order) -> bool {
         let newer = self.order().is_none_or(|current| order > current);
-        newer && !self.refused.iter().any(|r| r.order == order)
+        newer && !self.has_refused(order)
     }
 
     // ------------------------------------------------------------------------
@@ -286,16 +295,29 @@
     }
 
     fn refuse(&mut self, order: Order, reasons: Vec<String>) {
+        let reason = reasons.first().map(|first| first.chars().take(REASON_MOST).collect()).unwrap_or_default();
+        self.out.push(Action::Spread(Change::Refused { order, reason }));
         let shown: Vec<&str> = reasons.iter().take(5).map(String::as_str).collect();
         let detail = format!("number={} digest={} reasons=[{}]", order.number, order.digest, shown.join("; "));
         self.out.push(Action::Note(Event::ReleaseRefused, detail));
-        self.refused.push_back(Refused { order, reasons });
-        if self.refused.len() > REFUSED_MOST {
-            self.refused.pop_front();
-        }
+        self.told.retain(|r| r.order != order);
+        remember(&mut self.refused, Refused { order, reasons });
         self.pull = None;
     }
 
+    /// Another box refused a release. Shown and passed on once; this box still judges for itself.
+    pub fn told(&mut self, order: Order, reason: &str) -> Vec<Action> {
+        if self.refused().any(|r| r.order == order) {
+            return Vec::new();
+        }
+        let reason: String = reason.chars().take(REASON_MOST).collect();
+        let detail = format!("number={} digest={} told=true reasons=[{reason}]", order.number, order.digest);
+        self.out.push(Action::Note(Event::ReleaseRefused, detail));
+        self.out.push(Action::Spread(Change::Refused { order, reason: reason.clone() }));
+        remember(&mut self.told, Refused { order, reasons: vec![reason] });
+        std::mem::take(&mut self.out)
+    }
+
     /// Time has passed: a pull that stands still is given up, and the next probe begins anew.
     pub fn tick(&mut self, now: Time) {
         if self.pull.as_ref().is_some_and(|p| now.since(p.since) >= PULL_MS) {
@@ -303,3 +325,11 @@
         }
     }
 }
+
+/// Keeps the newest [`REFUSED_MOST`].
+fn remember(list: &mut VecDeque<Refused>, refused: Refused) {
+    list.push_back(refused);
+    if list.len() > REFUSED_MOST {
+        list.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/refused.rs
@@ -0,0 +1,37 @@
+//! A bad release is shown as refused on every box, also on those that don't read the platform.
+
+mod world;
+
+use fleet::Spread;
+use world::{release, Faults, World, STEP_MS};
+
+/// Steps until every box must show it: the users allow a change 12 s.
+const STEPS: u64 = 12_000 / STEP_MS;
+
+fn shows(spread: &Spread, number: u64) -> bool {
+    spread.refused().any(|refused| refused.order.number == number)
+}
+
+#[test]
+fn a_bad_release_is_shown_by_boxes_that_do_not_read_the_platform() {
+    let faults = Faults { lost: 100, doubled: 50, delay_ms: 200, pauses: 0, restarts: 0, stale: 0 };
+    let mut world = World::new(7, 8, faults);
+    world.published.push(release(1, 10));
+    (0..200).for_each(|_| world.step());
+    let mut bad = release(2, 20);
+    let text = b"no class file".to_vec();
+    let digest = catalog::Digest::of(&text);
+    bad.manifest.parts.insert("classes".into(), digest);
+    bad.parts.insert(digest, text);
+    bad.text = bad.manifest.render();
+    world.published.push(bad);
+    (0..STEPS).for_each(|_| world.step());
+    for node in &world.nodes {
+        assert!(shows(&node.spread, 2), "{} doesn't show it", node.peer.name);
+        assert_eq!(node.spread.order().map(|o| o.number), Some(1));
+    }
+    // Hearsay of a refusal never keeps a good release out.
+    world.published.push(release(3, 30));
+    (0..STEPS).for_each(|_| world.step());
+    assert!(world.nodes.iter().all(|n| n.spread.order().map(|o| o.number) == Some(3)));
+}
--- a/crates/lab/src/fleetlet.rs
+++ b/crates/lab/src/fleetlet.rs
@@ -136,7 +136,7 @@
                         self.send(from, to, Message::Ack { number: 0, order, changes: Vec::new() });
                     }
                 }
-                Action::View | Action::Upstream(..) | Action::Note(..) => {}
+                Action::View | Action::Upstream(..) | Action::Note(..) | Action::Spread(_) | Action::Refused(..) => {}
             }
         }
     }
--- a/crates/lab/tests/releases.rs
+++ b/crates/lab/tests/releases.rs
@@ -239,7 +239,7 @@
     assert!(deployment.until(NEVER, |s| !s.watcher || too_large(s)).await, "{}", logs(&deployment));
     let contradictory = contradictory(&good);
     deployment.platform.publish(&contradictory);
-    let refused = deployment.until(NEVER, |s| s.refused.iter().any(|r| r.number == 6)).await;
+    let refused = deployment.until(IN_FORCE_MOST, |s| s.refused.iter().any(|r| r.number == 6)).await;
     assert!(refused, "the contradictory release is shown as refused on every box: {}", logs(&deployment));
     let newer = good.text.replace("format = 1", "format = 99");
     deployment.platform.put("manifest", newer.into_bytes());
