Another hall's urgent ask is no longer refused while reviews run

Two halls were short of slots; the third was full of its own reviews, and an owner took another hall's ask only if a slot was free and at most a quarter of the slots were remote. So urgent calls were shed while reviews ran.

--- a/crates/policy/src/shard.rs
+++ b/crates/policy/src/shard.rs
@@ -29,8 +29,9 @@
 /// Most asks of one class that wait at one shard.
 const QUEUE_MOST: usize = 4_096;
 
-/// Most of a shard's capacity that other halls may use, as a divisor.
+/// Most of a shard's capacity that other halls may use, as a divisor; and where the request is urgent.
 const REMOTE_DIVISOR: u32 = 4;
+const URGENT_REMOTE_DIVISOR: u32 = 2;
 
 /// A request that was accepted before isn't given up before this age, in milliseconds.
 const GIVE_UP_BEGUN_MS: u64 = 60_000;
--- a/crates/policy/src/shard/admission.rs
+++ b/crates/policy/src/shard/admission.rs
@@ -106,7 +106,7 @@
         if self.queues.get(&ask.class).map_or(0, Queue::len) >= QUEUE_MOST {
             return Err(refusal(Reason::QueueFull, wait));
         }
-        if ask.remote && !self.room_for_remote(&class, now) {
+        if ask.remote && !self.room_for_remote(ask.class, &class, now) {
             return Err(refusal(Reason::Infeasible, wait));
         }
         // The server's own time to the first token counts as well, as far as it is known.
@@ -118,12 +118,22 @@
         Ok(())
     }
 
-    fn room_for_remote(&self, class: &Class, now: Time) -> bool {
-        let remote = self.leases.values().filter(|l| l.remote).count() as u32;
+    /// Other halls' requests use a bounded part of the capacity.
+    ///
+    /// An urgent one may also wait for a slot that a lesser request has to give back: refusing it while
+    /// reviews run here would shed it for them. Any other takes only what is free.
+    fn room_for_remote(&self, id: ClassId, class: &Class, now: Time) -> bool {
+        let capacity = self.capacity(now);
+        let running = self.leases.values().filter(|l| l.remote).count();
+        let queued = self.queues.values().flat_map(Queue::iter).filter(|w| w.ask.remote).count();
+        let remote = (running + queued) as u32;
+        if class.urgent {
+            return remote < (capacity / URGENT_REMOTE_DIVISOR).max(1) && self.wait_ms(class, id, now) == 0;
+        }
         let waiting_before =
             |(id, queue): (&ClassId, &Queue)| !queue.is_empty() && self.layout.class(*id).rank <= class.rank;
         let free: u32 = self.servers.iter().map(|s| s.free(now)).sum();
-        free > 0 && remote < (self.capacity(now) / REMOTE_DIVISOR).max(1) && !self.queues.iter().any(waiting_before)
+        free > 0 && remote < (capacity / REMOTE_DIVISOR).max(1) && !self.queues.iter().any(waiting_before)
     }
 
     pub(super) fn refuse_late(&mut self, now: Time) {
