The load report tells late from slow

Cause: of hotline's misses under faults nobody could say how many waited and how many ran on the slow engine. Change: two counts by class.

--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -258,8 +258,11 @@
     tally.between.saturating_record(between_tenths);
     let tokens = if shot.stream.service.is_some() { 0 } else { count };
     tally.tokens_whole += tokens;
-    let paced = between_tenths <= shot.stream.between_tokens_ms * 10;
-    if first_ms <= shot.stream.first_token_ms && paced {
+    if first_ms > shot.stream.first_token_ms {
+        tally.row.late += 1;
+    } else if between_tenths > shot.stream.between_tokens_ms * 10 {
+        tally.row.slow += 1;
+    } else {
         tally.row.in_time += 1;
         tally.tokens_in_time += tokens;
     }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -23,6 +23,12 @@
     pub mismatched: u64,
     /// Refusals on the way, each followed by a return or an end.
     pub refusals: u64,
+    /// Whole answers whose first token was too late.
+    #[serde(default)]
+    pub late: u64,
+    /// Whole answers begun in time whose tokens came too slowly.
+    #[serde(default)]
+    pub slow: u64,
     /// Milliseconds to the first token from the intended time: half, 99 in 100, worst.
     pub first_ms: (u64, u64, u64),
     /// Milliseconds between tokens, 95 in 100.
@@ -78,12 +84,14 @@
     #[must_use]
     pub fn table(&self) -> String {
         let mut lines = vec![format!(
-            "{:<16} {:>6} {:>6} {:>8} {:>8} {:>7} {:>6} {:>6} {:>8} {:>8} {:>8} {:>8}",
+            "{:<16} {:>6} {:>6} {:>8} {:>8} {:>6} {:>6} {:>7} {:>6} {:>6} {:>8} {:>8} {:>8} {:>8}",
             "CLASS",
             "SENT",
             "WHOLE",
             "IN_TIME",
             "ATTAIN",
+            "LATE",
+            "SLOW",
             "REFUSED",
             "FAILED",
             "UNFIN",
@@ -94,12 +102,14 @@
         )];
         for row in &self.rows {
             lines.push(format!(
-                "{:<16} {:>6} {:>6} {:>8} {:>8.4} {:>7} {:>6} {:>6} {:>8} {:>8} {:>8} {:>8.1}",
+                "{:<16} {:>6} {:>6} {:>8} {:>8.4} {:>6} {:>6} {:>7} {:>6} {:>6} {:>8} {:>8} {:>8} {:>8.1}",
                 row.class,
                 row.sent,
                 row.whole,
                 row.in_time,
                 row.attainment(),
+                row.late,
+                row.slow,
                 row.refused,
                 row.failed,
                 row.unfinished,
