A slow server is tried again and gets its share back

A server once found too slow for a class was never used for it again while another was fit, so with urgent traffic alone it was left out for ever: nothing brought a new sample. Ruled out: ejection (crashed servers come back; now asserted: one probe, half a slot for each good answer, doubling time without work). Change: a slow server of which nothing was heard for 2 s, doubling to 30 s, gets one request as a try, whose answer counts half.

--- a/crates/lab/tests/faults.rs
+++ b/crates/lab/tests/faults.rs
@@ -179,6 +179,7 @@
     assert!(at_rest(&deployment).await, "something leaked");
     let ended = through(&deployment, 30, 20, "after the crash").await;
     assert!(ended.iter().all(|(prompt, reply)| is_whole(reply, prompt, 20)));
+    assert!(gets_its_share_back(&deployment, &engines[0].1).await, "an engine that came back is left out");
     assert_eq!(deployment.broken().await, 0);
 }
 
@@ -195,9 +196,36 @@
     let hotline = (0..40).filter(|i| i % 3 == 0);
     let urgent: u32 = hotline.map(|i| slow.run_of(&format!("avoided {i}")).starts).sum();
     assert!(urgent <= 2, "{urgent} hotline requests went to an engine ten times too slow (before: {before})");
+    slow.slow(100);
+    assert!(gets_its_share_back(&deployment, &slow).await, "an engine that is well again is left out");
     assert_eq!(deployment.broken().await, 0);
 }
 
+/// Urgent requests only, until one in four goes to `engine`, of two.
+async fn gets_its_share_back(deployment: &Deployment, engine: &lab::Engine) -> bool {
+    let began = Instant::now();
+    let caller = Caller::new("large-1").class("hotline");
+    let mut round = 0;
+    while began.elapsed() < NEVER {
+        round += 1;
+        let prompts: Vec<String> = (0..16).map(|i| format!("well again {round} {i}")).collect();
+        let asks = prompts.iter().enumerate().map(|(i, prompt)| {
+            let (caller, door, prompt) = (caller.clone(), deployment.doors()[i % 3], prompt.clone());
+            actix_rt::spawn(async move { caller.ask(door, &prompt, 20).await })
+        });
+        for ask in asks.collect::<Vec<_>>() {
+            let reply = ask.await.expect("no panic");
+            // While it has few slots some are more than fit.
+            let refused = matches!(&reply.stop, Stop::Refused { code, ran, .. } if code == "overloaded" && ran == "no");
+            assert!(reply.stop == Stop::Whole || refused, "{:?}", reply.stop);
+        }
+        if prompts.iter().map(|prompt| engine.run_of(prompt).starts).sum::<u32>() >= 4 {
+            return true;
+        }
+    }
+    false
+}
+
 #[actix_rt::test]
 async fn the_same_key_at_two_boxes_at_once_runs_once() {
     let deployment = start(small()).await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,7 +39,7 @@
 pub use outcome::{Expired, Permit, Ran, Resend, Sent, Unsent};
 pub use queue::{Queue, Waiting};
 pub use rank::{owner, ranked};
-pub use server::{Load, Server};
+pub use server::{Load, Server, Standing};
 pub use shard::{Shard, LEASE_MS, RECOVER_MS, SIGN_MS};
 pub use speed::Speed;
 pub use time::Time;
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -12,6 +12,11 @@
 /// Longest time without work after an ejection, in milliseconds.
 const EJECT_MOST_MS: u64 = 30_000;
 
+/// A server too slow for a class is tried with one of its requests after this time without any answer, in
+/// milliseconds; the time doubles with each try, up to the longest.
+const TRY_MS: u64 = 2_000;
+const TRY_MOST_MS: u64 = 30_000;
+
 /// A strained server's slots shrink at most this often, in milliseconds.
 const SHRINK_EVERY_MS: u64 = 1_000;
 
@@ -63,6 +68,11 @@
     probing: bool,
     backoff_ms: u64,
     shrunk_at: Time,
+    /// When it was last tried, or last gave an answer.
+    tried_at: Time,
+    try_ms: u64,
+    /// A try has not been answered yet.
+    trying: bool,
 }
 
 /// How many prompt prefixes are remembered for each server.
@@ -88,6 +98,9 @@
             probing: false,
             backoff_ms: EJECT_MS,
             shrunk_at: Time(0),
+            tried_at: Time(0),
+            try_ms: TRY_MS,
+            trying: false,
         }
     }
 
@@ -115,6 +128,19 @@
         self.trusted as u32
     }
 
+    /// True when nothing has been heard of its speed for so long that it should be tried.
+    #[must_use]
+    pub fn should_try(&self, now: Time) -> bool {
+        now.since(self.tried_at) >= self.try_ms
+    }
+
+    /// A request goes to it only to find out how fast it is now.
+    pub fn begin_try(&mut self, now: Time) {
+        self.tried_at = now;
+        self.try_ms = (self.try_ms * 2).min(TRY_MOST_MS);
+        self.trying = true;
+    }
+
     /// True while failures keep it from its full share.
     #[must_use]
     pub fn ejected(&self) -> bool {
@@ -130,7 +156,12 @@
             return self.fail(now);
         }
         self.failures = 0;
-        self.speed.note(report);
+        let was = self.speed.between_ms;
+        self.speed.note(report, std::mem::take(&mut self.trying));
+        self.tried_at = now;
+        if self.speed.between_ms < was {
+            self.try_ms = TRY_MS;
+        }
         if self.speed.strained() {
             self.shrink(now);
         } else {
--- a/crates/policy/src/shard/order.rs
+++ b/crates/policy/src/shard/order.rs
@@ -43,7 +43,7 @@
     fn ready(&self, now: Time) -> Vec<(ClassId, Class)> {
         let waiting = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
         let classes = waiting.map(|(id, _)| (*id, self.layout.class(*id)));
-        classes.filter(|(_, class)| self.servers.iter().any(|s| s.free(now) > 0 && self.fit(s, class))).collect()
+        classes.filter(|(_, class)| self.servers.iter().any(|s| self.may_take(s, class, now))).collect()
     }
 
     /// A server far too slow for a class isn't used for it while a better one is in service.
@@ -53,6 +53,16 @@
         !slow(server) || !self.servers.iter().any(|s| !slow(s) && !s.leaving() && !s.ejected())
     }
 
+    /// A server with a free slot that is fast enough, or has to be tried.
+    fn may_take(&self, server: &Server, class: &Class, now: Time) -> bool {
+        server.free(now) > 0 && (self.fit(server, class) || self.should_try(server, class, now))
+    }
+
+    /// A slow server of which nothing was heard for a while: its slowness may be over.
+    fn should_try(&self, server: &Server, class: &Class, now: Time) -> bool {
+        server.should_try(now) && (server.speed.strained() || !self.fit(server, class))
+    }
+
     fn next_turn(&self, now: Time) -> Option<Turn> {
         let ready = self.ready(now);
         let capacity = self.capacity(now);
@@ -80,8 +90,16 @@
 
     fn choose(&self, ask: &Ask, now: Time) -> Option<usize> {
         let class = self.layout.class(ask.class);
-        let free = |s: &Server| s.free(now) > 0 && self.fit(s, &class);
-        let candidates: Vec<usize> = (0..self.servers.len()).filter(|i| free(&self.servers[*i])).collect();
+        let candidates: Vec<usize> =
+            (0..self.servers.len()).filter(|i| self.may_take(&self.servers[*i], &class, now)).collect();
+        // One that has to be tried would never be the cheapest.
+        let tries = |i: &&usize| {
+            let server = &self.servers[**i];
+            Some(server.id) != ask.avoid && self.should_try(server, &class, now)
+        };
+        if let Some(index) = candidates.iter().find(tries) {
+            return Some(*index);
+        }
         let others: Vec<usize> =
             candidates.iter().copied().filter(|i| Some(self.servers[*i].id) != ask.avoid).collect();
         let pick_from = if others.is_empty() { candidates } else { others };
@@ -110,6 +128,10 @@
             return false;
         };
         self.check_order(turn, index, now);
+        let class = layout.class(turn.class);
+        if self.should_try(&self.servers[index], &class, now) {
+            self.servers[index].begin_try(now);
+        }
         self.lease(&waiting, index, turn.passing, now);
         true
     }
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -5,6 +5,9 @@
 /// Weight of a new sample in the moving means.
 const FRESH: f64 = 0.2;
 
+/// The same for the answer to a try: what was known is old by then.
+const FRESH_TRY: f64 = 0.5;
+
 /// How fast the reference may rise; it falls at once.
 const REFERENCE_RISE: f64 = 0.002;
 
@@ -19,24 +22,25 @@
     pub reference_ms: f64,
 }
 
-fn mix(old: f64, new: f64) -> f64 {
+fn mix(old: f64, new: f64, fresh: f64) -> f64 {
     if old == 0.0 {
         new
     } else {
-        old + FRESH * (new - old)
+        old + fresh * (new - old)
     }
 }
 
 impl Speed {
-    /// Takes in what one request showed.
-    pub fn note(&mut self, report: &Report) {
+    /// Takes in what one request showed; one that was sent as a try counts for more.
+    pub fn note(&mut self, report: &Report, was_try: bool) {
+        let fresh = if was_try { FRESH_TRY } else { FRESH };
         if report.first_ms > 0 {
-            self.first_ms = mix(self.first_ms, f64::from(report.first_ms));
+            self.first_ms = mix(self.first_ms, f64::from(report.first_ms), fresh);
         }
         if report.between_tenths == 0 {
             return;
         }
-        self.between_ms = mix(self.between_ms, f64::from(report.between_tenths) / 10.0);
+        self.between_ms = mix(self.between_ms, f64::from(report.between_tenths) / 10.0, fresh);
         if self.reference_ms == 0.0 || self.between_ms < self.reference_ms {
             self.reference_ms = self.between_ms;
         } else {
