--- a/crates/lab/src/fleetlet.rs
+++ b/crates/lab/src/fleetlet.rs
@@ -8,9 +8,6 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::time::Instant;
 
-/// Bytes around a frame's payload: length, proof, and the stream's own frame header.
-pub const FRAME_AROUND: usize = 4 + 16 + 9;
-
 /// A message takes this long within a hall and between halls, in milliseconds.
 const NEAR_MS: u64 = 1;
 const FAR_MS: u64 = 2;
@@ -143,9 +140,8 @@
 
     fn send(&mut self, from: usize, to: BoxId, message: Message) {
         let envelope = Envelope::Fleet(message);
-        let size = wire::Frame::of(&envelope).map_or(0, |f| f.0.len());
+        self.bytes += wire::Frame::of(&envelope).map_or(0, |f| f.cost()) as u64;
         let Envelope::Fleet(message) = envelope else { return };
-        self.bytes += (size + FRAME_AROUND) as u64;
         self.messages += 1;
         self.count += 1;
         let target = self.index[&to];
@@ -329,6 +325,6 @@
 #[must_use]
 pub fn change_bytes(customers: usize) -> usize {
     let (_, got) = hand_over(customers);
-    let frame = |m: &Message| wire::Frame::of(&Envelope::Fleet(m.clone())).map_or(0, |f| f.0.len()) + FRAME_AROUND;
+    let frame = |m: &Message| wire::Frame::of(&Envelope::Fleet(m.clone())).map_or(0, |f| f.cost());
     got.iter().map(frame).sum()
 }
--- a/crates/lab/src/ownerlet.rs
+++ b/crates/lab/src/ownerlet.rs
@@ -1,6 +1,5 @@
 //! The owner's real code at several sizes, without a network.
 
-use crate::fleetlet::FRAME_AROUND;
 use catalog::{BoxId, Catalog, ClassId, CustomerId};
 use cleatshelf::Envelope;
 use policy::{
@@ -168,7 +167,7 @@
             match action {
                 Action::Send(to, message) => {
                     let envelope = Envelope::Policy(message.clone());
-                    bytes += (wire::Frame::of(&envelope).map_or(0, |f| f.0.len()) + FRAME_AROUND) as u64;
+                    bytes += (wire::Frame::of(&envelope).map_or(0, |f| f.cost())) as u64;
                     messages += 1;
                     mail.push((from, to, message));
                 }
--- a/crates/policy/src/broker.rs
+++ b/crates/policy/src/broker.rs
@@ -56,6 +56,9 @@
 /// Most other halls that are asked for one request.
 const SPILL_MOST: usize = 2;
 
+/// Boxes for each shard of a pool from which on a box keeps to one of them.
+const HOME_BOXES: usize = 4;
+
 /// How requests find a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Way {
@@ -162,6 +165,9 @@
             return Vec::new();
         }
         self.boxes = boxes;
+        let here: BTreeSet<BoxId> = self.lessees().into_iter().collect();
+        self.limit.keep(&here);
+        self.meter.tell_all();
         self.settle_ownership(now);
         self.resize_local();
         self.move_pending(now);
--- a/crates/policy/src/broker/callers.rs
+++ b/crates/policy/src/broker/callers.rs
@@ -116,7 +116,7 @@
         let own = self.layout.shards_in(&self.hall, &pending.serves);
         let own_tried = pending.tried.contains(&self.hall);
         if !own.is_empty() && !own_tried {
-            let shard = own[id as usize % own.len()];
+            let shard = self.home_shard(own, id);
             self.place(id, shard, now);
             return;
         }
@@ -126,6 +126,18 @@
         }
     }
 
+    /// The shard of a pool that this box uses.
+    ///
+    /// Where boxes are many, each keeps to one shard, so that it has leases to renew at few owners; in the
+    /// order of their names they are dealt out evenly. Where they are few, each uses all in turn.
+    fn home_shard(&self, shards: &[ShardId], id: u64) -> ShardId {
+        let boxes = self.hall_boxes();
+        let place = boxes.iter().position(|b| *b == self.me);
+        let many = boxes.len() >= HOME_BOXES * shards.len();
+        let turn = place.filter(|_| many).unwrap_or(id as usize);
+        shards[turn % shards.len()]
+    }
+
     /// Asks another hall as well for what has waited a part of its target in its own. The first grant wins.
     pub(super) fn spill_over(&mut self, now: Time) {
         if self.way != Way::Owner || self.layout.shards.len() < 2 {
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -2,19 +2,22 @@
 //!
 //! Each box tells the customer's keeper (a box named by rendezvous hashing) what it uses; the keeper
 //! answers with what all others use. A box then admits by its own exact figure plus the others' late
-//! one. Halls don't speak of this: each has its share, the limit divided by the number of halls.
+//! one. Only customers whose use changed are told, and seldom those whose requests merely run on. Halls don't speak of this: each has its share, the limit divided by the number of halls.
 
 use crate::layout::Share;
 use crate::Time;
 use catalog::{BoxId, CustomerId};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Length of the window for tokens, in milliseconds.
 const WINDOW_MS: u64 = 60_000;
 
-/// A box's word is forgotten after this many milliseconds.
-const STALE_MS: u64 = 5_000;
+/// A box's word is forgotten after this many milliseconds, unless it is repeated.
+const STALE_MS: u64 = WINDOW_MS;
+
+/// What a box uses of a customer is told again after this time, in milliseconds, should a message be lost.
+const REPEAT_MS: u64 = 25_000;
 
 /// What a customer uses, at one box or at several.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +35,9 @@
     running: u32,
     spent: VecDeque<(Time, u64)>,
     tokens: u64,
+    /// Its keeper has to hear of it: the use changed, or a request was turned away by what may be old.
+    changed: bool,
+    told: Time,
 }
 
 impl Own {
@@ -61,6 +67,7 @@
         let others = others.map(|(_, usage)| *usage).unwrap_or_default();
         let own = self.own.entry(customer).or_default();
         own.slide(now);
+        own.changed = true;
         let full = share.concurrent > 0 && own.running + others.running >= share.concurrent;
         let spent = share.tokens_per_minute > 0 && own.tokens + others.tokens >= share.tokens_per_minute;
         if full || spent {
@@ -74,20 +81,29 @@
     pub fn leave(&mut self, customer: CustomerId, tokens: u64, now: Time) {
         let own = self.own.entry(customer).or_default();
         own.running = own.running.saturating_sub(1);
+        own.changed = true;
         own.spent.push_back((now, tokens));
         own.tokens += tokens;
     }
 
-    /// What to tell the keepers, customers without any use left out.
+    /// What to tell the keepers: customers whose use changed, or of whom nothing was said for long.
     pub fn usage(&mut self, now: Time) -> Vec<Usage> {
-        self.own.values_mut().for_each(|own| own.slide(now));
+        let mut usages = Vec::new();
+        for (customer, own) in &mut self.own {
+            own.slide(now);
+            let repeat = own.running > 0 && now.since(own.told) >= REPEAT_MS;
+            if own.changed || repeat {
+                (own.changed, own.told) = (false, now);
+                usages.push(Usage { customer: *customer, running: own.running, tokens: own.tokens });
+            }
+        }
         self.own.retain(|_, own| own.running > 0 || own.tokens > 0);
-        let usage = |(customer, own): (&CustomerId, &Own)| Usage {
-            customer: *customer,
-            running: own.running,
-            tokens: own.tokens,
-        };
-        self.own.iter().map(usage).collect()
+        usages
+    }
+
+    /// Boxes came or went, and with them keepers: all that is used has to be told anew.
+    pub fn tell_all(&mut self) {
+        self.own.values_mut().for_each(|own| own.changed = true);
     }
 
     /// A keeper said what all other boxes use.
@@ -124,6 +140,13 @@
         answer
     }
 
+    /// Forgets what boxes said that aren't there any more.
+    pub fn keep(&mut self, boxes: &BTreeSet<BoxId>) {
+        for said in self.said.values_mut() {
+            said.retain(|id, _| boxes.contains(id));
+        }
+    }
+
     /// Forgets customers of whom nobody speaks any more.
     pub fn tidy(&mut self, now: Time) {
         self.said.retain(|_, boxes| boxes.values().any(|(at, _)| now.since(*at) < STALE_MS));
--- /dev/null
+++ b/crates/policy/tests/home.rs
@@ -0,0 +1,80 @@
+//! Which of a pool's shards a box uses.
+
+use catalog::{BoxId, Catalog, ClassId, CustomerId, ShardId};
+use policy::{Acquire, Action, Broker, Cause, Layout, Message, Time, Way, SHARD_SERVERS};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
+use std::rc::Rc;
+
+const CLASSES: &str = "key_salt='s'\n[[class]]\nname='c'\nrank=0\nurgent=true\nfirst_token_ms=500\n";
+
+/// A pool of several shards.
+fn layout() -> Rc<Layout> {
+    let mut upstreams = String::new();
+    for i in 0..2 * SHARD_SERVERS {
+        // Writing to a String can't fail.
+        let _ = write!(
+            upstreams,
+            "[[upstream]]\nname='s{i}'\nhall='h'\nmodel='m'\naddress='127.0.0.1:1'\nslots=4\nresume=true\n"
+        );
+    }
+    let catalog = Catalog::parse(&[("classes", CLASSES), ("upstreams", &upstreams)]).expect("a good release");
+    Rc::new(Layout::of(&catalog))
+}
+
+/// The shards that each of `count` boxes asks for ten requests each.
+fn asked(layout: &Rc<Layout>, count: usize) -> Vec<BTreeSet<ShardId>> {
+    let now = Time(1_000);
+    let mut ids: Vec<BoxId> = (0..count).map(|i| BoxId::of(&format!("b{i}"))).collect();
+    ids.sort_unstable();
+    // One more that owns everything, so that all asks go out.
+    let stranger = BoxId::of("elsewhere");
+    let of_box = |me: &BoxId| {
+        let mut broker = Broker::new(*me, "h", Way::Owner, 0, now);
+        broker.set_layout(Rc::clone(layout), now);
+        broker.set_boxes(BTreeMap::from([("h".to_owned(), ids.clone())]), vec![stranger], now);
+        let mut shards = BTreeSet::new();
+        for _ in 0..10 {
+            let acquire = Acquire {
+                serves: "m".into(),
+                class: ClassId::of("c"),
+                customer: CustomerId(1),
+                tokens: 10,
+                prefix: 0,
+                resumable: false,
+                arrived: now,
+                cause: Cause::First,
+                avoid: None,
+            };
+            for action in broker.acquire(acquire, now).1 {
+                match action {
+                    Action::Send(_, Message::Ask(shard, _)) | Action::Granted { shard, .. } => {
+                        shards.insert(shard);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        shards
+    };
+    ids.iter().map(of_box).collect()
+}
+
+#[test]
+fn many_boxes_keep_to_one_shard_each_and_few_use_all() {
+    let layout = layout();
+    let shards = layout.shards.len();
+    assert!(shards > 1, "the pool is cut");
+    let many = asked(&layout, 5 * shards);
+    let mut boxes: BTreeMap<ShardId, usize> = BTreeMap::new();
+    for one in &many {
+        // An owner that hasn't heard its lessees yet grants itself nothing, and shows no ask.
+        assert!(one.len() <= 1, "{one:?}");
+        one.iter().for_each(|shard| *boxes.entry(*shard).or_default() += 1);
+    }
+    assert_eq!(boxes.len(), shards, "every shard is used");
+    assert!(boxes.values().all(|count| (4..=5).contains(count)), "dealt out evenly: {boxes:?}");
+    let few = asked(&layout, 2);
+    let used: BTreeSet<ShardId> = few.into_iter().flatten().collect();
+    assert_eq!(used.len(), shards);
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -9,7 +9,11 @@
 /// The largest frame's payload in bytes: a release part of a megabyte and a little more.
 pub const FRAME_MOST: usize = 1_100_000;
 
-const LENGTH: usize = 4;
+/// Most bytes of a frame's length, which is written as `bincode` writes a whole number.
+const LENGTH_MOST: usize = 5;
+
+/// Bytes that HTTP/2 puts around what is written at once.
+const DATA_HEAD: usize = 9;
 
 /// Why a frame was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +43,24 @@
         }
         Ok(Self(bytes))
     }
+
+    /// Bytes of a frame of its own on the connection: with its length, its proof and the head of HTTP/2.
+    #[must_use]
+    pub fn cost(&self) -> usize {
+        length_of(self.0.len()).len() + PROOF + self.0.len() + DATA_HEAD
+    }
+}
+
+fn length_of(payload: usize) -> Vec<u8> {
+    // A whole number can always be encoded.
+    bincode::serde::encode_to_vec(payload as u32, bincode::config::standard()).unwrap_or_default()
+}
+
+/// The length that `bytes` begin with and its own size; none while it isn't all there.
+fn read_length(bytes: &[u8]) -> Option<(usize, usize)> {
+    let head = &bytes[..bytes.len().min(LENGTH_MOST)];
+    let read = bincode::serde::decode_from_slice::<u32, _>(head, bincode::config::standard());
+    read.ok().map(|(length, size)| (length as usize, size))
 }
 
 /// Writes and reads the frames of one stream.
@@ -59,7 +81,7 @@
 
     /// Appends a frame to `out`.
     pub fn write(&mut self, frame: &Frame, out: &mut BytesMut) {
-        out.extend_from_slice(&(frame.0.len() as u32).to_le_bytes());
+        out.extend_from_slice(&length_of(frame.0.len()));
         out.extend_from_slice(&self.session.prove(&frame.0));
         out.extend_from_slice(&frame.0);
     }
@@ -74,17 +96,17 @@
     /// # Errors
     /// When the frame is refused; the stream must then be closed.
     pub fn read(&mut self) -> Result<Option<T>, Malformed> {
-        if self.buffer.len() < LENGTH {
-            return Ok(None);
-        }
-        let length = u32::from_le_bytes([self.buffer[0], self.buffer[1], self.buffer[2], self.buffer[3]]) as usize;
+        let Some((length, size)) = read_length(&self.buffer) else {
+            // A length that is whole and still can't be read is no length.
+            return if self.buffer.len() < LENGTH_MOST { Ok(None) } else { Err(Malformed::Unreadable) };
+        };
         if length > FRAME_MOST {
             return Err(Malformed::TooLarge);
         }
-        if self.buffer.len() < LENGTH + PROOF + length {
+        if self.buffer.len() < size + PROOF + length {
             return Ok(None);
         }
-        self.buffer.advance(LENGTH);
+        self.buffer.advance(size);
         let proof = self.buffer.split_to(PROOF);
         let payload = self.buffer.split_to(length);
         if !self.session.check(&payload, &proof) {
--- a/crates/wire/src/key.rs
+++ b/crates/wire/src/key.rs
@@ -3,8 +3,8 @@
 /// Names the purpose of derived keys, as BLAKE3 asks for.
 const CONTEXT: &str = "cleatshelf 2026-12 box link";
 
-/// Length of a frame's proof in bytes.
-pub(crate) const PROOF: usize = 16;
+/// Length of a frame's proof in bytes. A wrong one ends the stream, so nobody gets to guess on.
+pub(crate) const PROOF: usize = 8;
 
 /// The key that all boxes of a deployment share.
 #[derive(Clone)]
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -51,10 +51,30 @@
 fn too_large_a_frame_is_refused_before_it_is_taken_in() {
     assert_eq!(Frame::of(&vec![u32::MAX; FRAME_MOST / 4]), Err(Malformed::TooLarge));
     let mut reader = codec("secret", "a");
-    reader.feed(&Bytes::copy_from_slice(&(FRAME_MOST as u32 + 1).to_le_bytes()));
+    // 252 says that four bytes of the length follow.
+    let length = (FRAME_MOST as u32 + 1).to_le_bytes();
+    reader.feed(&Bytes::from([&[252], &length[..]].concat()));
     assert_eq!(reader.read(), Err(Malformed::TooLarge));
 }
 
+#[test]
+fn a_length_that_is_none_is_refused() {
+    for first in 253..=255 {
+        let mut reader = codec("secret", "a");
+        reader.feed(&Bytes::from(vec![first; 4]));
+        assert_eq!(reader.read(), Ok(None), "more might come");
+        reader.feed(&Bytes::from(vec![first; 4]));
+        assert_eq!(reader.read(), Err(Malformed::Unreadable));
+    }
+}
+
+#[test]
+fn a_small_frame_has_nine_bytes_around_it() {
+    let frame = Frame::of(&vec![1u32]).expect("a small message");
+    assert_eq!(written(&[vec![1]]).len(), frame.0.len() + 9);
+    assert_eq!(frame.cost(), frame.0.len() + 9 + 9);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
