A grant on its way no longer makes an owner ask for the whole list

Ruled out: returns on their way (they come before the renewal on the same link). Change: an owner leaves out its newest grants to that box, a second old at the most, one by one, and asks for the list only if none of these sums agrees.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -126,6 +126,9 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "slopes")]
 struct SlopesArgs {
+    /// one group only: release, owner, exchange, keeper or spread
+    #[argh(option)]
+    only: Option<String>,
     /// as JSON
     #[argh(switch)]
     json: bool,
@@ -280,7 +283,7 @@
 }
 
 fn measure_slopes(args: &SlopesArgs) -> eyre::Result<()> {
-    let slopes = lab::slopes();
+    let slopes = lab::slopes(args.only.as_deref()).map_err(|why| eyre::eyre!(why))?;
     if args.json {
         println!("{}", serde_json::to_string(&slopes)?);
     } else {
--- a/crates/lab/src/ownerlet.rs
+++ b/crates/lab/src/ownerlet.rs
@@ -1,13 +1,9 @@
 //! The owner's real code at several sizes, without a network.
 
 use catalog::{BoxId, Catalog, ClassId, CustomerId};
-use cleatshelf::Envelope;
-use policy::{
-    Acquire, Action, Ask, Broker, Cause, Decider, Decision, Layout, Message, Report, Return, Shard, Time, Way,
-};
+use policy::{Ask, Decider, Decision, Layout, Message, Report, Return, Shard, Time};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::rc::Rc;
 use std::time::Instant;
@@ -15,7 +11,8 @@
 /// Requests of one measurement.
 const REQUESTS: usize = 20_000;
 
-fn layout(servers: usize, slots: usize, classes: usize) -> Rc<Layout> {
+/// So many servers of one model, and so many classes of which the first is urgent.
+pub(crate) fn layout(servers: usize, slots: usize, classes: usize) -> Rc<Layout> {
     let mut text = "key_salt = \"s\"\n".to_owned();
     for i in 0..classes {
         // Writing to a String can't fail.
@@ -141,85 +138,3 @@
     }
     began.elapsed().as_secs_f64() * 1e6 / TIMES as f64
 }
-
-/// Messages and bytes of frames for one request, in a hall of so many boxes with one shard of 12 servers.
-///
-/// Each box's requests come one after the other, at the rate that fills the shard to two thirds.
-#[must_use]
-pub fn traffic(boxes: usize, seed: u64) -> (f64, f64) {
-    const SECONDS: u64 = 20;
-    let layout = layout(12, 8, 8);
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let mut now = Time(10_000);
-    let ids: Vec<BoxId> = (0..boxes).map(|i| BoxId::of(&format!("b{i}"))).collect();
-    let view = BTreeMap::from([("h".to_owned(), ids.clone())]);
-    let mut brokers: Vec<Broker> = ids.iter().map(|id| Broker::new(*id, "h", Way::Owner, 0, now)).collect();
-    let mut mail: Vec<(usize, BoxId, Message)> = Vec::new();
-    let mut ends: Vec<(Time, usize, u64)> = Vec::new();
-    let (mut messages, mut bytes, mut requests) = (0u64, 0u64, 0u64);
-    let mut take = |from: usize,
-                    actions: Vec<Action>,
-                    mail: &mut Vec<(usize, BoxId, Message)>,
-                    ends: &mut Vec<(Time, usize, u64)>,
-                    now: Time,
-                    length: u64| {
-        for action in actions {
-            match action {
-                Action::Send(to, message) => {
-                    let envelope = Envelope::Policy(message.clone());
-                    bytes += (wire::Frame::of(&envelope).map_or(0, |f| f.cost())) as u64;
-                    messages += 1;
-                    mail.push((from, to, message));
-                }
-                Action::Granted { id, .. } => ends.push((now.after(length), from, id)),
-                _ => {}
-            }
-        }
-    };
-    for (i, broker) in brokers.iter_mut().enumerate() {
-        let actions = broker.set_layout(Rc::clone(&layout), now);
-        take(i, actions, &mut mail, &mut ends, now, 0);
-        let actions = broker.set_boxes(view.clone(), Vec::new(), now);
-        take(i, actions, &mut mail, &mut ends, now, 0);
-    }
-    // 96 slots, answers of 1.5 s on average: 43 requests a second fill two thirds.
-    while now.0 < 10_000 + SECONDS * 1_000 {
-        now = now.after(10);
-        for (from, to, message) in std::mem::take(&mut mail) {
-            let Some(target) = ids.iter().position(|id| *id == to) else { continue };
-            let actions = brokers[target].receive(ids[from], message, now);
-            take(target, actions, &mut mail, &mut ends, now, random.random_range(500..2_500));
-        }
-        if random.random_bool(0.43) {
-            let i = random.random_range(0..boxes);
-            let acquire = Acquire {
-                serves: "m".into(),
-                class: ClassId::of(&format!("c{}", random.random_range(0..8))),
-                customer: CustomerId(random.random_range(0..100)),
-                tokens: 100,
-                prefix: 7,
-                resumable: true,
-                arrived: now,
-                cause: Cause::First,
-                avoid: None,
-            };
-            requests += 1;
-            let (_, actions) = brokers[i].acquire(acquire, now);
-            take(i, actions, &mut mail, &mut ends, now, random.random_range(500..2_500));
-        }
-        let (over, going): (Vec<_>, Vec<_>) = std::mem::take(&mut ends).into_iter().partition(|(at, _, _)| *at <= now);
-        ends = going;
-        for (_, i, id) in over {
-            let report = Report { tokens: 100, first_ms: 50, between_tenths: 100, failed: false, unused: false };
-            let actions = brokers[i].give_back(id, report, now);
-            take(i, actions, &mut mail, &mut ends, now, 0);
-        }
-        if now.0.is_multiple_of(20) {
-            for (i, broker) in brokers.iter_mut().enumerate() {
-                let actions = broker.tick(now);
-                take(i, actions, &mut mail, &mut ends, now, random.random_range(500..2_500));
-            }
-        }
-    }
-    (messages as f64 / requests as f64, bytes as f64 / requests as f64)
-}
--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -6,6 +6,7 @@
 
 use crate::fleetlet::{self, Outcome};
 use crate::ownerlet;
+use crate::Exchange;
 use catalog::{Catalog, Release};
 use policy::{Limit, Memory, Meter, Share, Time, Usage};
 use serde::Serialize;
@@ -194,21 +195,26 @@
         &held,
         ownerlet::renew_micros,
     ));
+}
+
+fn exchange_slopes(out: &mut Vec<Slope>) {
+    let role = "owner and lessee";
     let boxes = [8, 26, 52, 78];
-    out.push(measure(
-        "shard owner",
-        "messages a request, owner and lessee together",
-        "boxes in the hall",
-        &boxes,
-        |n, seed| ownerlet::traffic(n, seed).0,
-    ));
-    out.push(measure(
-        "shard owner",
-        "bytes of frames a request, owner and lessee together",
-        "boxes in the hall",
-        &boxes,
-        |n, seed| ownerlet::traffic(n, seed).1,
-    ));
+    let today = |n, seed| Exchange { boxes: n, ..Exchange::default() }.run(seed);
+    out.push(measure(role, "messages a request, 8 slots a server", "boxes at a shard", &boxes, |n, seed| {
+        today(n, seed).messages_each()
+    }));
+    out.push(measure(role, "bytes of frames a request, 8 slots a server", "boxes at a shard", &boxes, |n, seed| {
+        today(n, seed).bytes_each()
+    }));
+    let boxes = [9, 18, 27, 36];
+    let planned = |n, seed| Exchange { boxes: n, ..Exchange::planned() }.run(seed);
+    out.push(measure(role, "messages a request, planned size", "boxes at a shard", &boxes, |n, seed| {
+        planned(n, seed).messages_each()
+    }));
+    out.push(measure(role, "bytes of frames a request, planned size", "boxes at a shard", &boxes, |n, seed| {
+        planned(n, seed).bytes_each()
+    }));
 }
 
 fn keeper_slopes(out: &mut Vec<Slope>) {
@@ -253,15 +259,34 @@
     }));
 }
 
-/// Measures every slope.
-#[must_use]
-pub fn slopes() -> Vec<Slope> {
+/// A group of slopes, by the name that the command line gives it.
+type Group = (&'static str, fn(&mut Vec<Slope>));
+
+/// All groups, in the order in which they are measured.
+const GROUPS: [Group; 5] = [
+    ("release", release_slopes),
+    ("owner", owner_slopes),
+    ("exchange", exchange_slopes),
+    ("keeper", keeper_slopes),
+    ("spread", spread_slopes),
+];
+
+/// Measures every slope, or those of one group.
+///
+/// # Errors
+/// When there is no such group; says which there are.
+pub fn slopes(only: Option<&str>) -> Result<Vec<Slope>, String> {
+    let wanted = |name: &str| only.is_none_or(|only| only == name);
     let mut out = Vec::new();
-    release_slopes(&mut out);
-    owner_slopes(&mut out);
-    keeper_slopes(&mut out);
-    spread_slopes(&mut out);
-    out
+    let chosen: Vec<&Group> = GROUPS.iter().filter(|(name, _)| wanted(name)).collect();
+    if chosen.is_empty() {
+        let names: Vec<&str> = GROUPS.iter().map(|(name, _)| *name).collect();
+        return Err(format!("no such group; there are {}", names.join(", ")));
+    }
+    for (_, group) in chosen {
+        group(&mut out);
+    }
+    Ok(out)
 }
 
 /// Slopes as a table for people.
--- a/crates/policy/src/shard/leases.rs
+++ b/crates/policy/src/shard/leases.rs
@@ -5,16 +5,26 @@
 
 impl Shard {
     /// A lessee says how many leases it holds: all are renewed if that agrees, else it is asked for the list.
+    ///
+    /// Grants may be on their way to it. They arrive in order, so what it doesn't know of yet are the newest.
     pub fn renew(&mut self, from: BoxId, count: u32, sum: u64, now: Time) -> Vec<Decision> {
-        let of_box = self.leases.iter_mut().filter(|((holder, _), _)| *holder == from);
-        let mut seen = (0, 0);
-        let mut leases = Vec::new();
-        for ((_, id), lease) in of_box {
-            seen = (seen.0 + 1, seen.1 ^ mixed(*id));
-            leases.push(lease);
-        }
-        if seen == (count, sum) {
-            leases.into_iter().for_each(|lease| lease.renewed = now);
+        let here = self.leases.iter().filter(|((holder, _), _)| *holder == from);
+        let mut known: Vec<(Time, u64)> = here.map(|((_, id), lease)| (lease.granted, *id)).collect();
+        known.sort_unstable();
+        let mut seen = known.iter().fold(0, |sum, (_, id)| sum ^ mixed(*id));
+        while known.len() as u32 > count {
+            match known.last() {
+                Some((granted, id)) if now.since(*granted) < GRACE_MS => seen ^= mixed(*id),
+                _ => break,
+            }
+            known.pop();
+        }
+        if (known.len() as u32, seen) == (count, sum) {
+            for (_, id) in known {
+                if let Some(lease) = self.leases.get_mut(&(from, id)) {
+                    lease.renewed = now;
+                }
+            }
         } else {
             self.out.push(Decision::Tell(from, Message::Recover(self.id)));
         }
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -141,3 +141,40 @@
     assert!(broken.is_empty(), "{broken:?}");
     assert_eq!(owner.owned().map(policy::Shard::held).sum::<usize>(), 1);
 }
+
+#[test]
+fn a_grant_on_its_way_does_not_make_the_owner_ask_for_the_whole_list() {
+    let (layout, now) = (layout(), Time(10_000));
+    let (owner_id, lessee_id) = boxes(&layout);
+    let (mut owner, mut lessee) = (broker(owner_id, &layout, now), broker(lessee_id, &layout, now));
+    let both = view(&[owner_id, lessee_id]);
+    let mut mail = sent_to(&owner.set_boxes(both.clone(), Vec::new(), now), lessee_id);
+    lessee.set_boxes(both, Vec::new(), now);
+    // The lists of the recovery.
+    let answers: Vec<Message> =
+        mail.drain(..).flat_map(|m| sent_to(&lessee.receive(owner_id, m, now), owner_id)).collect();
+    answers.into_iter().for_each(|m| drop(owner.receive(lessee_id, m, now)));
+    let give = |owner: &mut Broker, lessee: &mut Broker, now| {
+        let (_, asked) = lessee.acquire(acquire(now), now);
+        let asks = sent_to(&asked, owner_id);
+        asks.into_iter().flat_map(|m| sent_to(&owner.receive(lessee_id, m, now), lessee_id)).collect::<Vec<_>>()
+    };
+    for grant in give(&mut owner, &mut lessee, now) {
+        lessee.receive(owner_id, grant, now);
+    }
+    assert_eq!(lessee.held(), 1);
+    // The second grant is on its way while the lessee renews what it knows of.
+    for ms in [300, 600, 900] {
+        lessee.tick(now.after(ms));
+        owner.tick(now.after(ms));
+    }
+    let on_its_way = give(&mut owner, &mut lessee, now.after(990));
+    assert!(matches!(on_its_way[..], [Message::Grant { .. }]), "{on_its_way:?}");
+    let later = now.after(1_000);
+    let renewals = sent_to(&lessee.tick(later), owner_id);
+    assert!(renewals.iter().any(|m| matches!(m, Message::Renew { count: 1, .. })), "{renewals:?}");
+    for renewal in renewals {
+        let said = sent_to(&owner.receive(lessee_id, renewal, later), lessee_id);
+        assert!(!said.iter().any(|m| matches!(m, Message::Recover(_))), "{said:?}");
+    }
+}
