Rumours have a file of their own; one way to prove a random run

Change: crates/fleet/src/rumour.rs; prove() and nothing_wrong() in random.rs. No behaviour and no assertion changed.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 mod member;
 mod message;
 mod probe;
+mod rumour;
 mod spread;
 
 pub use action::Action;
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -1,17 +1,15 @@
 //! Who is alive: probes in turn, help from others before a suspicion, and changes that ride along.
 
+use crate::rumour::Rumours;
 use crate::{Action, Change, Member, Message, Peer, State};
 use catalog::{BoxId, Order, ServerId};
 use policy::Time;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use telemetry::Event;
 
-/// Most changes on one probe.
-const CHANGES_MOST: usize = 6;
-
 /// Boxes asked to probe on this box's behalf.
 const HELPERS: usize = 2;
 
@@ -48,13 +46,6 @@
     helped: bool,
 }
 
-/// Something that still has to be told.
-#[derive(Clone, Debug)]
-struct Rumour {
-    change: Change,
-    left: u32,
-}
-
 /// Who is alive, as this box sees it.
 pub struct Probe {
     me: Peer,
@@ -70,7 +61,7 @@
     outstanding: BTreeMap<u32, Outstanding>,
     /// Pings made for others: who asked, and their number.
     helping: BTreeMap<u32, (BoxId, u32)>,
-    rumours: VecDeque<Rumour>,
+    rumours: Rumours,
     probed: Time,
     ticked: Time,
     trust_after: Time,
@@ -95,7 +86,7 @@
             count: 0,
             outstanding: BTreeMap::new(),
             helping: BTreeMap::new(),
-            rumours: VecDeque::new(),
+            rumours: Rumours::default(),
             probed: Time(0),
             ticked: now,
             trust_after: now.after(timing.start_ms),
@@ -141,32 +132,10 @@
         self.spread(change);
     }
 
-    /// Lets a change ride along on probes: about three times the logarithm of the fleet's size.
+    /// Lets a change ride along on probes.
     pub fn spread(&mut self, change: Change) {
-        let same = |r: &Rumour| match (&r.change, &change) {
-            (Change::Box { id: a, .. }, Change::Box { id: b, .. }) => a == b,
-            (Change::Upstream { id: a, .. }, Change::Upstream { id: b, .. }) => a == b,
-            (Change::Refused { order: a, .. }, Change::Refused { order: b, .. }) => a == b,
-            _ => false,
-        };
-        self.rumours.retain(|r| !same(r));
-        let size = self.members.len() as u32 + 2;
-        self.rumours.push_front(Rumour { change, left: 3 * (32 - size.leading_zeros()) });
-    }
-
-    /// The changes that were told least go first, so that news isn't held up by what is nearly old.
-    fn take_changes(&mut self) -> Vec<Change> {
-        if self.rumours.len() > CHANGES_MOST {
-            self.rumours.make_contiguous().sort_by_key(|rumour| std::cmp::Reverse(rumour.left));
-        }
-        let told = self.rumours.iter_mut().take(CHANGES_MOST);
-        let taken = told.map(|rumour| {
-            rumour.left -= 1;
-            rumour.change.clone()
-        });
-        let taken = taken.collect();
-        self.rumours.retain(|rumour| rumour.left > 0);
-        taken
+        // This box, and one that is perhaps not known yet.
+        self.rumours.push(change, self.members.len() + 2);
     }
 
     // ------------------------------------------------------------------------
@@ -197,7 +166,7 @@
             Message::Ping { number, changes, .. } => {
                 self.take_in(changes, now);
                 self.heard(from, now);
-                let changes = self.take_changes();
+                let changes = self.rumours.take();
                 self.out.push(Action::Send(from, Message::Ack { number: *number, order, changes }));
             }
             Message::Ack { number, changes, .. } => {
@@ -211,7 +180,7 @@
             Message::PingFor(theirs, target) => {
                 let number = self.next_number();
                 self.helping.insert(number, (from, *theirs));
-                let changes = self.take_changes();
+                let changes = self.rumours.take();
                 self.out.push(Action::Send(*target, Message::Ping { number, order, changes }));
             }
             Message::AckFor(number, _) => {
@@ -356,7 +325,7 @@
 
     fn ping(&mut self, to: BoxId, order: Option<Order>, now: Time) {
         let number = self.next_number();
-        let changes = self.take_changes();
+        let changes = self.rumours.take();
         self.outstanding.insert(number, Outstanding { to, sent: now, helped: false });
         self.out.push(Action::Send(to, Message::Ping { number, order, changes }));
     }
--- a/crates/policy/tests/random.rs
+++ b/crates/policy/tests/random.rs
@@ -52,16 +52,24 @@
     TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]))
 }
 
+/// Runs `holds` on so many inputs, and panics with the smallest that it fails on.
+fn prove<S: Strategy>(cases: u32, seed: u8, input: &S, holds: impl Fn(S::Value) -> Result<(), TestCaseError>) {
+    if let Err(failure) = runner(cases, seed).run(input, holds) {
+        panic!("{failure}");
+    }
+}
+
+fn nothing_wrong(world: &World) -> Result<(), TestCaseError> {
+    prop_assert!(world.wrongs.is_empty(), "{:?}", &world.wrongs[..world.wrongs.len().min(5)]);
+    Ok(())
+}
+
 fn random_runs(cases: u32, seed: u8, steps: u64) {
     let input = (any::<u64>(), 1..3usize, 1..5usize, faults());
-    let ended = runner(cases, seed).run(&input, |(seed, halls, boxes, faults)| {
+    prove(cases, seed, &input, |(seed, halls, boxes, faults)| {
         let world = run(seed, halls, boxes, faults, steps);
-        prop_assert!(world.wrongs.is_empty(), "{:?}", &world.wrongs[..world.wrongs.len().min(5)]);
-        Ok(())
+        nothing_wrong(&world)
     });
-    if let Err(failure) = ended {
-        panic!("{failure}");
-    }
 }
 
 #[test]
@@ -72,16 +80,13 @@
 #[test]
 fn without_faults_no_server_gets_more_than_its_slots() {
     let input = (any::<u64>(), 1..3usize, 1..5usize);
-    let ended = runner(12, 2).run(&input, |(seed, halls, boxes)| {
+    prove(12, 2, &input, |(seed, halls, boxes)| {
         let world = run(seed, halls, boxes, Faults { delay_ms: 5, ..Faults::default() }, 1_500);
-        prop_assert!(world.wrongs.is_empty(), "{:?}", world.wrongs);
+        nothing_wrong(&world)?;
         prop_assert_eq!(world.most_overlap, 0);
         prop_assert!(world.finished.get(&2).copied().unwrap_or(0) > 0, "reviews starved");
         Ok(())
     });
-    if let Err(failure) = ended {
-        panic!("{failure}");
-    }
 }
 
 /// How long after the last fault slots may still be used twice, in milliseconds: boxes that were paused wake
@@ -91,41 +96,34 @@
 #[test]
 fn overlap_ends_soon_after_the_last_fault() {
     let input = (any::<u64>(), 1..3usize, 2..5usize, faults());
-    let ended = runner(20, 4).run(&input, |(seed, halls, boxes, faults)| {
+    prove(20, 4, &input, |(seed, halls, boxes, faults)| {
         let mut world = World::new(seed, halls, boxes, faults);
         load(&mut world, 800);
         world.heal();
         world.exact_from = Some(world.now.after(OVERLAP_MOST_MS));
         load(&mut world, OVERLAP_MOST_MS / STEP_MS + 600);
         world.come_to_rest();
-        prop_assert!(world.wrongs.is_empty(), "{:?}", &world.wrongs[..world.wrongs.len().min(5)]);
-        Ok(())
+        nothing_wrong(&world)
     });
-    if let Err(failure) = ended {
-        panic!("{failure}");
-    }
 }
 
 #[test]
 fn a_box_grants_a_slot_once_as_owner_and_once_from_its_own_share_at_the_most() {
     let input = (any::<u64>(), 1..3usize, 2..5usize, 0..60u32, 1..120u64, 0..4u32, 0..10u32);
-    let ended = runner(20, 5).run(&input, |(seed, halls, boxes, doubled, delay_ms, deaths, views)| {
+    prove(20, 5, &input, |(seed, halls, boxes, doubled, delay_ms, deaths, views)| {
         let faults = Faults { doubled, delay_ms, deaths, views, ..Faults::default() };
         let world = run(seed, halls, boxes, faults, 1_200);
-        prop_assert!(world.wrongs.is_empty(), "{:?}", &world.wrongs[..world.wrongs.len().min(5)]);
+        nothing_wrong(&world)?;
         let most = world.most_of_one;
         prop_assert!(most <= 2 * world::SLOTS, "{most} by one box, {} over all", world.most_overlap);
         Ok(())
     });
-    if let Err(failure) = ended {
-        panic!("{failure}");
-    }
 }
 
 #[test]
 fn a_key_delivered_through_two_boxes_runs_at_most_once() {
     let input = (any::<u64>(), 1..3usize, 2..5usize, 0..150u32, 0..60u32, 1..150u64, 0..4u32, 0..3u32);
-    let ended = runner(40, 3).run(&input, |(seed, halls, boxes, lost, doubled, delay_ms, pauses, deaths)| {
+    prove(40, 3, &input, |(seed, halls, boxes, lost, doubled, delay_ms, pauses, deaths)| {
         let faults = Faults { lost, doubled, delay_ms, pauses, deaths, ..Faults::default() };
         let mut world = World::new(seed, halls, boxes, faults);
         for _ in 0..300 {
@@ -140,12 +138,8 @@
             (0..3).for_each(|_| world.step());
         }
         world.come_to_rest();
-        prop_assert!(world.wrongs.is_empty(), "{:?}", &world.wrongs[..world.wrongs.len().min(5)]);
-        Ok(())
+        nothing_wrong(&world)
     });
-    if let Err(failure) = ended {
-        panic!("{failure}");
-    }
 }
 
 #[test]
