--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -28,8 +28,10 @@
     pub himalkosh: bool,
     /// Slots of each engine.
     pub slots: u32,
-    /// Milliseconds between tokens of the fastest engine; others are up to half slower.
+    /// Milliseconds between tokens of the fastest engine; others are up to half slower, unless `equal`.
     pub token_ms: u64,
+    /// All engines are as fast.
+    pub equal: bool,
     /// Milliseconds before the first token.
     pub prefill_ms: u64,
     /// How old the engines' load reports are, in milliseconds.
@@ -54,6 +56,7 @@
             himalkosh: false,
             slots: 8,
             token_ms: 10,
+            equal: false,
             prefill_ms: 40,
             lag_ms: 500,
             list_lag_ms: 500,
@@ -125,7 +128,8 @@
         for (hall, box_count, engine_count, plain_count) in &plan.halls {
             for i in 0..*engine_count {
                 // Engines are unequal: each next one is a quarter slower than the first.
-                let token_ms = plan.token_ms * (4 + (i as u64 % 3)) / 4;
+                let slower = if plan.equal { 0 } else { i as u64 % 3 };
+                let token_ms = plan.token_ms * (4 + slower) / 4;
                 let spec = EngineSpec {
                     name: format!("{hall}-llm-{}", i + 1),
                     slots: plan.slots,
--- a/crates/lab/src/overhead.rs
+++ b/crates/lab/src/overhead.rs
@@ -110,7 +110,8 @@
     let mut most_open = 0;
     for i in 0..RATE * SECONDS {
         tokio::time::sleep_until((began + Duration::from_micros(i * 1_000_000 / RATE)).into()).await;
-        for is_direct in [true, false] {
+        // Who goes first takes turns, since the second finds the machine busy with the first.
+        for is_direct in [i % 2 == 0, i % 2 == 1] {
             let caller = caller.clone();
             let to = if is_direct { engines[i as usize % engines.len()] } else { door };
             tasks.push(actix_rt::spawn(async move {
@@ -165,7 +166,7 @@
 /// When the box can't be started or doesn't become ready.
 pub async fn overhead(program: &Path) -> eyre::Result<Overhead> {
     let halls = vec![("hall-lansing".to_owned(), 1, 4, 2)];
-    let plan = Plan { halls, slots: 200, token_ms: 40, prefill_ms: 0, threads: 2, ..Plan::default() };
+    let plan = Plan { halls, slots: 200, token_ms: 40, equal: true, prefill_ms: 0, threads: 2, ..Plan::default() };
     let deployment = Deployment::start(plan, program)?;
     if !deployment.settled(Duration::from_secs(20)).await {
         eyre::bail!("the box did not become ready");
