lab soak: seeded random faults on six boxes under load

Cause: each fault had a test of its own, but none met another: the users say that any may come together or twice.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -25,6 +25,7 @@
 mod report;
 mod serving;
 mod slopes;
+mod soak;
 
 pub use answer::answer;
 pub use client::{Caller, Reply, Stop};
@@ -44,3 +45,4 @@
 pub use report::{Report, Row};
 pub use serving::Serving;
 pub use slopes::{slopes, table as slopes_table, Point, Slope};
+pub use soak::{Soak, Soaked};
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The lab's command line.
 
 use argh::FromArgs;
-use lab::{compare, plot, run_load, Case, Deployment, Load, Plan, Profile, Report};
+use lab::{compare, plot, run_load, Case, Deployment, Load, Plan, Profile, Report, Soak};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -28,6 +28,7 @@
     Fleet(FleetArgs),
     Overhead(OverheadArgs),
     Slopes(SlopesArgs),
+    Soak(SoakArgs),
     Box(BoxArgs),
 }
 
@@ -134,6 +135,18 @@
     json: bool,
 }
 
+/// bring seeded random faults upon six boxes under load, and check that nothing wrong comes of it; JSON
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+struct SoakArgs {
+    /// what faults and requests are drawn from; 1 if left out
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// how long they come; 60 if left out
+    #[argh(option, default = "60")]
+    seconds: u64,
+}
+
 /// run one box, as `cleatshelf serve` does; for this program's own use
 #[derive(FromArgs)]
 #[argh(subcommand, name = "box")]
@@ -155,6 +168,7 @@
         What::Fleet(_) => actix_rt::System::new().block_on(measure_fleet()),
         What::Overhead(_) => actix_rt::System::new().block_on(measure_overhead()),
         What::Slopes(args) => measure_slopes(&args),
+        What::Soak(args) => actix_rt::System::new().block_on(soak(&args)),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -292,6 +306,17 @@
     Ok(())
 }
 
+async fn soak(args: &SoakArgs) -> eyre::Result<()> {
+    let soak = Soak { seed: args.seed, length: Duration::from_secs(args.seconds) };
+    let soaked = soak.run(&program()?).await?;
+    println!("{}", serde_json::to_string_pretty(&soaked)?);
+    if soaked.wrongs.is_empty() {
+        Ok(())
+    } else {
+        eyre::bail!("{} things that must never happen", soaked.wrongs.len())
+    }
+}
+
 fn draw(args: &PlotArgs) -> eyre::Result<()> {
     let text = std::fs::read_to_string(&args.from)?;
     let reports: Vec<Report> = text.lines().map(serde_json::from_str).collect::<Result<_, _>>()?;
--- /dev/null
+++ b/crates/lab/src/soak.rs
@@ -0,0 +1,131 @@
+//! A long seeded random run on real processes: boxes killed and frozen, links cut and delayed, the
+//! platform down, engines crashed, slowed and frozen, releases published, all under load.
+//!
+//! Afterwards every caller must have had one true end, and the stand-ins are asked what really ran.
+//! Nothing here is a question of speed: a run that is slow still has to be right.
+
+mod callers;
+mod fault;
+mod releases;
+
+use crate::{Deployment, Plan};
+use callers::Callers;
+use fault::Faults;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use releases::Releases;
+use serde::Serialize;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Time between two looks at what is due.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Longest wait for boxes to be ready, and for all to come to rest.
+const REST_MOST: Duration = Duration::from_secs(60);
+
+/// A random run.
+#[derive(Clone, Copy, Debug)]
+pub struct Soak {
+    /// What the faults and requests are drawn from. Processes don't repeat exactly what they did.
+    pub seed: u64,
+    /// How long faults and requests come.
+    pub length: Duration,
+}
+
+impl Default for Soak {
+    fn default() -> Self {
+        Self { seed: 1, length: Duration::from_secs(60) }
+    }
+}
+
+/// What a run showed.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Soaked {
+    /// What was drawn from.
+    pub seed: u64,
+    /// Seconds of faults and requests.
+    pub seconds: u64,
+    /// Faults brought about, by kind.
+    pub faults: std::collections::BTreeMap<String, u64>,
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Refused as not run.
+    pub not_run: u64,
+    /// Broken off, or failed after they may have run.
+    pub failed: u64,
+    /// Couldn't be brought to a box.
+    pub unreached: u64,
+    /// What must never happen, and did. Must be empty.
+    pub wrongs: Vec<String>,
+}
+
+impl Soak {
+    /// Two halls of three boxes with relays between them, two engines and a plain service each.
+    #[must_use]
+    pub fn plan() -> Plan {
+        let halls = vec![("hall-lansing".into(), 3, 2, 1), ("hall-toledo".into(), 3, 2, 1)];
+        Plan { halls, relayed: true, threads: 1, ..Plan::default() }
+    }
+
+    /// Runs it.
+    ///
+    /// # Errors
+    /// When the boxes can't be started or don't become ready at first.
+    pub async fn run(&self, program: &Path) -> eyre::Result<Soaked> {
+        let mut deployment = Deployment::start(Self::plan(), program)?;
+        if !deployment.settled(REST_MOST).await {
+            eyre::bail!("the boxes did not become ready");
+        }
+        let mut faults = Faults::new(ChaCha8Rng::seed_from_u64(self.seed));
+        let mut callers = Callers::new(&deployment, self.seed);
+        let releases = Releases::over(&deployment);
+        let began = Instant::now();
+        while began.elapsed() < self.length {
+            faults.step(&mut deployment)?;
+            callers.step();
+            tokio::time::sleep(STEP).await;
+        }
+        faults.end(&mut deployment)?;
+        let mut soaked = callers.end(&deployment).await;
+        soaked.wrongs.extend(at_rest(&deployment).await);
+        soaked.wrongs.extend(releases.end());
+        soaked.wrongs.extend(broken(&deployment));
+        (soaked.seed, soaked.seconds) = (self.seed, self.length.as_secs());
+        soaked.faults = faults.counts;
+        Ok(soaked)
+    }
+}
+
+/// After the last fault all boxes are ready on the newest release and hold nothing.
+async fn at_rest(deployment: &Deployment) -> Option<String> {
+    let idle = |s: &cleatshelf::Status| {
+        s.held == 0 && s.pending == 0 && s.running == 0 && s.shards.iter().all(|row| row.held == 0)
+    };
+    let rest = |s: &cleatshelf::Status| s.ready && s.release >= deployment.release && idle(s);
+    if deployment.until(REST_MOST, rest).await {
+        return None;
+    }
+    let mut left = Vec::new();
+    for name in deployment.running() {
+        let Some(s) = deployment.status(&name).await else {
+            left.push(format!("{name} doesn't answer"));
+            continue;
+        };
+        let (held, pending, running) = (s.held, s.pending, s.running);
+        left.push(format!("{name}: release {} ready {} {held} {pending} {running}", s.release, s.ready));
+    }
+    Some(format!("not at rest: {}", left.join("; ")))
+}
+
+/// Broken invariants that any life of a box logged.
+fn broken(deployment: &Deployment) -> Vec<String> {
+    let mut lines = Vec::new();
+    for name in deployment.boxes.keys() {
+        let log = deployment.log(name);
+        lines.extend(log.lines().filter(|line| line.contains(" E9")).map(|line| format!("{name}: {line}")));
+    }
+    lines
+}
