lab soak crashes plain services as well

Cause: a program that takes a connection closed before its answer for one never made (a fault we had once) passed two runs of 40 s, since no service ever crashed in the middle of a call. Change: services take 100 ms and crash at random.

--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -21,6 +21,9 @@
 /// Time between two looks at what is due.
 const STEP: Duration = Duration::from_millis(20);
 
+/// Time that a plain service takes for a call, in milliseconds.
+const SERVICE_MS: u64 = 100;
+
 /// Longest wait for boxes to be ready, and for all to come to rest.
 const REST_MOST: Duration = Duration::from_secs(60);
 
@@ -79,6 +82,8 @@
         if !deployment.settled(REST_MOST).await {
             eyre::bail!("the boxes did not become ready");
         }
+        // Long enough that some calls are under way when their service crashes.
+        deployment.plains.iter().for_each(|(_, _, plain)| plain.delay(SERVICE_MS));
         let mut faults = Faults::new(ChaCha8Rng::seed_from_u64(self.seed));
         let mut callers = Callers::new(&deployment, self.seed);
         let releases = Releases::over(&deployment);
--- a/crates/lab/src/soak/fault.rs
+++ b/crates/lab/src/soak/fault.rs
@@ -29,6 +29,7 @@
     EngineStart(usize),
     EngineSpeed(usize),
     EngineWake(usize),
+    ServiceStart(usize),
 }
 
 /// Faults drawn at random, each with its end.
@@ -90,7 +91,7 @@
     }
 
     fn bring(&mut self, deployment: &mut Deployment) -> eyre::Result<()> {
-        match self.random.random_range(0..10) {
+        match self.random.random_range(0..11) {
             0 => self.kill(deployment),
             1 => self.freeze(deployment),
             2 => self.link(deployment, "link cut", Mode::Cut),
@@ -100,6 +101,7 @@
             6 => self.platform(deployment),
             7 => self.engine(deployment),
             8 => self.platform_link(deployment),
+            9 => self.service(deployment),
             _ => {
                 *self.counts.entry("release".to_owned()).or_default() += 1;
                 deployment.publish()?;
@@ -155,6 +157,15 @@
         self.lasts("hall cut from the platform", Cure::PlatformLink(hall));
     }
 
+    fn service(&mut self, deployment: &Deployment) {
+        let index = self.random.random_range(0..deployment.plains.len());
+        if self.cures.iter().any(|(_, cure)| matches!(cure, Cure::ServiceStart(i) if *i == index)) {
+            return;
+        }
+        deployment.plains[index].2.crash();
+        self.lasts("service crashed", Cure::ServiceStart(index));
+    }
+
     fn engine(&mut self, deployment: &Deployment) {
         let index = self.random.random_range(0..deployment.engines.len());
         if self.is_engine_ill(index) {
@@ -193,6 +204,7 @@
         Cure::EngineStart(index) => deployment.engines[index].1.restart(),
         Cure::EngineSpeed(index) => deployment.engines[index].1.slow(100),
         Cure::EngineWake(index) => deployment.engines[index].1.freeze(false),
+        Cure::ServiceStart(index) => deployment.plains[index].2.restart(),
     }
     Ok(())
 }
