What is in force is not shown as refused by older boxes

Cause: found by reading: a box that can read a newer format would have shown its own release as refused, since older boxes say so. Change: it is logged once and not shown. The test was seen to fail without it.

--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -93,8 +93,11 @@
     }
 
     /// Releases that this box refused, and those that others were heard to refuse.
+    ///
+    /// What is in force here isn't among them, even if older boxes can't read it.
     pub fn refused(&self) -> impl Iterator<Item = &Refused> {
-        self.refused.iter().chain(&self.told)
+        let current = self.order();
+        self.refused.iter().chain(&self.told).filter(move |r| Some(r.order) != current)
     }
 
     /// True when this box itself found a release wrong.
@@ -307,7 +310,7 @@
 
     /// Another box refused a release. Shown and passed on once; this box still judges for itself.
     pub fn told(&mut self, order: Order, reason: &str) -> Vec<Action> {
-        if self.refused().any(|r| r.order == order) {
+        if self.refused.iter().chain(&self.told).any(|r| r.order == order) {
             return Vec::new();
         }
         let reason: String = reason.chars().take(REASON_MOST).collect();
--- a/crates/fleet/tests/refused.rs
+++ b/crates/fleet/tests/refused.rs
@@ -2,7 +2,9 @@
 
 mod world;
 
-use fleet::Spread;
+use fleet::{Action, Spread};
+use policy::Time;
+use telemetry::Event;
 use world::{release, Faults, World, STEP_MS};
 
 /// Steps until every box must show it: the users allow a change 12 s.
@@ -35,3 +37,20 @@
     (0..STEPS).for_each(|_| world.step());
     assert!(world.nodes.iter().all(|n| n.spread.order().map(|o| o.number) == Some(3)));
 }
+
+#[test]
+fn a_release_in_force_is_not_shown_as_refused_because_others_can_not_read_it() {
+    let mut spread = Spread::default();
+    let good = release(1, 10);
+    for action in spread.offered(&good.text, Time(1_000)) {
+        if let Action::Fetch(_) = action {
+            let parts: Vec<Vec<u8>> = good.parts.values().cloned().collect();
+            spread.fetched(&parts, Time(1_000));
+        }
+    }
+    assert_eq!(spread.order(), Some(good.order()));
+    let said = spread.told(good.order(), "made by a newer cleatshelf");
+    assert!(said.iter().any(|a| matches!(a, Action::Note(Event::ReleaseRefused, _))), "it is logged: {said:?}");
+    assert!(!shows(&spread, 1));
+    assert!(spread.told(good.order(), "made by a newer cleatshelf").is_empty(), "once");
+}
