--- /dev/null
+++ b/crates/cleatshelf/src/control/actor.rs
@@ -0,0 +1,103 @@
+//! What the control thread does with each message that comes to it.
+
+use super::*;
+
+impl Actor for Control {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        context.run_interval(TICK, Self::tick);
+        self.settle_watch();
+        let actions = self.broker.set_boxes(self.probe.boxes(), self.probe.leaving(), self.now());
+        self.do_policy(actions, context);
+    }
+}
+
+impl Handler<Traffic> for Control {
+    type Result = ();
+
+    fn handle(&mut self, Traffic(request): Traffic, context: &mut Self::Context) {
+        let now = self.now();
+        match request {
+            Request::Enter { number, customer, reply } => {
+                let entered = self.broker.enter(customer, now);
+                if entered {
+                    self.visits.insert(number, customer);
+                }
+                // If the caller is gone, its `Leave` follows.
+                let _ = reply.send(entered);
+            }
+            Request::Leave { number, tokens } => {
+                if let Some(customer) = self.visits.remove(&number) {
+                    self.broker.leave(customer, tokens, now);
+                }
+            }
+            Request::Acquire { number, acquire, reply } => {
+                let (id, actions) = self.broker.acquire(acquire, now);
+                self.wishes.insert(id, (number, reply));
+                self.numbers.insert(number, id);
+                self.do_policy(actions, context);
+            }
+            Request::Abandon(number) => self.end_lease(number, None, context),
+            Request::GiveBack(number, report) => self.end_lease(number, Some(report), context),
+            Request::Claim { number, key, age_ms, reply } => {
+                let (id, actions) = self.broker.claim(key, age_ms, now);
+                self.claims.insert(id, (number, reply));
+                self.claim_numbers.insert(number, id);
+                self.do_policy(actions, context);
+            }
+            Request::EndClaim(number, ran) => self.end_claim(number, ran, context),
+        }
+    }
+}
+
+impl Handler<Inbound> for Control {
+    type Result = ();
+
+    fn handle(&mut self, Inbound(from, envelope): Inbound, context: &mut Self::Context) {
+        match envelope {
+            Envelope::Fleet(message) => self.take_fleet(from, &message, context),
+            Envelope::Policy(message) => {
+                let actions = self.broker.receive(from, message, self.now());
+                self.do_policy(actions, context);
+            }
+        }
+    }
+}
+
+impl Handler<Broke> for Control {
+    type Result = ();
+
+    fn handle(&mut self, Broke(id): Broke, context: &mut Self::Context) {
+        let actions = self.probe.unreachable(id, self.now());
+        self.do_fleet(actions, context);
+    }
+}
+
+impl Handler<Stop> for Control {
+    type Result = ();
+
+    fn handle(&mut self, _: Stop, context: &mut Self::Context) {
+        let running = self.running.load(Ordering::Relaxed);
+        telemetry::emit(Event::StopBegun, format_args!("running={running}"));
+        self.update_snapshot(|snapshot| snapshot.stopping = true);
+        let actions = self.probe.leave();
+        self.do_fleet(actions, context);
+    }
+}
+
+impl Handler<AskStatus> for Control {
+    type Result = actix::MessageResult<AskStatus>;
+
+    fn handle(&mut self, _: AskStatus, _: &mut Self::Context) -> Self::Result {
+        actix::MessageResult(Box::new(self.status()))
+    }
+}
+
+impl Handler<AskExplanation> for Control {
+    type Result = Result<Explanation, String>;
+
+    fn handle(&mut self, ask: AskExplanation, _: &mut Self::Context) -> Self::Result {
+        self.explain(&ask)
+    }
+}
--- a/crates/gateway/src/drive.rs
+++ b/crates/gateway/src/drive.rs
@@ -2,6 +2,7 @@
 
 use crate::caller::Caller;
 use crate::journal::Journal;
+use crate::pace::Pace;
 use crate::stage::Stage;
 use crate::visit::{Claim, Lease, Visit};
 use crate::{Code, Desk, Limits, Outcome, Problem};
@@ -296,36 +297,6 @@
     }
 }
 
-/// Times between an engine's tokens.
-struct Pace {
-    began: Instant,
-    first: Option<Instant>,
-    last: Instant,
-    count: u32,
-}
-
-impl Pace {
-    fn new(began: Instant) -> Self {
-        Self { began, first: None, last: began, count: 0 }
-    }
-
-    fn token(&mut self) {
-        self.last = Instant::now();
-        self.first.get_or_insert(self.last);
-        self.count += 1;
-    }
-
-    fn write(&self, lease: &mut Lease) {
-        let first = self.first.unwrap_or(self.last);
-        lease.report.tokens = self.count;
-        lease.report.first_ms = (first.duration_since(self.began).as_millis() as u32).max(1);
-        if self.count > 1 {
-            let tenths = self.last.duration_since(first).as_micros() / 100 / u128::from(self.count - 1);
-            lease.report.between_tenths = (tenths as u32).max(1);
-        }
-    }
-}
-
 /// What follows from a try that ended early: another stage, or the end with what is true of it.
 fn next_stage(stop: Stop, failures: u32) -> Result<Stage, Option<Problem>> {
     let spent = failures >= TRIES_MOST;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod journal;
 mod limits;
 mod outcome;
+mod pace;
 mod problem;
 mod service;
 mod stage;
