--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -6,14 +6,12 @@
 
 mod callers;
 mod fault;
-mod releases;
 
-use crate::{Deployment, Plan};
+use crate::{Deployment, Plan, Releases};
 use callers::Callers;
 use fault::Faults;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use releases::Releases;
 use serde::Serialize;
 use std::path::Path;
 use std::time::{Duration, Instant};
--- a/crates/lab/tests/releases.rs
+++ b/crates/lab/tests/releases.rs
@@ -5,21 +5,18 @@
 
 use catalog::Release;
 use common::*;
-use lab::{Caller, Deployment, Mode, Plan, Stop, MODEL};
+use lab::{Caller, Deployment, Mode, Plan, Releases, Stop, MODEL};
 use rustix::process::Signal;
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// A release must be in force everywhere within this time.
 const IN_FORCE_MOST: Duration = Duration::from_secs(12);
 
-/// Watches the release of every box from outside, as long as it lives.
+/// Watches the release of every box from outside, and the calls to the platform, as long as it lives.
 struct Watch {
-    fell: Rc<RefCell<Vec<String>>>,
-    looks: Rc<Cell<u64>>,
-    task: actix_rt::task::JoinHandle<()>,
+    releases: Releases,
     platform: lab::Platform,
     calls: u64,
     boxes: u64,
@@ -32,46 +29,15 @@
 
 impl Watch {
     fn over(deployment: &Deployment) -> Self {
-        let doors: Vec<_> = deployment.boxes.iter().map(|(n, b)| (n.clone(), b.operators)).collect();
-        let fell = Rc::new(RefCell::new(Vec::new()));
-        let looks = Rc::new(Cell::new(0));
-        let (out, count) = (Rc::clone(&fell), Rc::clone(&looks));
-        let task = actix_rt::spawn(async move {
-            let client = awc::Client::builder().timeout(Duration::from_millis(300)).finish();
-            let mut last: BTreeMap<String, (u64, String)> = BTreeMap::new();
-            loop {
-                for (name, address) in &doors {
-                    let Ok(mut response) = client.get(format!("http://{address}/status")).send().await else {
-                        continue;
-                    };
-                    let Ok(status) = response.json::<cleatshelf::Status>().limit(1 << 24).await else { continue };
-                    count.set(count.get() + 1);
-                    // A box that was started anew begins with nothing; it is not ready until it has a release.
-                    if !status.ready {
-                        continue;
-                    }
-                    if let Some((number, digest)) = last.get(name) {
-                        if (status.release, &status.digest) < (*number, digest) {
-                            out.borrow_mut().push(format!("{name}: {number} to {}", status.release));
-                        }
-                    }
-                    if status.broken > 0 {
-                        out.borrow_mut().push(format!("{name}: {} broken invariants", status.broken));
-                    }
-                    last.insert(name.clone(), (status.release, status.digest));
-                }
-                tokio::time::sleep(Duration::from_millis(30)).await;
-            }
-        });
+        let releases = Releases::over(deployment);
         let (platform, calls) = (deployment.platform.clone(), deployment.platform.calls());
         let boxes = deployment.boxes.len() as u64;
-        Self { fell, looks, task, platform, calls, boxes, began: Instant::now() }
+        Self { releases, platform, calls, boxes, began: Instant::now() }
     }
 
     fn end(self) {
-        self.task.abort();
-        assert!(self.looks.get() > 0, "nothing was watched");
-        assert!(self.fell.borrow().is_empty(), "{:?}", self.fell.borrow());
+        let wrongs = self.releases.end();
+        assert!(wrongs.is_empty(), "{wrongs:?}");
         let calls = self.platform.calls() - self.calls;
         let long_run = CALLS_PER_SECOND * self.began.elapsed().as_secs_f64();
         let most = self.boxes * (long_run as u64 + CALLS_AT_START);
