--- a/crates/policy/src/broker/share.rs
+++ b/crates/policy/src/broker/share.rs
@@ -70,7 +70,10 @@
             return;
         }
         let shards: BTreeSet<ShardId> = self.lessee.pending.values().filter(|p| p.local).map(|p| p.shard).collect();
-        for shard in shards.into_iter().filter(|shard| self.owner_of(*shard).is_some()).collect::<Vec<_>>() {
+        for shard in shards {
+            if self.owner_of(shard).is_none() {
+                continue;
+            }
             match self.avoided.get(&shard).copied() {
                 None => self.return_asks(shard, usize::MAX, now),
                 Some(until) if now >= until => {
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -2,7 +2,8 @@
 //!
 //! Each box tells the customer's keeper (a box named by rendezvous hashing) what it uses; the keeper
 //! answers with what all others use. A box then admits by its own exact figure plus the others' late
-//! one. Only customers whose use changed are told, and seldom those whose requests merely run on. Halls don't speak of this: each has its share, the limit divided by the number of halls.
+//! one. Only customers whose use changed are told, and seldom those whose requests merely run on.
+//! Halls don't speak of this: each has its share, the limit divided by the number of halls.
 
 use crate::layout::Share;
 use crate::Time;
