A renewal that agrees sorts nothing

Cause: read once more: an owner sorted a lessee's leases at every renewal, though their order matters only where it knows of more than the lessee named. Change: sorted only then; the same answers.

--- a/crates/policy/src/shard/leases.rs
+++ b/crates/policy/src/shard/leases.rs
@@ -10,7 +10,10 @@
     pub fn renew(&mut self, from: BoxId, count: u32, sum: u64, now: Time) -> Vec<Decision> {
         let here = self.leases.iter().filter(|((holder, _), _)| *holder == from);
         let mut known: Vec<(Time, u64)> = here.map(|((_, id), lease)| (lease.granted, *id)).collect();
-        known.sort_unstable();
+        if known.len() as u32 > count {
+            // Only then are the newest looked for; nearly every renewal agrees as it is.
+            known.sort_unstable();
+        }
         let mut seen = known.iter().fold(0, |sum, (_, id)| sum ^ mixed(*id));
         while known.len() as u32 > count {
             match known.last() {
