--- a/crates/cleatshelf/src/command.rs
+++ b/crates/cleatshelf/src/command.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::status::{Explanation, Status};
-use crate::{serve, Settings};
+use crate::{router, serve, Settings};
 use argh::FromArgs;
 use catalog::{Catalog, Digest, Fault, Key, Manifest, Release};
 use eyre::WrapErr;
@@ -24,6 +24,7 @@
 #[argh(subcommand)]
 enum What {
     Serve(ServeArgs),
+    Route(RouteArgs),
     Check(CheckArgs),
     Pack(PackArgs),
     Status(StatusArgs),
@@ -41,6 +42,15 @@
     settings: PathBuf,
 }
 
+/// run one box that routes by a platform's configuration
+#[derive(FromArgs)]
+#[argh(subcommand, name = "route")]
+struct RouteArgs {
+    /// the box's settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
 /// check settings, operators' files or a packed release; prints every fault
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -126,6 +136,7 @@
 pub fn run(command: Command) -> ExitCode {
     let done = match command.what {
         What::Serve(args) => run_box(&args.settings),
+        What::Route(args) => route_box(&args.settings),
         What::Check(args) => check(&args),
         What::Pack(args) => pack(&args),
         What::Status(args) => status(&args),
@@ -169,14 +180,29 @@
         Ok(settings) => settings,
         Err(faults) => return Ok(report(&faults)),
     };
+    start_logs();
+    ended(serve(settings))
+}
+
+fn route_box(path: &Path) -> eyre::Result<ExitCode> {
+    let settings = match router::Settings::parse(&path.display().to_string(), &read(path)?) {
+        Ok(settings) => settings,
+        Err(faults) => return Ok(report(&faults)),
+    };
+    start_logs();
+    ended(router::serve(settings))
+}
+
+fn start_logs() {
     let env = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(env).format_timestamp_millis().init();
-    let served = serve(settings);
+}
+
+fn ended(served: eyre::Result<bool>) -> eyre::Result<ExitCode> {
     if let Err(why) = &served {
         telemetry::emit(telemetry::Event::StartFailed, format_args!("why=\"{why:#}\""));
     }
-    let clean = served?;
-    Ok(if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if served? { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 // ----------------------------------------------------------------------------
--- a/crates/cleatshelf/src/control.rs
+++ b/crates/cleatshelf/src/control.rs
@@ -12,7 +12,7 @@
 use catalog::{BoxId, ClassId, CustomerId, Digest, Order, ServerId};
 use fleet::{watchers, Probe, Spread, State, Timing};
 use gateway::{Offer, Request, Snapshot};
-use platform::{Allowance, Clock, Listing, Source, Trouble, Value, MANIFEST};
+use feed::{Allowance, Clock, Listing, Source, Trouble, Value, MANIFEST};
 use policy::{Action, Broker, Layout, Load, Permit, Refusal, Time, Verdict};
 use rand::Rng;
 use std::collections::HashMap;
@@ -201,7 +201,7 @@
         }
         Self {
             broker: Broker::new(me.id(), &me.hall, settings.way, first, now),
-            source: Rc::new(platform::Http::new(settings.config, settings.members)),
+            source: Rc::new(feed::Http::new(settings.config, settings.members)),
             gauge: Rc::new(upstream::Http::default()),
             allowance: Allowance::new(CALLS_PER_SECOND, CALLS_AT_ONCE, now),
             settings,
--- a/crates/cleatshelf/src/desk.rs
+++ b/crates/cleatshelf/src/desk.rs
@@ -3,7 +3,7 @@
 use crate::Control;
 use actix::Addr;
 use gateway::{Desk, Request, Snapshot};
-use platform::Clock;
+use feed::Clock;
 use policy::Time;
 use std::sync::{Arc, RwLock};
 
--- a/crates/cleatshelf/src/lib.rs
+++ b/crates/cleatshelf/src/lib.rs
@@ -8,6 +8,7 @@
 mod desk;
 mod envelope;
 mod operators;
+pub mod router;
 mod serve;
 mod settings;
 mod status;
--- /dev/null
+++ b/crates/cleatshelf/src/router.rs
@@ -0,0 +1,13 @@
+//! One box that routes by the configuration of a platform.
+//!
+//! Its control thread follows the platform and the other boxes and puts configurations and servers in
+//! force; its traffic threads run `relay`. The product's own interface (`serve`) is beside it and uses
+//! other files.
+
+mod follow;
+mod knowledge;
+mod serve;
+mod settings;
+
+pub use serve::serve;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -0,0 +1,109 @@
+//! What this box knows of the configuration and the servers, and where it got it from.
+
+use relay::{Shared, View};
+use routing::{Change, Directory, Publisher, Table};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use telemetry::Event;
+
+/// Where news came from, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Origin {
+    Publisher,
+    Peer,
+}
+
+/// The newest configuration and servers that reached this box.
+pub(super) struct Knowledge {
+    shared: Arc<Shared>,
+    publisher: Rc<dyn Publisher>,
+    state: RefCell<State>,
+}
+
+#[derive(Default)]
+struct State {
+    /// The configuration in force, and as it was published, to be passed on to peers.
+    table: Option<(Arc<Table>, Rc<Vec<u8>>)>,
+    directory: Directory,
+}
+
+impl Knowledge {
+    pub(super) fn new(shared: Arc<Shared>, publisher: Rc<dyn Publisher>) -> Self {
+        Self { shared, publisher, state: RefCell::default() }
+    }
+
+    /// Takes a configuration; an older one than that in force is ignored. True when it is in force now.
+    pub(super) fn offer_table(&self, bytes: Vec<u8>, origin: Origin) -> bool {
+        let table = match self.publisher.decode(&bytes) {
+            Ok(table) => table,
+            Err(why) => {
+                telemetry::emit(Event::ReleaseRefused, format_args!("from={origin:?} why=\"{why}\""));
+                return false;
+            }
+        };
+        let mut state = self.state.borrow_mut();
+        let current = state.table.as_ref().map(|(table, _)| table.version);
+        if current.is_some_and(|version| version >= table.version) {
+            return false;
+        }
+        telemetry::emit(
+            Event::ReleaseInForce,
+            format_args!("version={} routes={} from={origin:?}", table.version, table.len()),
+        );
+        state.table = Some((Arc::new(table), Rc::new(bytes)));
+        self.put_in_force(&state);
+        true
+    }
+
+    /// Takes a whole list of servers, unless a newer one is known.
+    pub(super) fn offer_directory(&self, directory: Directory, origin: Origin) {
+        let mut state = self.state.borrow_mut();
+        if directory.revision < state.directory.revision {
+            return;
+        }
+        let changed = directory.servers != state.directory.servers;
+        state.directory = directory;
+        if changed {
+            self.servers_changed(&state, origin);
+        }
+    }
+
+    /// Takes what became of servers up to `revision`.
+    pub(super) fn offer_changes(&self, changes: Vec<Change>, revision: u64) {
+        let mut state = self.state.borrow_mut();
+        if state.directory.apply(changes, revision) {
+            self.servers_changed(&state, Origin::Publisher);
+        }
+    }
+
+    fn servers_changed(&self, state: &State, origin: Origin) {
+        let servers = state.directory.servers.len();
+        let draining = state.directory.servers.values().filter(|s| s.draining).count();
+        telemetry::emit(
+            Event::ServersChanged,
+            format_args!("revision={} servers={servers} draining={draining} from={origin:?}", state.directory.revision),
+        );
+        self.put_in_force(state);
+    }
+
+    fn put_in_force(&self, state: &State) {
+        let table = state.table.as_ref().map(|(table, _)| Arc::clone(table));
+        self.shared.set_view(View { table, directory: Arc::new(state.directory.clone()) });
+    }
+
+    /// Version of the configuration in force; 0 before the first.
+    pub(super) fn version(&self) -> u64 {
+        self.state.borrow().table.as_ref().map_or(0, |(table, _)| table.version)
+    }
+
+    /// The configuration in force as it was published.
+    pub(super) fn published(&self) -> Option<Rc<Vec<u8>>> {
+        self.state.borrow().table.as_ref().map(|(_, bytes)| Rc::clone(bytes))
+    }
+
+    /// The servers known.
+    pub(super) fn directory(&self) -> Directory {
+        self.state.borrow().directory.clone()
+    }
+}
--- /dev/null
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -0,0 +1,121 @@
+//! Runs a router box: threads, listeners, signals, the planned stop.
+
+use super::follow::Follower;
+use super::knowledge::Knowledge;
+use super::Settings;
+use eyre::WrapErr;
+use placement::{Budget, Placement};
+use relay::{Front, Ready, Shared};
+use routing::{Publisher, Subject};
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use telemetry::Event;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+
+/// Descriptors that are left for servers, the platform, boxes and files; callers may take the rest.
+const FILES_KEPT: usize = 1_024;
+
+/// How much earlier than the platform's kill a planned stop ends.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
+/// Runs a router until it is told to stop. True says that nothing was cut off.
+///
+/// # Errors
+/// When a listener can't be bound.
+pub fn serve(settings: Settings) -> eyre::Result<bool> {
+    actix::System::new().block_on(run(settings))
+}
+
+async fn run(settings: Settings) -> eyre::Result<bool> {
+    let window = settings.retry_window.as_millis() as u64;
+    let budget = Budget::new(settings.retry_ratio, settings.retry_slack, window);
+    let placement = Placement::new(&settings.hall, budget);
+    let shared = Shared::new(Box::new(platform::Headers), placement);
+    let (stop, stopped) = watch::channel(false);
+    let (done, mut front_done) = watch::channel(false);
+    let traffic = actix::Arbiter::new();
+    start_traffic(&settings, &shared, &traffic, stopped, done)?;
+    start_control(&settings, &shared);
+    telemetry::emit(Event::BoxStarted, format_args!("name={} hall={}", settings.name, settings.hall));
+    wait_for_stop().await?;
+    telemetry::emit(Event::StopBegun, format_args!("running={}", shared.running.load(Ordering::Relaxed)));
+    shared.stop();
+    let began = Instant::now();
+    // The front holds the other end until it is done.
+    let _ = stop.send(true);
+    let most = settings.stop_time.saturating_sub(STOP_MARGIN);
+    let clean = tokio::time::timeout(most, front_done.wait_for(|done| *done)).await.is_ok();
+    let (event, cut) = if clean { (Event::StopClean, 0) } else { (Event::StopCut, shared.running.load(Ordering::Relaxed)) };
+    telemetry::emit(event, format_args!("ms={} cut={cut}", began.elapsed().as_millis()));
+    traffic.stop();
+    Ok(clean)
+}
+
+fn start_traffic(
+    settings: &Settings,
+    shared: &Arc<Shared>,
+    traffic: &actix::Arbiter,
+    stopped: watch::Receiver<bool>,
+    done: watch::Sender<bool>,
+) -> eyre::Result<()> {
+    let callers = bind(settings.callers)?;
+    let ready = bind(settings.ready)?;
+    let connections_most = settings.files_most.saturating_sub(FILES_KEPT).max(FILES_KEPT / 4);
+    let shared = Arc::clone(shared);
+    traffic.spawn_fn(move || {
+        let (Ok(callers), Ok(ready)) = (tokio(callers), tokio(ready)) else {
+            telemetry::emit(Event::StartFailed, format_args!("why=\"listeners\""));
+            return;
+        };
+        let balancer = Ready { shared: Arc::clone(&shared), path: platform::READY_PATH.to_owned() };
+        actix_rt::spawn(balancer.run(ready));
+        let front = Front::new(shared, connections_most);
+        actix_rt::spawn(async move {
+            front.run(callers, stopped).await;
+            // Nobody waits any more when the stop's time is over.
+            let _ = done.send(true);
+        });
+    });
+    Ok(())
+}
+
+fn tokio(listener: TcpListener) -> std::io::Result<tokio::net::TcpListener> {
+    listener.set_nonblocking(true)?;
+    tokio::net::TcpListener::from_std(listener)
+}
+
+fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).wrap_err_with(|| format!("can't listen on {address}"))
+}
+
+fn start_control(settings: &Settings, shared: &Arc<Shared>) {
+    let publisher: Rc<dyn Publisher> = Rc::new(platform::Store::new(settings.publisher));
+    let knowledge = Rc::new(Knowledge::new(Arc::clone(shared), Rc::clone(&publisher)));
+    for subject in [Subject::Table, Subject::Directory] {
+        let follower = Follower {
+            publisher: Rc::clone(&publisher),
+            knowledge: Rc::clone(&knowledge),
+            subject,
+            trouble: Rc::new(Cell::new(false)),
+        };
+        actix_rt::spawn(follower.run());
+    }
+}
+
+async fn wait_for_stop() -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => telemetry::emit(Event::SettingsReloaded, format_args!("by=signal")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleatshelf/src/router/settings.rs
@@ -0,0 +1,90 @@
+//! A router's settings, checked as a whole.
+
+use catalog::{Fault, Reader};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Shortest secret between boxes.
+const KEY_LEAST: usize = 16;
+
+/// Settings of one router box.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of this box, for logs.
+    pub name: String,
+    /// Its data hall.
+    pub hall: String,
+    /// Where callers come.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether this box is ready.
+    pub ready: SocketAddr,
+    /// Where other boxes come.
+    pub boxes: SocketAddr,
+    /// Where operators ask for metrics.
+    pub operators: SocketAddr,
+    /// Where the configuration and the servers are published.
+    pub publisher: SocketAddr,
+    /// Some boxes' addresses; may be out of date.
+    pub seeds: Vec<SocketAddr>,
+    /// The secret that all boxes share, at least 16 bytes.
+    pub link_key: String,
+    /// Longest time that a planned stop may take.
+    pub stop_time: Duration,
+    /// Most files and connections that the process may hold.
+    pub files_most: usize,
+    /// Second sends that all boxes may make for each request.
+    pub retry_ratio: f64,
+    /// Second sends that all boxes may make besides.
+    pub retry_slack: f64,
+    /// Window over which second sends are counted.
+    pub retry_window: Duration,
+}
+
+fn address(reader: &mut Reader<'_>, key: &str) -> SocketAddr {
+    let parsed = reader.parsed(key, "an IP address with a port, such as 10.0.0.5:7000");
+    parsed.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
+}
+
+fn seeds(reader: &mut Reader<'_>) -> Vec<SocketAddr> {
+    let texts = reader.texts("seeds");
+    let parsed: Vec<SocketAddr> = texts.iter().filter_map(|text| text.parse().ok()).collect();
+    if parsed.len() != texts.len() {
+        reader.fault("seeds", "must be IP addresses with ports");
+    }
+    parsed
+}
+
+impl Settings {
+    /// Reads settings from the text of `file`.
+    ///
+    /// # Errors
+    /// Every fault at once, unknown keys included.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
+        let mut reader = Reader::parse(file, text);
+        let settings = Self {
+            name: reader.name("name"),
+            hall: reader.name("hall"),
+            callers: address(&mut reader, "listen_callers"),
+            ready: address(&mut reader, "listen_ready"),
+            boxes: address(&mut reader, "listen_boxes"),
+            operators: address(&mut reader, "listen_operators"),
+            publisher: address(&mut reader, "publisher"),
+            seeds: seeds(&mut reader),
+            link_key: reader.text("link_key"),
+            stop_time: Duration::from_secs_f64(reader.number("stop_seconds", &(1.0..=86_400.0))),
+            files_most: reader.integer("files_most", &(256..=1_000_000)) as usize,
+            retry_ratio: reader.number("retry_ratio", &(0.0..=10.0)),
+            retry_slack: reader.number("retry_slack", &(0.0..=1_000_000.0)),
+            retry_window: Duration::from_secs_f64(reader.number("retry_window_seconds", &(0.1..=3_600.0))),
+        };
+        if !settings.link_key.is_empty() && settings.link_key.len() < KEY_LEAST {
+            reader.fault("link_key", format!("must have at least {KEY_LEAST} bytes"));
+        }
+        let faults = reader.finish();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(faults)
+        }
+    }
+}
--- a/crates/cleatshelf/src/serve.rs
+++ b/crates/cleatshelf/src/serve.rs
@@ -10,7 +10,7 @@
 use actix_web::{App, HttpServer};
 use eyre::WrapErr;
 use gateway::Snapshot;
-use platform::{BootClock, Clock};
+use feed::{BootClock, Clock};
 use std::io::ErrorKind;
 use std::net::TcpListener;
 use std::rc::Rc;
--- /dev/null
+++ b/crates/placement/src/ask.rs
@@ -0,0 +1,43 @@
+//! Questions and answers of a placement.
+
+use crate::{Millis, Prompt};
+use routing::Server;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A request that needs a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// Its prompt, if it is for a model.
+    pub prompt: Option<&'a Prompt>,
+    /// Bytes of its body, which cross the network to the server.
+    pub bytes: usize,
+    /// Ids of servers that it must not be sent to again.
+    pub tried: &'a [String],
+    /// Now.
+    pub now: Millis,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The server.
+    pub server: Arc<Server>,
+    /// Another server that keeps shared parts of the prompt which this one lacks.
+    pub fetch: Option<SocketAddr>,
+    /// Tokens that the server is expected to read.
+    pub unread: u32,
+    /// Expected cost in milliseconds, for the log.
+    pub cost_ms: u32,
+    /// Servers that could have been chosen, for the log.
+    pub candidates: usize,
+}
+
+/// Why no server was chosen. The request has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The service has no server that may be tried.
+    NoServer,
+}
--- /dev/null
+++ b/crates/placement/src/health.rs
@@ -0,0 +1,100 @@
+//! How a server has behaved lately.
+
+use crate::Millis;
+
+/// How a send ended, as far as the server is to blame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// A whole answer.
+    Good,
+    /// An answer that says the server failed.
+    Failed,
+    /// Full, or not the server expected: it did not run the request.
+    NotRun,
+    /// No answer, or a broken one.
+    Broken,
+    /// No connection; nothing was sent.
+    Unreached,
+    /// Ended by the caller; says nothing of the server.
+    Left,
+}
+
+/// Failures in a row after which a server is left alone for a while. Two, since one may be chance.
+const ROW_MOST: u32 = 2;
+
+/// How long a failing server is left alone at first, and at most. A crash on the platform lasts seconds.
+const PAUSE_LEAST: Millis = 300;
+const PAUSE_MOST: Millis = 2_400;
+
+/// Weight of the newest ending in the mean of failures: about the last ten count.
+const NEWEST: f64 = 0.12;
+
+/// The record of one server.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    /// Broken or unreached sends since the last answer.
+    row: u32,
+    /// Until when the server is left alone; afterwards one request tries it.
+    pause_until: Millis,
+    /// How long the next pause lasts.
+    pause: Millis,
+    /// Mean of failures, 0 to 1.
+    failing: f64,
+}
+
+impl Health {
+    /// Takes in how a send ended.
+    pub fn note(&mut self, ending: Ending, now: Millis) {
+        match ending {
+            Ending::Good => self.answered(0.0),
+            Ending::Failed => self.answered(1.0),
+            Ending::NotRun | Ending::Left => {}
+            Ending::Broken | Ending::Unreached => self.broke(ending, now),
+        }
+    }
+
+    fn answered(&mut self, failed: f64) {
+        self.row = 0;
+        self.pause = 0;
+        self.pause_until = 0;
+        self.failing += (failed - self.failing) * NEWEST;
+    }
+
+    fn broke(&mut self, ending: Ending, now: Millis) {
+        self.row += 1;
+        self.failing += (1.0 - self.failing) * NEWEST;
+        if self.row >= ROW_MOST || ending == Ending::Unreached {
+            self.pause = (self.pause * 2).clamp(PAUSE_LEAST, PAUSE_MOST);
+            self.pause_until = now + self.pause;
+        }
+    }
+
+    /// True while the server is left alone.
+    #[must_use]
+    pub fn paused(&self, now: Millis) -> bool {
+        now < self.pause_until
+    }
+
+    /// When the pause ends.
+    #[must_use]
+    pub fn pause_until(&self) -> Millis {
+        self.pause_until
+    }
+
+    /// True when the next request is the first after a pause.
+    #[must_use]
+    pub fn on_trial(&self, now: Millis) -> bool {
+        self.pause > 0 && !self.paused(now)
+    }
+
+    /// A request tries the server after a pause: no other does until it has ended, or for a while.
+    pub fn try_now(&mut self, now: Millis) {
+        self.pause_until = now + self.pause;
+    }
+
+    /// The share of sends that failed lately.
+    #[must_use]
+    pub fn failing(&self) -> f64 {
+        self.failing
+    }
+}
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,26 @@
+//! Which server a request is sent to, and whether it may be sent again.
+//!
+//! A [`Placement`] knows the servers of every service, what this box has running there, what other
+//! boxes said of theirs, and how servers behaved lately. It weighs the expected wait, the prompt
+//! parts that a server would have to read, memory and distance. A [`Budget`] bounds second sends.
+//! No I/O and no clock: the time is an argument.
+
+mod ask;
+mod budget;
+mod health;
+mod kept;
+mod load;
+mod placement;
+mod pool;
+mod prompt;
+
+pub use ask::{Ask, Choice, Refusal};
+pub use budget::Budget;
+pub use health::{Ending, Health};
+pub use kept::Kept;
+pub use load::{Load, Work};
+pub use placement::Placement;
+pub use prompt::{Part, Prompt};
+
+/// Milliseconds of a clock that never goes back.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/placement/src/placement.rs
@@ -0,0 +1,104 @@
+//! All services of a box.
+
+use crate::pool::Pool;
+use crate::{Ask, Budget, Choice, Ending, Load, Millis, Refusal, Work};
+use routing::{Directory, Table};
+use std::collections::{BTreeMap, HashMap};
+
+/// Chooses servers and keeps the records behind the choices.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// This box's hall.
+    hall: String,
+    /// What second sends a service may get; each service has one of its own.
+    budget: Budget,
+    budgets: HashMap<String, Budget>,
+    /// By service.
+    pools: HashMap<String, Pool>,
+    /// Boxes that share the budget, this one included.
+    boxes: usize,
+}
+
+impl Placement {
+    /// A placement for a box of `hall`, whose services may get second sends by `budget`.
+    #[must_use]
+    pub fn new(hall: &str, budget: Budget) -> Self {
+        Self { hall: hall.to_owned(), budget, budgets: HashMap::new(), pools: HashMap::new(), boxes: 1 }
+    }
+
+    /// Takes the servers and services in force.
+    pub fn update(&mut self, table: &Table, directory: &Directory) {
+        let mut by_service: HashMap<&str, Vec<_>> = HashMap::new();
+        for server in directory.servers.values() {
+            by_service.entry(&server.service).or_default().push(server.clone());
+        }
+        for name in by_service.keys().chain(&table.services.keys().map(String::as_str).collect::<Vec<_>>()) {
+            self.pools.entry((*name).to_owned()).or_default();
+        }
+        for (name, pool) in &mut self.pools {
+            pool.set_engine(table.services.get(name).and_then(|s| s.engine.clone()));
+            pool.set_servers(by_service.get(name.as_str()).map_or(&[], Vec::as_slice));
+        }
+    }
+
+    /// Takes what other boxes said of their loads, summed by server, and how many boxes there are.
+    pub fn others(&mut self, loads: &HashMap<String, Load>, boxes: usize) {
+        self.boxes = boxes.max(1);
+        for pool in self.pools.values_mut() {
+            pool.set_others(loads);
+        }
+    }
+
+    /// This box's own load by server, servers without any left out.
+    #[must_use]
+    pub fn own(&self) -> BTreeMap<String, Load> {
+        self.pools.values().flat_map(Pool::own).map(|(id, load)| (id.clone(), load)).collect()
+    }
+
+    /// Chooses a server.
+    ///
+    /// # Errors
+    /// [`Refusal`] when none may be tried.
+    pub fn choose(&mut self, ask: &Ask<'_>) -> Result<Choice, Refusal> {
+        self.pools.get_mut(ask.service).ok_or(Refusal::NoServer)?.choose(ask, &self.hall)
+    }
+
+    /// Counts a request for a service; to be called once for each.
+    pub fn first_send(&mut self, service: &str, now: Millis) {
+        self.budget_of(service).first(now);
+    }
+
+    /// Takes a second send from the service's budget; false when it is used up.
+    pub fn second_send(&mut self, service: &str, now: Millis) -> bool {
+        let boxes = self.boxes;
+        self.budget_of(service).take(boxes, now)
+    }
+
+    fn budget_of(&mut self, service: &str) -> &mut Budget {
+        if !self.budgets.contains_key(service) {
+            self.budgets.insert(service.to_owned(), self.budget.clone());
+        }
+        self.budgets.get_mut(service).expect("just inserted")
+    }
+
+    /// A request is being sent.
+    pub fn begin(&mut self, service: &str, id: &str, work: Work) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.begin(id, work);
+        }
+    }
+
+    /// A request's prompt has been read: its first event came, or it ended.
+    pub fn read(&mut self, service: &str, id: &str, work: Work) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.read(id, work);
+        }
+    }
+
+    /// A request's send has ended; [`Placement::read`] was called before.
+    pub fn end(&mut self, service: &str, id: &str, work: Work, ending: Ending, now: Millis) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.end(id, work, ending, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/pool.rs
@@ -0,0 +1,229 @@
+//! The servers of one service.
+
+use crate::{Ask, Choice, Ending, Health, Kept, Load, Millis, Part, Prompt, Refusal, Work};
+use routing::{Engine, Server};
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+
+/// Prompt tokens that a server reads in a millisecond. From the users' sheets (36.7 and 48.2).
+const READ_PER_MS: f64 = 40.0;
+
+/// What reading a thousand shared tokens again costs beyond its time, in milliseconds of a wait. From the
+/// sheets' prices: 13,300 tokens cost 1.2 of a request, whose wait of 2,500 ms is worth about one.
+const REREAD_MS_PER_K: f64 = 120.0;
+
+/// What fetching a thousand tokens from another server costs, by the same measure (0.32 for 13,300).
+const FETCH_MS_PER_K: f64 = 50.0;
+
+/// Fewest missing tokens that are worth fetching: a transfer takes 8 ms to set up.
+const FETCH_LEAST: u32 = 1_000;
+
+/// How much a request that runs beside slows each one: 0.15 ms a token and some hundred tokens.
+const BESIDE_MS: f64 = 15.0;
+
+/// How much of the time for reading a prompt each request that runs beside is held up.
+const HOLD_UP: f64 = 0.15;
+
+/// What a server without a free slot or enough memory costs.
+const FULL_MS: f64 = 1_500.0;
+
+/// What sending a kilobyte to another hall costs. From the sheets: 17 KB cost 0.02 to 0.15 of a request.
+const FAR_MS_PER_KB: f64 = 6.0;
+
+/// What the way to another hall costs whatever its size.
+const FAR_MS: f64 = 3.0;
+
+/// Cost of a server that failed every time lately.
+const FAILING_MS: f64 = 4_000.0;
+
+/// Wait in a plain server's queue for each request above its slots, and below them.
+const PLAIN_QUEUE_MS: f64 = 30.0;
+const PLAIN_BESIDE_MS: f64 = 2.0;
+
+/// Part of a server's memory that kept parts are expected to fill at most.
+const KEPT_SHARE: f64 = 0.8;
+
+/// A server and what is known of it.
+#[derive(Clone, Debug)]
+struct Member {
+    server: Arc<Server>,
+    /// What this box has running there.
+    own: Load,
+    /// What other boxes said of theirs.
+    others: Load,
+    kept: Kept,
+    health: Health,
+}
+
+/// All servers of a service that aren't draining, and their records.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pool {
+    engine: Option<Engine>,
+    /// By id. Draining servers stay while they are listed, since requests may still run there.
+    members: HashMap<String, Member>,
+}
+
+/// A member that could be chosen, with its cost.
+struct Candidate<'a> {
+    member: &'a Member,
+    cost: f64,
+    /// Tokens to read there, after a fetch if one is worth it.
+    unread: u32,
+    fetch: bool,
+}
+
+impl Pool {
+    pub(crate) fn set_engine(&mut self, engine: Option<Engine>) {
+        self.engine = engine;
+    }
+
+    /// Takes the listed servers; records of others are dropped.
+    pub(crate) fn set_servers(&mut self, servers: &[Arc<Server>]) {
+        self.members.retain(|id, _| servers.iter().any(|s| s.id == *id));
+        for server in servers {
+            let fresh = || Member {
+                server: Arc::clone(server),
+                own: Load::default(),
+                others: Load::default(),
+                kept: Kept::default(),
+                health: Health::default(),
+            };
+            let member = self.members.entry(server.id.clone()).or_insert_with(fresh);
+            member.server = Arc::clone(server);
+        }
+    }
+
+    pub(crate) fn set_others(&mut self, others: &HashMap<String, Load>) {
+        for (id, member) in &mut self.members {
+            member.others = others.get(id).copied().unwrap_or_default();
+        }
+    }
+
+    pub(crate) fn own(&self) -> impl Iterator<Item = (&String, Load)> {
+        self.members.iter().filter(|(_, m)| m.own != Load::default()).map(|(id, m)| (id, m.own))
+    }
+
+    /// The server with the least cost. `hall` is this box's.
+    pub(crate) fn choose(&mut self, ask: &Ask<'_>, hall: &str) -> Result<Choice, Refusal> {
+        let open: Vec<&Member> =
+            self.members.values().filter(|m| !m.server.draining && !ask.tried.contains(&m.server.id)).collect();
+        let sound: Vec<&Member> = open.iter().copied().filter(|m| !m.health.paused(ask.now)).collect();
+        let among = if sound.is_empty() { soonest(&open) } else { sound };
+        let least = among.iter().map(|m| m.health.failing()).fold(1.0, f64::min);
+        let keeper = ask.prompt.and_then(|prompt| keeper(&among, prompt));
+        let candidates = among.iter().map(|m| self.weigh(m, ask, hall, least, keeper));
+        let Some(best) = candidates.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
+            return Err(Refusal::NoServer);
+        };
+        let choice = Choice {
+            server: Arc::clone(&best.member.server),
+            fetch: if best.fetch { keeper.map(|k| k.server.address) } else { None },
+            unread: best.unread,
+            cost_ms: best.cost as u32,
+            candidates: among.len(),
+        };
+        self.chosen(&choice, ask);
+        Ok(choice)
+    }
+
+    /// Notes what a choice changes: a try after a pause, and the parts that will be kept.
+    fn chosen(&mut self, choice: &Choice, ask: &Ask<'_>) {
+        let most = self.engine.as_ref().map_or(0.0, |e| e.memory_tokens as f64 * KEPT_SHARE);
+        let Some(member) = self.members.get_mut(&choice.server.id) else { return };
+        if member.health.on_trial(ask.now) {
+            member.health.try_now(ask.now);
+        }
+        if let Some(prompt) = ask.prompt {
+            member.kept.touch(&prompt.parts, most as u64, ask.now);
+        }
+    }
+
+    fn weigh<'a>(
+        &self,
+        member: &'a Member,
+        ask: &Ask<'_>,
+        hall: &str,
+        least: f64,
+        keeper: Option<&Member>,
+    ) -> Candidate<'a> {
+        let far = member.server.hall != hall;
+        let mut cost = (member.health.failing() - least) * FAILING_MS;
+        if far {
+            cost += FAR_MS + FAR_MS_PER_KB * ask.bytes as f64 / 1024.0;
+        }
+        let mut load = member.own;
+        load.add(member.others);
+        let Some(prompt) = ask.prompt else {
+            let over = load.running.saturating_sub(member.server.slots.saturating_sub(1));
+            cost += f64::from(load.running) * PLAIN_BESIDE_MS + f64::from(over) * PLAIN_QUEUE_MS;
+            return Candidate { member, cost, unread: 0, fetch: false };
+        };
+        let (unread, fetch, reading) = self.reading(member, prompt, keeper);
+        let beside = f64::from(load.running.min(member.server.slots));
+        let read_ms = f64::from(unread) / READ_PER_MS;
+        cost += load.unread as f64 / READ_PER_MS + read_ms * (1.0 + HOLD_UP * beside) + beside * BESIDE_MS + reading;
+        let need = u64::from(prompt.tokens + prompt.out());
+        let memory = self.engine.as_ref().map_or(u64::MAX, |e| e.memory_tokens);
+        if load.running >= member.server.slots || load.held + need > memory {
+            cost += FULL_MS;
+        }
+        Candidate { member, cost, unread, fetch }
+    }
+
+    /// Tokens to read at a member, whether to fetch the missing ones, and what that costs besides time.
+    fn reading(&self, member: &Member, prompt: &Prompt, keeper: Option<&Member>) -> (u32, bool, f64) {
+        let shared = prompt.shared_tokens();
+        let mut kept = member.kept.prefix(&prompt.parts);
+        let Some(keeper) = keeper else { return (prompt.tokens.saturating_sub(kept), false, 0.0) };
+        if keeper.server.id == member.server.id {
+            // Other boxes sent it the same parts, or will: it is the one that all of them name.
+            kept = kept.max(shared);
+        }
+        let lacking = shared.saturating_sub(kept);
+        let unread = prompt.tokens.saturating_sub(kept);
+        if lacking >= FETCH_LEAST {
+            return (unread - lacking, true, f64::from(lacking) / 1000.0 * FETCH_MS_PER_K);
+        }
+        (unread, false, f64::from(lacking) / 1000.0 * REREAD_MS_PER_K)
+    }
+
+    pub(crate) fn begin(&mut self, id: &str, work: Work) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.own.begin(work);
+        }
+    }
+
+    pub(crate) fn read(&mut self, id: &str, work: Work) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.own.read(work);
+        }
+    }
+
+    pub(crate) fn end(&mut self, id: &str, work: Work, ending: Ending, now: Millis) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.own.end(work);
+            member.health.note(ending, now);
+        }
+    }
+}
+
+/// Of servers that are all paused, the one whose pause ends first.
+fn soonest<'a>(paused: &[&'a Member]) -> Vec<&'a Member> {
+    paused.iter().copied().min_by_key(|m| m.health.pause_until()).into_iter().collect()
+}
+
+/// The server that keeps, or is to keep, a prompt's shared parts: one that is known to, else the one that
+/// every box would name.
+fn keeper<'a>(among: &[&'a Member], prompt: &Prompt) -> Option<&'a Member> {
+    let last = prompt.shared().last()?;
+    among.iter().copied().max_by_key(|m| rank(last, &m.server.id))
+}
+
+/// Equal on every box: the highest ranked server keeps the part.
+fn rank(part: &Part, id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    part.id.hash(&mut hasher);
+    id.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/relay/src/attempt.rs
@@ -0,0 +1,184 @@
+//! One send of a request to one server.
+
+use crate::connections::{Connection, Connections};
+use crate::dialect::{Dispatch, Verdict};
+use crate::shared::Shared;
+use bytes::Bytes;
+use http::{header, request, response, HeaderMap, HeaderValue, Request};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use placement::{Ending, Millis, Work};
+use routing::Server;
+use std::sync::Arc;
+
+/// Largest answer that isn't a stream, in bytes: held whole, so that a broken one is never passed on.
+const ANSWER_MOST: usize = 32 << 20;
+
+/// How often a send may meet a connection that ended while unused, before it counts as unreached.
+const STALE_MOST: usize = 3;
+
+/// What became of a send.
+pub(crate) enum Sent {
+    /// Nothing left this box.
+    Unreached(String),
+    /// The server says that it did not run the request.
+    NotRun(String),
+    /// Sent, and no usable answer: it may have run.
+    Broken(String),
+    /// The head of the answer.
+    Answer(Box<Answer>),
+}
+
+/// An answer whose body is still to come.
+pub(crate) struct Answer {
+    pub(crate) parts: response::Parts,
+    pub(crate) body: Incoming,
+    connection: Connection,
+    life: String,
+}
+
+/// A request's place in the records of a server; given back when it is dropped.
+pub(crate) struct Claim {
+    shared: Arc<Shared>,
+    service: String,
+    pub(crate) server: Arc<Server>,
+    work: Work,
+    read: bool,
+    ending: Ending,
+}
+
+impl Claim {
+    /// Notes that a request is being sent to a server.
+    pub(crate) fn new(shared: &Arc<Shared>, service: &str, server: &Arc<Server>, work: Work) -> Self {
+        shared.placement().begin(service, &server.id, work);
+        Self {
+            shared: Arc::clone(shared),
+            service: service.to_owned(),
+            server: Arc::clone(server),
+            work,
+            read: false,
+            ending: Ending::Left,
+        }
+    }
+
+    /// The prompt has been read.
+    pub(crate) fn read(&mut self) {
+        if !self.read {
+            self.read = true;
+            self.shared.placement().read(&self.service, &self.server.id, self.work);
+        }
+    }
+
+    /// How the send ended; if never told, the caller left.
+    pub(crate) fn ended(mut self, ending: Ending) {
+        self.ending = ending;
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.read();
+        let now: Millis = self.shared.now();
+        self.shared.placement().end(&self.service, &self.server.id, self.work, self.ending, now);
+    }
+}
+
+/// What is sent.
+pub(crate) struct Message<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) parts: &'a request::Parts,
+    pub(crate) body: &'a Bytes,
+}
+
+/// Sends a request and waits for the head of its answer.
+pub(crate) async fn send(
+    shared: &Shared,
+    connections: &Connections,
+    server: &Server,
+    message: &Message<'_>,
+    dispatch: &Dispatch<'_>,
+) -> Sent {
+    let mut request = request_of(shared, server, message, dispatch);
+    for _ in 0..STALE_MOST {
+        let mut connection = match connections.open(&server.id, server.address).await {
+            Ok(connection) => connection,
+            Err(why) => return Sent::Unreached(why.to_string()),
+        };
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => return judge(shared, server, message.id, response, connection),
+            Err(mut error) => match error.take_message() {
+                Some(unsent) => request = unsent,
+                None => return Sent::Broken(cause(&error.into_error())),
+            },
+        }
+    }
+    Sent::Unreached("connections ended before use".to_owned())
+}
+
+/// An error with what lies below it.
+fn cause(error: &hyper::Error) -> String {
+    let source = std::error::Error::source(error).map(|s| format!(": {s}"));
+    format!("{error}{}", source.unwrap_or_default())
+}
+
+fn request_of(
+    shared: &Shared,
+    server: &Server,
+    message: &Message<'_>,
+    dispatch: &Dispatch<'_>,
+) -> Request<Full<Bytes>> {
+    let mut headers: HeaderMap = message.parts.headers.clone();
+    shared.dialect.dispatch(&mut headers, dispatch);
+    if !headers.contains_key(header::HOST) {
+        if let Ok(host) = HeaderValue::from_str(&server.address.to_string()) {
+            headers.insert(header::HOST, host);
+        }
+    }
+    let mut request = Request::new(Full::new(message.body.clone()));
+    *request.method_mut() = message.parts.method.clone();
+    *request.uri_mut() = origin(&message.parts.uri);
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Path and query as the caller sent them.
+fn origin(uri: &http::Uri) -> http::Uri {
+    if uri.scheme().is_none() {
+        return uri.clone();
+    }
+    let path = uri.path_and_query().map_or("/", |p| p.as_str());
+    path.parse().unwrap_or_else(|_| uri.clone())
+}
+
+fn judge(
+    shared: &Shared,
+    server: &Server,
+    id: &str,
+    response: http::Response<Incoming>,
+    connection: Connection,
+) -> Sent {
+    let (parts, body) = response.into_parts();
+    let status = parts.status;
+    match shared.dialect.verdict(id, status, &parts.headers) {
+        Verdict::Foreign => Sent::Broken(format!("status {status} is not this request's answer")),
+        Verdict::NotRun => Sent::NotRun(format!("status {status}")),
+        Verdict::Answer => {
+            Sent::Answer(Box::new(Answer { parts, body, connection, life: server.id.clone() }))
+        }
+    }
+}
+
+impl Answer {
+    /// The whole body.
+    pub(crate) async fn collect(self, connections: &Connections) -> Result<(response::Parts, Bytes), String> {
+        let Self { parts, body, connection, life } = self;
+        let whole = Limited::new(body, ANSWER_MOST).collect().await.map_err(|why| why.to_string())?;
+        connections.keep(&life, connection, &parts.headers);
+        Ok((parts, whole.to_bytes()))
+    }
+
+    /// The answer was read to its end: its connection may be used again.
+    pub(crate) fn finish(self, connections: &Connections) {
+        connections.keep(&self.life, self.connection, &self.parts.headers);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/connections.rs
@@ -0,0 +1,154 @@
+//! Connections to servers, kept for reuse.
+
+use bytes::Bytes;
+use http::{header, HeaderMap};
+use http_body_util::Full;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Longest wait for a connection: halls are a few ms apart, and a lost opening packet is sent again only
+/// after a second, by when another server has answered.
+const CONNECT_MOST: Duration = Duration::from_millis(400);
+
+/// A peer that acknowledges nothing for this long is taken as dead.
+const SILENT_MOST: Duration = Duration::from_millis(1_500);
+
+/// When an idle peer is asked whether it lives; the shortest that the kernel allows.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// How long an unused connection is kept when its server says nothing of it.
+const IDLE_MOST: Duration = Duration::from_secs(4);
+
+/// How much earlier than its server a connection is given up, so that no request meets its end.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Most unused connections to one server.
+const IDLE_COUNT: usize = 24;
+
+/// Largest buffer of a connection in bytes.
+const BUFFER: usize = 64 * 1024;
+
+/// A connection that carries one request at a time.
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// Ends the connection's task, and with it the connection.
+    task: AbortHandle,
+    /// How long it may rest.
+    rest: Duration,
+    /// Set while an exchange is not over: dropped then, the connection is closed.
+    busy: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.busy {
+            self.task.abort();
+        }
+    }
+}
+
+/// Unused connections by server life, of one traffic thread.
+#[derive(Clone, Default)]
+pub(crate) struct Connections {
+    idle: Rc<RefCell<HashMap<String, Vec<(Connection, Instant)>>>>,
+}
+
+impl Connections {
+    /// A connection to a server: the one used last that still stands, or a new one.
+    pub(crate) async fn open(&self, life: &str, address: SocketAddr) -> std::io::Result<Connection> {
+        if let Some(connection) = self.take(life) {
+            return Ok(connection);
+        }
+        match tokio::time::timeout(CONNECT_MOST, connect(address)).await {
+            Ok(connected) => connected,
+            Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    fn take(&self, life: &str) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(life)?;
+        while let Some((mut connection, since)) = connections.pop() {
+            if since.elapsed() < connection.rest && connection.sender.is_ready() {
+                connection.busy = true;
+                return Some(connection);
+            }
+        }
+        idle.remove(life);
+        None
+    }
+
+    /// Keeps a connection whose exchange is over, unless its server wants it closed.
+    pub(crate) fn keep(&self, life: &str, mut connection: Connection, headers: &HeaderMap) {
+        let Some(rest) = rest(headers) else { return };
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(life.to_owned()).or_default();
+        if connections.len() < IDLE_COUNT {
+            connection.rest = rest;
+            connection.busy = false;
+            connections.push((connection, Instant::now()));
+        }
+    }
+
+    /// Closes what has rested too long, and all connections to lives that are not listed.
+    pub(crate) fn prune(&self, listed: impl Fn(&str) -> bool) {
+        self.idle.borrow_mut().retain(|life, connections| {
+            connections.retain(|(c, since)| since.elapsed() < c.rest && !c.sender.is_closed());
+            !connections.is_empty() && listed(life)
+        });
+    }
+}
+
+/// How long a connection may rest after an answer with these headers; none when it is to be closed.
+fn rest(headers: &HeaderMap) -> Option<Duration> {
+    let text = |name: header::HeaderName| headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default();
+    if text(header::CONNECTION).to_ascii_lowercase().contains("close") {
+        return None;
+    }
+    let keep_alive = headers.get("keep-alive").and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let timeout = keep_alive.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+    let Some(seconds) = timeout.and_then(|t| t.trim().parse::<u64>().ok()) else { return Some(IDLE_MOST) };
+    Duration::from_secs(seconds).checked_sub(IDLE_MARGIN)
+}
+
+/// Sets how soon a dead peer shows.
+pub(crate) fn notice_death(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new().with_time(PROBE_EVERY).with_interval(PROBE_EVERY);
+    let set = [
+        socket.set_tcp_nodelay(true),
+        socket.set_tcp_user_timeout(Some(SILENT_MOST)),
+        socket.set_tcp_keepalive(&keepalive),
+    ];
+    for result in set {
+        if let Err(why) = result {
+            log::debug!(target: "cleatshelf", "socket option: {why}");
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> std::io::Result<Connection> {
+    let stream = TcpStream::connect(address).await?;
+    notice_death(&stream);
+    let shaken = hyper::client::conn::http1::Builder::new()
+        .max_buf_size(BUFFER)
+        .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+        .await;
+    let (sender, connection) = shaken.map_err(std::io::Error::other)?;
+    let task = tokio::task::spawn_local(async move {
+        if let Err(why) = connection.await {
+            // The exchange that runs on it sees its own error; an idle one is dropped at its next use.
+            log::trace!(target: "cleatshelf", "connection to {address}: {why}");
+        }
+    });
+    metrics::counter!("cleatshelf_connections_opened_total").increment(1);
+    Ok(Connection { sender, task: task.abort_handle(), rest: IDLE_MOST, busy: true })
+}
--- /dev/null
+++ b/crates/relay/src/dialect.rs
@@ -0,0 +1,67 @@
+//! The border towards the headers that callers and servers use.
+
+use http::{HeaderMap, StatusCode};
+use placement::Prompt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What a caller's head says of its request.
+#[derive(Clone, Debug, Default)]
+pub struct Call {
+    /// Names this attempt of the caller; servers repeat it in their answers.
+    pub id: String,
+    /// The key that names the customer.
+    pub key: Option<String>,
+    /// How long the caller waits.
+    pub time: Option<Duration>,
+    /// The prompt, if the request is for a model.
+    pub prompt: Option<Prompt>,
+    /// The last event that the caller has, when it resumes a stream.
+    pub last_event: Option<u64>,
+}
+
+/// What this box tells a server with a request.
+#[derive(Clone, Debug)]
+pub struct Dispatch<'a> {
+    /// The server's life; another one at its address does not run the request.
+    pub life: &'a str,
+    /// Name of the customer.
+    pub customer: Option<&'a str>,
+    /// How long the server may take.
+    pub time: Duration,
+    /// How urgent it is, 0 first, 9 last. Only for model engines.
+    pub urgency: Option<u8>,
+    /// A server from which to fetch prompt parts.
+    pub fetch: Option<SocketAddr>,
+    /// The last event that the caller has got.
+    pub last_event: Option<u64>,
+}
+
+/// What the head of a server's answer says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The answer to this request.
+    Answer,
+    /// The server says that it did not run the request and won't.
+    NotRun,
+    /// Not the answer to this request, or not a server's answer at all.
+    Foreign,
+}
+
+/// Reads and writes the headers by which callers, boxes and servers talk.
+pub trait Dialect: Send + Sync {
+    /// What a caller's head says.
+    ///
+    /// # Errors
+    /// The header at fault and the reason.
+    fn call(&self, headers: &HeaderMap) -> Result<Call, String>;
+
+    /// Turns a caller's headers into those for a server.
+    fn dispatch(&self, headers: &mut HeaderMap, dispatch: &Dispatch<'_>);
+
+    /// What the head of an answer to the request `id` says.
+    fn verdict(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> Verdict;
+
+    /// Takes out the headers by which a server proves its answer, for an answer that isn't its own.
+    fn unprove(&self, headers: &mut HeaderMap);
+}
--- /dev/null
+++ b/crates/relay/src/exchange.rs
@@ -0,0 +1,287 @@
+//! One request, from its head to its outcome.
+
+use crate::answer::{self, strip_hop};
+use crate::attempt::{self, Answer, Claim, Message, Sent};
+use crate::connections::Connections;
+use crate::dialect::{Call, Dispatch};
+use crate::outcome::Outcome;
+use crate::pump::Pump;
+use crate::shared::Shared;
+use crate::Body;
+use bytes::Bytes;
+use http::{request, Response, StatusCode};
+use placement::{Ask, Choice, Ending, Work};
+use routing::{Customer, Route};
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::Duration;
+use telemetry::Event;
+use tokio::time::Instant;
+
+/// Most servers that are tried without a connection for one request. They don't count as sends.
+const UNREACHED_MOST: usize = 6;
+
+/// When a refused caller is asked to come back: a crashed server's place is taken by others within that.
+const COME_BACK: Duration = Duration::from_millis(400);
+
+/// Less time than this is not worth a send: the way to a server and back, and its shortest work.
+const TIME_LEAST: Duration = Duration::from_millis(8);
+
+/// Lowest urgency that a server knows.
+const URGENCY_MOST: u8 = 9;
+
+/// Ranks of routes: a customer's rank goes before them.
+const ROUTE_RANKS: u8 = 3;
+
+/// A request that may pass, and what became of its sends.
+pub(crate) struct Exchange {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) connections: Connections,
+    pub(crate) call: Call,
+    pub(crate) route: Arc<Route>,
+    pub(crate) customer: Option<Arc<Customer>>,
+    pub(crate) service: String,
+    pub(crate) parts: request::Parts,
+    pub(crate) body: Bytes,
+    /// When its time is over, for the caller or for the route, whichever is first.
+    pub(crate) deadline: Instant,
+    pub(crate) began: Instant,
+    /// Ids of servers that it was sent to, or that could not be reached.
+    pub(crate) tried: Vec<String>,
+    /// Sends that reached a server.
+    pub(crate) sends: u32,
+    /// Sends that found no server.
+    pub(crate) unreached: usize,
+    /// True when a send may have run.
+    pub(crate) may_have_run: bool,
+    /// What was decided, for the log.
+    pub(crate) trail: String,
+}
+
+/// What follows a send that brought no answer.
+enum Next {
+    Again,
+    GiveUp,
+}
+
+impl Exchange {
+    /// Sends the request until there is an outcome. The answer of a stream goes on after this returns.
+    pub(crate) async fn run(mut self) -> Response<Body> {
+        let now = self.shared.now();
+        self.shared.placement().first_send(&self.service, now);
+        loop {
+            match tokio::time::timeout_at(self.deadline, self.step()).await {
+                Ok(Some(Reply::Whole(response))) => return response,
+                Ok(Some(Reply::Stream(answer, claim))) => return Pump::start(self, *answer, claim),
+                Ok(None) => {}
+                Err(_) => return self.too_late(),
+            }
+        }
+    }
+
+    /// One send. None asks for another.
+    async fn step(&mut self) -> Option<Reply> {
+        let Some((choice, mut claim)) = self.choose() else {
+            return Some(Reply::Whole(self.no_server()));
+        };
+        match self.send(&choice, self.call.last_event).await {
+            Sent::Answer(answer) if self.route.kind.streams() && answer.parts.status.is_success() => {
+                Some(Reply::Stream(answer, claim))
+            }
+            Sent::Answer(answer) => {
+                let collected = answer.collect(&self.connections).await;
+                claim.read();
+                match collected {
+                    Ok((parts, bytes)) => self.whole(parts, bytes, claim),
+                    Err(why) => self.after(Sent::Broken(why), claim),
+                }
+            }
+            sent => self.after(sent, claim),
+        }
+    }
+
+    /// Chooses a server, and claims a place there.
+    pub(crate) fn choose(&mut self) -> Option<(Choice, Claim)> {
+        let ask = Ask {
+            service: &self.service,
+            prompt: self.call.prompt.as_ref(),
+            bytes: self.body.len(),
+            tried: &self.tried,
+            now: self.shared.now(),
+        };
+        let choice = self.shared.placement().choose(&ask).ok()?;
+        let held = self.call.prompt.as_ref().map_or(0, |p| p.tokens + p.out());
+        let work = Work { unread: choice.unread, held };
+        let claim = Claim::new(&self.shared, &self.service, &choice.server, work);
+        Some((choice, claim))
+    }
+
+    /// Sends to the chosen server, with what time is left.
+    pub(crate) async fn send(&mut self, choice: &Choice, last_event: Option<u64>) -> Sent {
+        let server = Arc::clone(&choice.server);
+        let at = self.began.elapsed().as_millis();
+        let _ = write!(self.trail, " +{at}:{}@{}", server.id, server.address);
+        self.tried.push(server.id.clone());
+        let dispatch = Dispatch {
+            life: &server.id,
+            customer: self.customer.as_ref().map(|c| c.name.as_str()),
+            time: self.deadline.saturating_duration_since(Instant::now()),
+            urgency: self.call.prompt.as_ref().map(|_| self.urgency()),
+            fetch: choice.fetch,
+            last_event,
+        };
+        let message = Message { id: &self.call.id, parts: &self.parts, body: &self.body };
+        attempt::send(&self.shared, &self.connections, &server, &message, &dispatch).await
+    }
+
+    fn urgency(&self) -> u8 {
+        let customer = self.customer.as_ref().and_then(|c| c.priority).unwrap_or(0);
+        customer.saturating_mul(ROUTE_RANKS).saturating_add(self.route.priority).min(URGENCY_MOST)
+    }
+
+    /// A whole answer: passed on, unless it is a failure that another server may mend.
+    fn whole(&mut self, parts: http::response::Parts, bytes: Bytes, claim: Claim) -> Option<Reply> {
+        self.sends += 1;
+        let status = parts.status;
+        let _ = write!(self.trail, "={}", status.as_u16());
+        if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+            claim.ended(Ending::Failed);
+            self.may_have_run = true;
+            if self.route.kind.repeatable() && self.may_send_again() {
+                return None;
+            }
+        } else {
+            claim.ended(Ending::Good);
+        }
+        Some(Reply::Whole(self.pass_on(parts, bytes)))
+    }
+
+    fn pass_on(&mut self, mut parts: http::response::Parts, bytes: Bytes) -> Response<Body> {
+        let promise = [408, 421, 429, 503];
+        if promise.contains(&parts.status.as_u16()) {
+            // Such a status says to callers that the request has not run, and this server doesn't say so.
+            return self.unknown("the server failed");
+        }
+        strip_hop(&mut parts.headers);
+        let outcome = if parts.status.is_success() { Outcome::Answered } else { Outcome::Unknown };
+        self.conclude(outcome);
+        Response::from_parts(parts, answer::body(bytes))
+    }
+
+    /// A send without an answer: again, or the end.
+    fn after(&mut self, sent: Sent, claim: Claim) -> Option<Reply> {
+        match self.judge(sent, claim) {
+            Next::Again => None,
+            Next::GiveUp if self.may_have_run => Some(Reply::Whole(self.unknown("no answer"))),
+            Next::GiveUp => Some(Reply::Whole(self.refuse("no server took the request"))),
+        }
+    }
+
+    fn judge(&mut self, sent: Sent, claim: Claim) -> Next {
+        let (ending, why) = match sent {
+            Sent::Unreached(why) => (Ending::Unreached, why),
+            Sent::NotRun(why) => (Ending::NotRun, why),
+            Sent::Broken(why) => (Ending::Broken, why),
+            Sent::Answer(_) => (Ending::Broken, "an answer out of place".to_owned()),
+        };
+        let _ = write!(self.trail, "={ending:?}({why})");
+        claim.ended(ending);
+        if ending == Ending::Unreached {
+            self.unreached += 1;
+            return if self.unreached <= UNREACHED_MOST && self.time_left() { Next::Again } else { Next::GiveUp };
+        }
+        self.sends += 1;
+        self.may_have_run |= ending == Ending::Broken;
+        let allowed = !self.may_have_run || self.route.kind.repeatable();
+        if allowed && self.may_send_again() {
+            Next::Again
+        } else {
+            Next::GiveUp
+        }
+    }
+
+    /// True when another send is within the route's attempts, the time and the shared budget.
+    pub(crate) fn may_send_again(&mut self) -> bool {
+        if self.sends >= self.route.attempts || !self.time_left() {
+            return false;
+        }
+        let now = self.shared.now();
+        let taken = self.shared.placement().second_send(&self.service, now);
+        if !taken {
+            self.trail.push_str(" budget used up");
+        }
+        taken
+    }
+
+    fn time_left(&self) -> bool {
+        self.deadline.saturating_duration_since(Instant::now()) > TIME_LEAST
+    }
+
+    /// A further send of a stream that broke: its answer, if a server goes on with it.
+    pub(crate) async fn resume(&mut self, last_event: Option<u64>) -> Option<(Answer, Claim)> {
+        loop {
+            let (choice, claim) = self.choose()?;
+            match self.send(&choice, last_event).await {
+                Sent::Answer(answer) if answer.parts.status.is_success() => return Some((*answer, claim)),
+                sent => {
+                    if let Next::GiveUp = self.judge(sent, claim) {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
+    fn no_server(&mut self) -> Response<Body> {
+        if self.may_have_run {
+            return self.unknown("no other server");
+        }
+        self.refuse("no server")
+    }
+
+    fn refuse(&mut self, why: &'static str) -> Response<Body> {
+        debug_assert!(!self.may_have_run, "a refusal says that the request has not run");
+        self.conclude(Outcome::Refused);
+        answer::refused(why, COME_BACK)
+    }
+
+    fn unknown(&mut self, why: &'static str) -> Response<Body> {
+        self.conclude(Outcome::Unknown);
+        answer::plain(StatusCode::BAD_GATEWAY, why)
+    }
+
+    fn too_late(&mut self) -> Response<Body> {
+        self.conclude(Outcome::Late);
+        answer::plain(StatusCode::GATEWAY_TIMEOUT, "its time is over")
+    }
+
+    /// Logs and counts the end of the request.
+    pub(crate) fn conclude(&mut self, outcome: Outcome) {
+        let took = self.began.elapsed();
+        metrics::counter!("cleatshelf_requests_total", "outcome" => outcome.word(), "route" => self.route.name.clone())
+            .increment(1);
+        metrics::histogram!("cleatshelf_request_seconds", "route" => self.route.name.clone())
+            .record(took.as_secs_f64());
+        if outcome == Outcome::Answered && self.sends <= 1 {
+            return;
+        }
+        telemetry::emit(
+            Event::RequestEnded,
+            format_args!(
+                "id={} outcome={} route={} ms={} sends={} trail=\"{}\"",
+                self.call.id,
+                outcome.word(),
+                self.route.name,
+                took.as_millis(),
+                self.sends,
+                self.trail.trim_start()
+            ),
+        );
+    }
+}
+
+/// What a send brought for the caller.
+pub(crate) enum Reply {
+    Whole(Response<Body>),
+    Stream(Box<Answer>, Claim),
+}
--- /dev/null
+++ b/crates/relay/src/front.rs
@@ -0,0 +1,269 @@
+//! Callers' connections.
+
+use crate::answer::{self, strip_hop};
+use crate::connections::{notice_death, Connections};
+use crate::exchange::Exchange;
+use crate::{Body, Shared};
+use bytes::Bytes;
+use http::{header, request, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use routing::{Access, Table};
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use telemetry::Event;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// How long a caller's connection may rest. Longer than any idle time that a configuration sets, since callers
+/// may go by an older one than this box; unused connections cost a descriptor and some kilobytes.
+const IDLE_MOST: Duration = Duration::from_secs(120);
+
+/// Longest wait for the rest of a request's body.
+const BODY_MOST: Duration = Duration::from_secs(10);
+
+/// Buffer of a caller's connection in bytes; also bounds a request's head.
+const BUFFER: usize = 64 * 1024;
+
+/// How long after a stop began connections are closed between requests: by then the balancer has asked
+/// twice and sends no new ones.
+const TAKE_ON: Duration = Duration::from_millis(3_200);
+
+/// How often unused connections to servers are looked through.
+const PRUNE_EVERY: Duration = Duration::from_secs(2);
+
+/// When a caller is asked to come back that met a box without a configuration: starts take about a second.
+const START_TIME: Duration = Duration::from_millis(500);
+
+/// Takes callers' connections, on one traffic thread.
+pub struct Front {
+    shared: Arc<Shared>,
+    connections: Connections,
+    /// Most connections of callers at once.
+    connections_most: usize,
+    open: Rc<Cell<usize>>,
+    /// Draws for routes with several services.
+    draws: Rc<RefCell<Draws>>,
+}
+
+/// Draws in 0..1 that come near their shares after few draws: each differs from the last by the golden ratio.
+#[derive(Debug)]
+struct Draws(f64);
+
+impl Draws {
+    fn next(&mut self) -> f64 {
+        self.0 = (self.0 + 0.618_033_988_749_895) % 1.0;
+        self.0
+    }
+}
+
+impl Front {
+    /// A front with these bounds.
+    #[must_use]
+    pub fn new(shared: Arc<Shared>, connections_most: usize) -> Self {
+        Self {
+            shared,
+            connections: Connections::default(),
+            connections_most,
+            open: Rc::default(),
+            draws: Rc::new(RefCell::new(Draws(0.3))),
+        }
+    }
+
+    /// Takes connections until `stop` is set and some time has gone by; then waits for the open ones.
+    pub async fn run(self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+        let this = Rc::new(self);
+        tokio::task::spawn_local(Rc::clone(&this).prune());
+        let (close, closing) = watch::channel(false);
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = stopped(&mut stop) => break,
+            };
+            match accepted {
+                Ok((stream, _)) => this.take(stream, &closing),
+                Err(why) => {
+                    log::warn!(target: "cleatshelf", "accept: {why}");
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+        drop(listener);
+        // Nobody is left to hear it when every connection is closed already.
+        let _ = close.send(true);
+        while this.open.get() > 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn prune(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(PRUNE_EVERY).await;
+            let view = self.shared.view();
+            self.connections.prune(|life| view.directory.servers.contains_key(life));
+        }
+    }
+
+    fn take(self: &Rc<Self>, stream: TcpStream, closing: &watch::Receiver<bool>) {
+        if self.open.get() >= self.connections_most {
+            metrics::counter!("cleatshelf_connections_refused_total").increment(1);
+            return;
+        }
+        notice_death(&stream);
+        self.open.set(self.open.get() + 1);
+        let this = Rc::clone(self);
+        let closing = closing.clone();
+        tokio::task::spawn_local(async move {
+            this.serve(stream, closing).await;
+            this.open.set(this.open.get() - 1);
+        });
+    }
+
+    async fn serve(self: &Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+        let service = service_fn(|request| {
+            let this = Rc::clone(self);
+            async move { Ok::<_, Infallible>(this.answer(request).await) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(IDLE_MOST)
+            .max_buf_size(BUFFER)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        let served = tokio::select! {
+            served = connection.as_mut() => served,
+            _ = closing.wait_for(|closing| *closing) => {
+                connection.as_mut().graceful_shutdown();
+                connection.as_mut().await
+            }
+        };
+        if let Err(why) = served {
+            log::trace!(target: "cleatshelf", "caller's connection: {why}");
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let running = Running::new(&self.shared);
+        let began = Instant::now();
+        let mut response = self.exchange(request, began).await;
+        drop(running);
+        if self.shared.stopping() {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn exchange(&self, request: Request<Incoming>, began: Instant) -> Response<Body> {
+        let (mut parts, body) = request.into_parts();
+        let view = self.shared.view();
+        let Some(table) = &view.table else {
+            return answer::refused("no configuration yet", START_TIME);
+        };
+        let body = match read_body(body, table.limits.body_most).await {
+            Ok(body) => body,
+            Err(response) => return response,
+        };
+        strip_hop(&mut parts.headers);
+        // Between head and body a newer configuration may have come.
+        let view = self.shared.view();
+        let Some(table) = view.table.as_ref().map(Arc::clone) else {
+            return answer::refused("no configuration yet", START_TIME);
+        };
+        match self.admit(&table, parts, body, began) {
+            Ok(exchange) => exchange.run().await,
+            Err(response) => response,
+        }
+    }
+
+    fn admit(
+        &self,
+        table: &Table,
+        parts: request::Parts,
+        body: Bytes,
+        began: Instant,
+    ) -> Result<Exchange, Response<Body>> {
+        let call = self.shared.dialect.call(&parts.headers).map_err(|why| {
+            telemetry::emit(Event::RequestRejected, format_args!("why=\"{why}\""));
+            answer::plain(StatusCode::BAD_REQUEST, "bad head")
+        })?;
+        let host = parts.headers.get(header::HOST).and_then(|h| h.to_str().ok());
+        let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+        let Some(route) = table.route(host, parts.uri.path()) else {
+            telemetry::emit(
+                Event::RequestRejected,
+                format_args!("id={} why=route host={host} path={} version={}", call.id, parts.uri.path(), table.version),
+            );
+            return Err(answer::plain(StatusCode::NOT_FOUND, "no such route"));
+        };
+        let Access::Granted(customer) = table.access(route, call.key.as_deref()) else {
+            telemetry::emit(
+                Event::RequestRejected,
+                format_args!("id={} why=key route={} version={}", call.id, route.name, table.version),
+            );
+            return Err(answer::plain(StatusCode::UNAUTHORIZED, "no such key"));
+        };
+        let time = call.time.map_or(route.timeout, |time| time.min(route.timeout));
+        let service = route.service(self.draws.borrow_mut().next()).to_owned();
+        Ok(Exchange {
+            shared: Arc::clone(&self.shared),
+            connections: self.connections.clone(),
+            call,
+            route: Arc::clone(route),
+            customer,
+            service,
+            parts,
+            body,
+            deadline: began + time,
+            began,
+            tried: Vec::new(),
+            sends: 0,
+            unreached: 0,
+            may_have_run: false,
+            trail: String::new(),
+        })
+    }
+}
+
+/// Waits until a stop has begun and new connections need no longer be taken.
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    // An error means that whoever could stop this box has gone, and so the box is ending.
+    let _ = stop.wait_for(|stop| *stop).await;
+    tokio::time::sleep(TAKE_ON).await;
+}
+
+async fn read_body(body: Incoming, most: usize) -> Result<Bytes, Response<Body>> {
+    let read = tokio::time::timeout(BODY_MOST, Limited::new(body, most).collect()).await;
+    match read {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(why)) if why.is::<http_body_util::LengthLimitError>() => {
+            Err(answer::plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large"))
+        }
+        Ok(Err(_)) => Err(answer::plain(StatusCode::BAD_REQUEST, "body broke off")),
+        Err(_) => Err(answer::plain(StatusCode::REQUEST_TIMEOUT, "body took too long")),
+    }
+}
+
+/// Counts a request while it runs.
+struct Running {
+    shared: Arc<Shared>,
+}
+
+impl Running {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.running.fetch_add(1, Ordering::Relaxed);
+        Self { shared: Arc::clone(shared) }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.shared.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/shared.rs
@@ -0,0 +1,86 @@
+//! What the traffic threads and the control thread share.
+
+use crate::Dialect;
+use placement::{Millis, Placement};
+use routing::{Directory, Table};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Instant;
+
+/// The configuration and servers in force. A new one replaces the old one whole.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The configuration; none before the first.
+    pub table: Option<Arc<Table>>,
+    /// The servers.
+    pub directory: Arc<Directory>,
+}
+
+/// State of one box that all its threads see.
+pub struct Shared {
+    /// Reads and writes headers.
+    pub dialect: Box<dyn Dialect>,
+    view: RwLock<Arc<View>>,
+    placement: Mutex<Placement>,
+    began: Instant,
+    stopping: AtomicBool,
+    /// Requests that are not ended.
+    pub running: AtomicUsize,
+}
+
+impl Shared {
+    /// State with nothing known yet.
+    #[must_use]
+    pub fn new(dialect: Box<dyn Dialect>, placement: Placement) -> Arc<Self> {
+        Arc::new(Self {
+            dialect,
+            view: RwLock::default(),
+            placement: Mutex::new(placement),
+            began: Instant::now(),
+            stopping: AtomicBool::new(false),
+            running: AtomicUsize::new(0),
+        })
+    }
+
+    /// Now, by this process's clock.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        self.began.elapsed().as_millis() as Millis
+    }
+
+    /// The configuration and servers in force.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts a configuration and servers in force.
+    pub fn set_view(&self, view: View) {
+        if let Some(table) = &view.table {
+            self.placement().update(table, &view.directory);
+        }
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
+    }
+
+    /// The placement, for a short while: nobody awaits while holding it.
+    pub fn placement(&self) -> MutexGuard<'_, Placement> {
+        self.placement.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A planned stop begins.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// True once a planned stop has begun.
+    #[must_use]
+    pub fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// True when callers may be sent here.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        !self.stopping() && self.view().table.is_some()
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,25 @@
+//! Routes, services, customers and servers, each set taken whole as one versioned value.
+//!
+//! A [`Table`] answers which route a request belongs to and whose key it carries; a [`Directory`]
+//! lists the servers that may be used. Both are plain values without clocks or networks. Where they
+//! come from is behind [`Publisher`]; how a server is chosen is decided in `placement`.
+
+mod customer;
+mod directory;
+mod kind;
+mod limits;
+mod publisher;
+mod route;
+mod server;
+mod service;
+mod table;
+
+pub use customer::Customer;
+pub use directory::{Change, Directory};
+pub use kind::Kind;
+pub use limits::Limits;
+pub use publisher::{Publisher, Subject, Trouble, Update};
+pub use route::{Route, Share};
+pub use server::Server;
+pub use service::{Engine, Service};
+pub use table::{Access, Table};
--- /dev/null
+++ b/crates/routing/src/publisher.rs
@@ -0,0 +1,76 @@
+//! The border towards whatever publishes the configuration and the servers.
+
+use crate::{Change, Directory, Table};
+use async_trait::async_trait;
+use std::time::Duration;
+
+/// What is read and watched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Subject {
+    /// The configuration.
+    Table,
+    /// The servers.
+    Directory,
+}
+
+/// What a watch brought.
+#[derive(Clone, Debug, Default)]
+pub struct Update {
+    /// Revision up to which everything is told; the next watch goes on from here.
+    pub revision: u64,
+    /// The newest configuration as published, if it changed.
+    pub table: Option<Vec<u8>>,
+    /// What became of servers, in order.
+    pub changes: Vec<Change>,
+}
+
+/// Why the publisher gave nothing usable.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// It did not answer in time, or turned the call away.
+    Unreachable(String),
+    /// It has forgotten the history since the revision asked for; a full read is needed.
+    Forgotten,
+    /// It answered something that makes no sense.
+    Garbled(String),
+}
+
+impl std::fmt::Display for Trouble {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Unreachable(why) => write!(f, "unreachable: {why}"),
+            Self::Forgotten => f.write_str("history forgotten"),
+            Self::Garbled(why) => write!(f, "garbled: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for Trouble {}
+
+/// Publishes the configuration and the servers; can only be read.
+#[async_trait(?Send)]
+pub trait Publisher {
+    /// The configuration as published and its revision; none while there is none.
+    ///
+    /// # Errors
+    /// [`Trouble`] when nothing usable came.
+    async fn table(&self) -> Result<Option<(u64, Vec<u8>)>, Trouble>;
+
+    /// All servers.
+    ///
+    /// # Errors
+    /// [`Trouble`] when nothing usable came.
+    async fn directory(&self) -> Result<Directory, Trouble>;
+
+    /// Waits up to `wait` for news of `subject` after revision `since`.
+    ///
+    /// # Errors
+    /// [`Trouble`] when nothing usable came; [`Trouble::Forgotten`] asks for a full read.
+    async fn watch(&self, subject: Subject, since: u64, wait: Duration) -> Result<Update, Trouble>;
+
+    /// Reads a configuration as published.
+    ///
+    /// # Errors
+    /// The field at fault and the reason.
+    fn decode(&self, bytes: &[u8]) -> Result<Table, String>;
+}
--- /dev/null
+++ b/crates/routing/src/route.rs
@@ -0,0 +1,56 @@
+//! One route.
+
+use crate::Kind;
+use std::time::Duration;
+
+/// A service's share of a route's requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Name of the service.
+    pub service: String,
+    /// Its weight among the route's shares; all weights may be 0, and then the first share takes all.
+    pub weight: u32,
+}
+
+/// Requests of one host below one path prefix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Name, for logs and metrics.
+    pub name: String,
+    /// Host, in lower case and without a port.
+    pub host: String,
+    /// Prefix of the path; begins and ends with a slash.
+    pub prefix: String,
+    /// How its requests may be treated.
+    pub kind: Kind,
+    /// Longest time that a request is held.
+    pub timeout: Duration,
+    /// Aim for the answer; for streams, for the first event.
+    pub aim: Duration,
+    /// Longest pause between events of a stream that is still in time.
+    pub gap_aim: Option<Duration>,
+    /// Rank, 0 first.
+    pub priority: u8,
+    /// Services that share the requests; never empty.
+    pub shares: Vec<Share>,
+    /// Most servers that one attempt of a caller may be sent to; at least 1.
+    pub attempts: u32,
+    /// True when no key is asked for.
+    pub open: bool,
+}
+
+impl Route {
+    /// The service for a draw in 0..1.
+    #[must_use]
+    pub fn service(&self, draw: f64) -> &str {
+        let total: f64 = self.shares.iter().map(|s| f64::from(s.weight)).sum();
+        let mut left = draw * total;
+        for share in &self.shares {
+            left -= f64::from(share.weight);
+            if left < 0.0 {
+                return &share.service;
+            }
+        }
+        &self.shares[0].service
+    }
+}
--- /dev/null
+++ b/crates/routing/src/server.rs
@@ -0,0 +1,21 @@
+//! One life of one server.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// A server since its last start. A restart is another server, at the same address or not.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    /// Names this life; never used again.
+    pub id: String,
+    /// The service it belongs to.
+    pub service: String,
+    /// Where it listens. After its end another service's server may listen there.
+    pub address: SocketAddr,
+    /// Its data hall.
+    pub hall: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// True when it takes no new work.
+    pub draining: bool,
+}
--- /dev/null
+++ b/crates/routing/src/service.rs
@@ -0,0 +1,27 @@
+//! One service.
+
+/// What is known of a model server pool's engines. From the published configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    /// Requests that one server runs at once.
+    pub slots: u32,
+    /// Tokens that one server's memory holds, of running requests and kept prompt parts together.
+    pub memory_tokens: u64,
+    /// Bytes of one token in that memory, as they cross a link.
+    pub token_bytes: u64,
+    /// Speed of the links between engines in Mbit/s.
+    pub link_mbps: f64,
+    /// Tokens in one event of a stream.
+    pub stride: u32,
+}
+
+/// A group of servers of which each can answer the same requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Name, as in routes and server entries.
+    pub name: String,
+    /// Most connections that one server accepts from all callers together.
+    pub connections: u32,
+    /// Present when its servers are model engines.
+    pub engine: Option<Engine>,
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -62,6 +62,10 @@
     ReleaseStale = 204, Warn;
     /// This box began or ended holding the platform's watch.
     WatchRole = 205, Info;
+    /// The servers in force changed.
+    ServersChanged = 206, Info;
+    /// The settings were read again.
+    SettingsReloaded = 207, Info;
     /// A peer is reachable.
     PeerAlive = 300, Info;
     /// A peer does not answer probes.
@@ -98,6 +102,10 @@
     OutcomeUnknown = 501, Warn;
     /// A request with a known key was delivered again and refused.
     RepeatRefused = 502, Info;
+    /// A request ended otherwise than by the first server's whole answer.
+    RequestEnded = 503, Info;
+    /// A request was not passed on, by the caller's fault.
+    RequestRejected = 504, Info;
     /// Leases granted no longer equal held, returned and expired ones.
     LeaseCountBroken = 900, Error;
     /// A grant went above the floor while a more urgent request waited.
