A stop's time begins once, not with each connection

Ruled out: hyper's graceful shutdown, which was reached too late. Change: one wait, made before the loop.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -82,10 +82,12 @@
         let this = Rc::new(self);
         tokio::task::spawn_local(Rc::clone(&this).prune());
         let (close, closing) = watch::channel(false);
+        // Made once: its time must not begin again with each connection.
+        let mut stopped = std::pin::pin!(stopped(&mut stop));
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = stopped(&mut stop) => break,
+                () = stopped.as_mut() => break,
             };
             match accepted {
                 Ok((stream, _)) => this.take(stream, &closing),
