Few boxes watch the store; the others hear of news from them

Ruled out: longer watches, which don't help while a release wakes every box. Change: crates/peers (who watches, heartbeats, lists by need) over wire's frames; in each hall one or two boxes watch, others begin within half a second when they hear none. Not run: tests of the new crates.

--- /dev/null
+++ b/crates/cleatshelf/src/router/circle.rs
@@ -0,0 +1,140 @@
+//! Carries out what `peers` asks for: links to other boxes, and what they send.
+
+use super::follow::Troubles;
+use super::knowledge::{Knowledge, News, Origin};
+use peers::{Action, Message, Peers};
+use relay::Shared;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use telemetry::Event;
+use tokio::sync::watch;
+use wire::{Key, Link, Listener};
+
+/// Pause between two looks at what is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// The other boxes, as this one deals with them. Lives on the control thread.
+pub(super) struct Circle {
+    shared: Arc<Shared>,
+    knowledge: Rc<Knowledge>,
+    troubles: Rc<Troubles>,
+    me: SocketAddr,
+    key: Key,
+    peers: RefCell<Peers>,
+    links: RefCell<HashMap<SocketAddr, Link<Message>>>,
+    watching: watch::Sender<bool>,
+}
+
+impl Circle {
+    pub(super) fn new(
+        shared: Arc<Shared>,
+        knowledge: Rc<Knowledge>,
+        troubles: Rc<Troubles>,
+        peers: Peers,
+        me: SocketAddr,
+        key: Key,
+        watching: watch::Sender<bool>,
+    ) -> Rc<Self> {
+        let (peers, links) = (RefCell::new(peers), RefCell::default());
+        Rc::new(Self { shared, knowledge, troubles, me, key, peers, links, watching })
+    }
+
+    /// Listens to other boxes for as long as the process runs.
+    pub(super) async fn listen(self: Rc<Self>, listener: tokio::net::TcpListener) {
+        let this = Rc::clone(&self);
+        let handler = move |from: &str, message: Message| {
+            let Ok(from) = from.parse() else {
+                telemetry::emit(Event::FrameRefused, format_args!("from={from} why=name"));
+                return;
+            };
+            let actions = this.peers.borrow_mut().handle(from, message, this.shared.now());
+            this.carry_out(actions);
+        };
+        Listener::new(&self.key, &self.me.to_string(), Rc::new(handler)).run(listener).await;
+    }
+
+    /// Does what is due, again and again.
+    pub(super) async fn run(self: Rc<Self>) {
+        loop {
+            self.tick();
+            actix_rt::time::sleep(TICK).await;
+        }
+    }
+
+    fn tick(&self) {
+        let news = self.knowledge.take_news();
+        let actions = {
+            let mut peers = self.peers.borrow_mut();
+            peers.hold(self.knowledge.holding());
+            peers.reach(self.troubles.none());
+            let mut actions: Vec<Action> = news.iter().flat_map(|news| spread(&peers, news)).collect();
+            actions.extend(peers.tick(self.shared.now()));
+            actions
+        };
+        self.carry_out(actions);
+    }
+
+    /// Tells the hall of news at once.
+    pub(super) fn news(&self) {
+        self.tick();
+    }
+
+    /// Tells the others that this box stops.
+    pub(super) fn leave(&self) {
+        let actions = self.peers.borrow().leave();
+        self.carry_out(actions);
+    }
+
+    /// Boxes known, this one included.
+    pub(super) fn boxes(&self) -> usize {
+        self.peers.borrow().boxes()
+    }
+
+    pub(super) fn set_seeds(&self, seeds: &[SocketAddr]) {
+        self.peers.borrow_mut().set_seeds(seeds);
+    }
+
+    fn carry_out(&self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(to, message) => self.send(to, &message),
+                Action::SendTable(to) => {
+                    if let Some(bytes) = self.knowledge.published() {
+                        self.send(to, &Message::Table(bytes.to_vec()));
+                    }
+                }
+                Action::SendDirectory(to) => self.send(to, &Message::Directory(self.knowledge.directory())),
+                Action::Watch(watching) => {
+                    telemetry::emit(Event::WatchRole, format_args!("watching={watching}"));
+                    self.watching.send_replace(watching);
+                }
+                Action::Table(bytes) => drop(self.knowledge.offer_table(bytes, Origin::Peer)),
+                Action::Directory(directory) => self.knowledge.offer_directory(directory, Origin::Peer),
+                Action::Changes(changes, until) => self.knowledge.offer_changes(changes, until, Origin::Peer),
+            }
+        }
+        self.peers.borrow_mut().hold(self.knowledge.holding());
+        self.shared.placement().set_boxes(self.boxes());
+    }
+
+    fn send(&self, to: SocketAddr, message: &Message) {
+        let mut links = self.links.borrow_mut();
+        let link = links.entry(to).or_insert_with(|| {
+            Link::open(&self.key, &self.me.to_string(), &to.to_string(), to, Box::new(|| {}))
+        });
+        // A full queue drops the frame and counts it; the next heartbeat makes up for it.
+        let _ = link.send(message);
+    }
+}
+
+fn spread(peers: &Peers, news: &News) -> Vec<Action> {
+    match news {
+        News::Table => peers.spread_table(),
+        News::Directory => peers.spread_directory(),
+        News::Changes { since, until, changes } => peers.spread_changes(*since, *until, changes),
+    }
+}
--- a/crates/cleatshelf/src/router/follow.rs
+++ b/crates/cleatshelf/src/router/follow.rs
@@ -1,4 +1,4 @@
-//! Reads and watches what the platform publishes.
+//! Reads and watches what the platform publishes, while this box is one of those that do.
 
 use super::knowledge::{Knowledge, Origin};
 use rand::Rng;
@@ -7,10 +7,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 use telemetry::Event;
+use tokio::sync::watch;
 
 /// How long a watch waits for news. Short enough that one that hangs is given up soon after the publisher is
 /// back; each watch is a call, and calls are paid for.
-const WAIT: Duration = Duration::from_secs(8);
+const WAIT: Duration = Duration::from_secs(4);
 
 /// The same while the publisher is in trouble, to notice soon that it is back.
 const WAIT_IN_TROUBLE: Duration = Duration::from_millis(400);
@@ -19,23 +20,64 @@
 const PAUSE_LEAST: Duration = Duration::from_millis(100);
 const PAUSE_MOST: Duration = Duration::from_millis(800);
 
+/// Pause after news of servers, so that those of a release or a burst of failures come in few calls.
+const GATHER: Duration = Duration::from_millis(120);
+
 /// Follows one subject for as long as the process runs.
 pub(super) struct Follower {
     pub(super) publisher: Rc<dyn Publisher>,
     pub(super) knowledge: Rc<Knowledge>,
     pub(super) subject: Subject,
-    /// True while the last call failed; shared by the followers of one publisher.
-    pub(super) trouble: Rc<Cell<bool>>,
+    /// True while this box is to watch.
+    pub(super) watching: watch::Receiver<bool>,
+    /// Subjects whose last call failed; shared by the followers of one publisher.
+    pub(super) troubles: Rc<Troubles>,
+}
+
+/// Which subjects can't be followed now.
+pub(super) struct Troubles {
+    table: Cell<bool>,
+    directory: Cell<bool>,
+}
+
+impl Default for Troubles {
+    fn default() -> Self {
+        Self { table: Cell::new(true), directory: Cell::new(true) }
+    }
+}
+
+impl Troubles {
+    fn of(&self, subject: Subject) -> &Cell<bool> {
+        match subject {
+            Subject::Table => &self.table,
+            Subject::Directory => &self.directory,
+        }
+    }
+
+    /// True when every subject's last call succeeded.
+    pub(super) fn none(&self) -> bool {
+        !self.table.get() && !self.directory.get()
+    }
 }
 
 impl Follower {
-    pub(super) async fn run(self) {
+    pub(super) async fn run(mut self) {
         let mut pause = PAUSE_LEAST;
+        // None asks for a full read.
         let mut since = None;
         loop {
-            let step = match since {
-                None => self.read().await,
-                Some(since) => self.watch(since).await,
+            if !*self.watching.borrow_and_update() {
+                if self.watching.changed().await.is_err() {
+                    return;
+                }
+                // While others watched, news came through them.
+                since = self.known();
+                continue;
+            }
+            let mut watching = self.watching.clone();
+            let step = tokio::select! {
+                step = self.step(since) => step,
+                _ = watching.wait_for(|watching| !*watching) => continue,
             };
             match step {
                 Ok(revision) => {
@@ -54,6 +96,21 @@
         }
     }
 
+    /// The revision up to which everything is known without asking; none where only a read can tell.
+    fn known(&self) -> Option<u64> {
+        match self.subject {
+            Subject::Table => None,
+            Subject::Directory => Some(self.knowledge.holding().directory).filter(|revision| *revision > 0),
+        }
+    }
+
+    async fn step(&self, since: Option<u64>) -> Result<u64, Trouble> {
+        match since {
+            None => self.read().await,
+            Some(since) => self.watch(since).await,
+        }
+    }
+
     async fn read(&self) -> Result<u64, Trouble> {
         match self.subject {
             Subject::Table => {
@@ -72,25 +129,27 @@
     }
 
     async fn watch(&self, since: u64) -> Result<u64, Trouble> {
-        let wait = if self.trouble.get() { WAIT_IN_TROUBLE } else { WAIT };
+        let wait = if self.troubles.of(self.subject).get() { WAIT_IN_TROUBLE } else { WAIT };
         let update = self.publisher.watch(self.subject, since, wait).await?;
         if let Some(bytes) = update.table {
             self.knowledge.offer_table(bytes, Origin::Publisher);
         }
         if !update.changes.is_empty() {
-            self.knowledge.offer_changes(update.changes, update.revision);
+            self.knowledge.offer_changes(update.changes, update.revision, Origin::Publisher);
+            self.calm();
+            actix_rt::time::sleep(GATHER).await;
         }
         Ok(update.revision)
     }
 
     fn troubled(&self, why: &Trouble) {
-        if !self.trouble.replace(true) {
+        if !self.troubles.of(self.subject).replace(true) {
             telemetry::emit(Event::PlatformUnreachable, format_args!("subject={:?} why=\"{why}\"", self.subject));
         }
     }
 
     fn calm(&self) {
-        if self.trouble.replace(false) {
+        if self.troubles.of(self.subject).replace(false) {
             telemetry::emit(Event::PlatformReachable, format_args!("subject={:?}", self.subject));
         }
     }
--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -1,11 +1,13 @@
 //! What this box knows of the configuration and the servers, and where it got it from.
 
+use peers::Holding;
 use relay::{Shared, View};
 use routing::{Change, Directory, Publisher, Table};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use telemetry::Event;
+use tokio::sync::Notify;
 
 /// Where news came from, for the log.
 #[derive(Clone, Copy, Debug)]
@@ -14,11 +16,20 @@
     Peer,
 }
 
+/// What this box learned and others may not know yet.
+pub(super) enum News {
+    Table,
+    Directory,
+    Changes { since: u64, until: u64, changes: Vec<Change> },
+}
+
 /// The newest configuration and servers that reached this box.
 pub(super) struct Knowledge {
     shared: Arc<Shared>,
     publisher: Rc<dyn Publisher>,
     state: RefCell<State>,
+    /// Told whenever there is news.
+    pub(super) told: Notify,
 }
 
 #[derive(Default)]
@@ -26,11 +37,13 @@
     /// The configuration in force, and as it was published, to be passed on to peers.
     table: Option<(Arc<Table>, Rc<Vec<u8>>)>,
     directory: Directory,
+    /// What others have not been told yet, in order.
+    news: Vec<News>,
 }
 
 impl Knowledge {
     pub(super) fn new(shared: Arc<Shared>, publisher: Rc<dyn Publisher>) -> Self {
-        Self { shared, publisher, state: RefCell::default() }
+        Self { shared, publisher, state: RefCell::default(), told: Notify::new() }
     }
 
     /// Takes a configuration; an older one than that in force is ignored. True when it is in force now.
@@ -53,6 +66,7 @@
         );
         state.table = Some((Arc::new(table), Rc::new(bytes)));
         self.put_in_force(&state);
+        self.tell(&mut state, News::Table);
         true
     }
 
@@ -66,15 +80,28 @@
         state.directory = directory;
         if changed {
             self.servers_changed(&state, origin);
+            self.tell(&mut state, News::Directory);
         }
     }
 
-    /// Takes what became of servers up to `revision`.
-    pub(super) fn offer_changes(&self, changes: Vec<Change>, revision: u64) {
+    /// Takes what became of servers up to revision `until`.
+    pub(super) fn offer_changes(&self, changes: Vec<Change>, until: u64, origin: Origin) {
         let mut state = self.state.borrow_mut();
-        if state.directory.apply(changes, revision) {
-            self.servers_changed(&state, Origin::Publisher);
+        let since = state.directory.revision;
+        if state.directory.apply(changes.clone(), until) {
+            self.servers_changed(&state, origin);
         }
+        self.tell(&mut state, News::Changes { since, until, changes });
+    }
+
+    fn tell(&self, state: &mut State, news: News) {
+        state.news.push(news);
+        self.told.notify_one();
+    }
+
+    /// What others have not been told yet; afterwards it counts as told.
+    pub(super) fn take_news(&self) -> Vec<News> {
+        std::mem::take(&mut self.state.borrow_mut().news)
     }
 
     fn servers_changed(&self, state: &State, origin: Origin) {
@@ -92,9 +119,11 @@
         self.shared.set_view(View { table, directory: Arc::new(state.directory.clone()) });
     }
 
-    /// Version of the configuration in force; 0 before the first.
-    pub(super) fn version(&self) -> u64 {
-        self.state.borrow().table.as_ref().map_or(0, |(table, _)| table.version)
+    /// How new this box's knowledge is.
+    pub(super) fn holding(&self) -> Holding {
+        let state = self.state.borrow();
+        let table = state.table.as_ref().map_or(0, |(table, _)| table.version);
+        Holding { table, directory: state.directory.revision }
     }
 
     /// The configuration in force as it was published.
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -1,13 +1,14 @@
 //! Runs a router box: threads, listeners, signals, the planned stop.
 
-use super::follow::Follower;
+use super::circle::Circle;
+use super::follow::{Follower, Troubles};
 use super::knowledge::Knowledge;
 use super::Settings;
 use eyre::WrapErr;
+use peers::Peers;
 use placement::{Budget, Placement};
 use relay::{Front, Ready, Shared};
 use routing::{Publisher, Subject};
-use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -40,11 +41,12 @@
     let (done, mut front_done) = watch::channel(false);
     let traffic = actix::Arbiter::new();
     start_traffic(&settings, &shared, &traffic, stopped, done)?;
-    start_control(&settings, &shared);
+    let circle = start_control(&settings, &shared)?;
     telemetry::emit(Event::BoxStarted, format_args!("name={} hall={}", settings.name, settings.hall));
     wait_for_stop().await?;
     telemetry::emit(Event::StopBegun, format_args!("running={}", shared.running.load(Ordering::Relaxed)));
     shared.stop();
+    circle.leave();
     let began = Instant::now();
     // The front holds the other end until it is done.
     let _ = stop.send(true);
@@ -93,18 +95,36 @@
     TcpListener::bind(address).wrap_err_with(|| format!("can't listen on {address}"))
 }
 
-fn start_control(settings: &Settings, shared: &Arc<Shared>) {
+fn start_control(settings: &Settings, shared: &Arc<Shared>) -> eyre::Result<Rc<Circle>> {
     let publisher: Rc<dyn Publisher> = Rc::new(platform::Store::new(settings.publisher));
     let knowledge = Rc::new(Knowledge::new(Arc::clone(shared), Rc::clone(&publisher)));
+    let troubles = Rc::new(Troubles::default());
+    let (watching, _) = watch::channel(true);
     for subject in [Subject::Table, Subject::Directory] {
         let follower = Follower {
             publisher: Rc::clone(&publisher),
             knowledge: Rc::clone(&knowledge),
             subject,
-            trouble: Rc::new(Cell::new(false)),
+            watching: watching.subscribe(),
+            troubles: Rc::clone(&troubles),
         };
         actix_rt::spawn(follower.run());
     }
+    let listener = tokio(bind(settings.boxes)?)?;
+    let peers = Peers::new(settings.boxes, &settings.hall, &settings.seeds);
+    let key = wire::Key::new(&settings.link_key);
+    let circle =
+        Circle::new(Arc::clone(shared), Rc::clone(&knowledge), troubles, peers, settings.boxes, key, watching);
+    actix_rt::spawn(Rc::clone(&circle).listen(listener));
+    actix_rt::spawn(Rc::clone(&circle).run());
+    let teller = Rc::clone(&circle);
+    actix_rt::spawn(async move {
+        loop {
+            knowledge.told.notified().await;
+            teller.news();
+        }
+    });
+    Ok(circle)
 }
 
 async fn wait_for_stop() -> eyre::Result<()> {
--- /dev/null
+++ b/crates/peers/src/action.rs
@@ -0,0 +1,24 @@
+//! What the state machine asks for.
+
+use crate::Message;
+use routing::{Change, Directory};
+use std::net::SocketAddr;
+
+/// Something to carry out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message.
+    Send(SocketAddr, Message),
+    /// Send the configuration as published.
+    SendTable(SocketAddr),
+    /// Send the list of servers.
+    SendDirectory(SocketAddr),
+    /// Begin or end to watch the publisher.
+    Watch(bool),
+    /// A peer sent a configuration.
+    Table(Vec<u8>),
+    /// A peer sent a list of servers.
+    Directory(Directory),
+    /// A peer told what became of servers, on top of the revision that this box has.
+    Changes(Vec<Change>, u64),
+}
--- /dev/null
+++ b/crates/peers/src/message.rs
@@ -0,0 +1,62 @@
+//! What boxes say to each other.
+
+use routing::{Change, Directory};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// What may be asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Subject {
+    /// The configuration as published.
+    Table,
+    /// The list of servers.
+    Directory,
+    /// The boxes known.
+    Members,
+}
+
+/// Says that the sender lives, what it knows, and whether it can be relied upon for news.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The sender's hall.
+    pub hall: String,
+    /// True while the sender watches the publisher and its last call succeeded.
+    pub watches: bool,
+    /// Version of the configuration that it has; 0 for none.
+    pub table: u64,
+    /// Revision of its list of servers.
+    pub directory: u64,
+    /// Digest of the boxes that it knows.
+    pub members: u32,
+}
+
+/// A message between two boxes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// A box of this hall is there and wants to hear of news.
+    Hello {
+        /// The sender's hall.
+        hall: String,
+    },
+    /// A watcher's heartbeat.
+    Beat(Beat),
+    /// Asks for what the receiver has.
+    Want(Subject),
+    /// Boxes by address, with their halls.
+    Members(Vec<(SocketAddr, String)>),
+    /// A configuration as published.
+    Table(Vec<u8>),
+    /// A whole list of servers.
+    Directory(Directory),
+    /// What became of servers after revision `since`, up to `until`.
+    Changes {
+        /// Revision that these changes build upon.
+        since: u64,
+        /// Revision of the list with these changes.
+        until: u64,
+        /// The changes in order.
+        changes: Vec<Change>,
+    },
+    /// The sender stops by plan.
+    Leave,
+}
--- /dev/null
+++ b/crates/peers/src/peers.rs
@@ -0,0 +1,381 @@
+//! The state machine.
+
+use crate::member::Member;
+use crate::{Action, Beat, Message, Millis, Subject};
+use routing::{Change, Directory};
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+
+/// Pause between a watcher's heartbeats. Two lost ones and a read of the publisher stay within the shortest
+/// bound for news, 2 s.
+const BEAT_EVERY: Millis = 400;
+
+/// Boxes of a hall up to which heartbeats come that often; with more they come in proportion rarer, so that
+/// a watcher's bytes stay bounded.
+const BEAT_BOXES: u64 = 40;
+
+/// Heartbeats that may be missing before a watcher isn't relied upon.
+const BEATS_LOST: Millis = 2;
+
+/// Pause between a box's words to the watchers that it hears, and while it hears none.
+const HELLO_EVERY: Millis = 3_000;
+const HELLO_ALONE: Millis = 500;
+
+/// A box that hasn't said a word for this long gets heartbeats only now and then.
+const SILENT: Millis = 10_000;
+
+/// One heartbeat in this many goes to silent boxes too.
+const SILENT_BEATS: u64 = 8;
+
+/// Boxes of a hall from which on two of them watch, so that the loss of one costs nobody anything.
+const BOXES_FOR_TWO: usize = 5;
+
+/// How much later than the one before each box of a hall begins to watch when too few do.
+const STAGGER: Millis = 60;
+const STAGGER_MOST: Millis = 420;
+
+/// Pause between two questions for the same thing.
+const WANT_EVERY: Millis = 300;
+
+/// How new this box's knowledge is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Holding {
+    /// Version of the configuration; 0 for none.
+    pub table: u64,
+    /// Revision of the list of servers.
+    pub directory: u64,
+}
+
+/// What one box knows of the others, and what it does about news.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    me: SocketAddr,
+    hall: String,
+    seeds: Vec<SocketAddr>,
+    /// Other boxes by the address where they listen for boxes. Never holds this box.
+    members: BTreeMap<SocketAddr, Member>,
+    holding: Holding,
+    /// True while this box watches the publisher, or tries to.
+    watching: bool,
+    /// True while the publisher answers this box.
+    reached: bool,
+    /// When too few watchers were first heard; none while enough are.
+    lacking: Option<Millis>,
+    beat_at: Millis,
+    beats: u64,
+    hello_at: Millis,
+    /// When each subject was last asked for.
+    wanted: BTreeMap<u8, Millis>,
+}
+
+impl Peers {
+    /// A box of `hall` that other boxes reach at `me`. It begins by watching.
+    #[must_use]
+    pub fn new(me: SocketAddr, hall: &str, seeds: &[SocketAddr]) -> Self {
+        Self {
+            me,
+            hall: hall.to_owned(),
+            seeds: seeds.iter().copied().filter(|seed| *seed != me).collect(),
+            members: BTreeMap::new(),
+            holding: Holding::default(),
+            watching: true,
+            reached: false,
+            lacking: None,
+            beat_at: 0,
+            beats: 0,
+            hello_at: 0,
+            wanted: BTreeMap::new(),
+        }
+    }
+
+    /// Takes new seeds, after the settings have changed.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.seeds = seeds.iter().copied().filter(|seed| *seed != self.me).collect();
+    }
+
+    /// Boxes known, this one included.
+    #[must_use]
+    pub fn boxes(&self) -> usize {
+        self.members.len() + 1
+    }
+
+    /// True while this box watches the publisher, or tries to.
+    #[must_use]
+    pub fn watching(&self) -> bool {
+        self.watching
+    }
+
+    /// Notes how new this box's knowledge is.
+    pub fn hold(&mut self, holding: Holding) {
+        self.holding = holding;
+    }
+
+    /// Notes whether the publisher answers this box. A change is told at once, since others rely on it.
+    pub fn reach(&mut self, reached: bool) {
+        if self.reached != reached {
+            self.reached = reached;
+            self.beat_at = 0;
+        }
+    }
+
+    /// To be called every few hundred milliseconds.
+    pub fn tick(&mut self, now: Millis) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.decide(now, &mut actions);
+        if self.watching && now >= self.beat_at {
+            self.beat(now, &mut actions);
+        }
+        if now >= self.hello_at {
+            self.hello(now, &mut actions);
+        }
+        actions
+    }
+
+    /// Takes a message.
+    pub fn handle(&mut self, from: SocketAddr, message: Message, now: Millis) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if from == self.me {
+            return actions;
+        }
+        match message {
+            Message::Hello { hall } => self.hear(from, &hall, now, &mut actions),
+            Message::Beat(beat) => self.take_beat(from, &beat, now, &mut actions),
+            Message::Want(subject) => self.give(from, subject, &mut actions),
+            Message::Members(members) => self.meet(members, now),
+            Message::Table(bytes) => actions.push(Action::Table(bytes)),
+            Message::Directory(directory) => self.take_directory(directory, &mut actions),
+            Message::Changes { since, until, changes } => {
+                self.take_changes(from, since, until, changes, now, &mut actions);
+            }
+            Message::Leave => {
+                if let Some(member) = self.members.get_mut(&from) {
+                    member.watched = None;
+                    member.heard = 0;
+                }
+            }
+        }
+        actions
+    }
+
+    /// A new configuration came: the hall's others get it if this box watches for them.
+    #[must_use]
+    pub fn spread_table(&self) -> Vec<Action> {
+        self.hall_members().map(Action::SendTable).collect()
+    }
+
+    /// Servers changed: the hall's others are told if this box watches for them.
+    #[must_use]
+    pub fn spread_changes(&self, since: u64, until: u64, changes: &[Change]) -> Vec<Action> {
+        let message = Message::Changes { since, until, changes: changes.to_vec() };
+        self.hall_members().map(|to| Action::Send(to, message.clone())).collect()
+    }
+
+    /// A whole new list of servers came.
+    #[must_use]
+    pub fn spread_directory(&self) -> Vec<Action> {
+        self.hall_members().map(Action::SendDirectory).collect()
+    }
+
+    /// This box stops by plan: others no longer rely on it.
+    #[must_use]
+    pub fn leave(&self) -> Vec<Action> {
+        self.members.keys().map(|to| Action::Send(*to, Message::Leave)).collect()
+    }
+
+    /// The hall's other boxes, while this one watches; nobody otherwise.
+    fn hall_members(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let mine = self.members.iter().filter(|(_, m)| self.watching && m.hall == self.hall);
+        mine.map(|(address, _)| *address)
+    }
+
+    // ------------------------------------------------------------------------
+    // Who watches
+
+    fn beat_every(&self) -> Millis {
+        let hall = self.members.values().filter(|m| m.hall == self.hall).count() as u64;
+        BEAT_EVERY * hall.max(BEAT_BOXES) / BEAT_BOXES
+    }
+
+    fn heard_watching(&self, member: &Member, now: Millis) -> bool {
+        let longest = self.beat_every() * (BEATS_LOST + 1);
+        member.watched.is_some_and(|at| now <= at + longest)
+    }
+
+    /// Boxes of this hall that are to watch.
+    fn enough(&self) -> usize {
+        let hall = self.members.values().filter(|m| m.hall == self.hall).count() + 1;
+        if hall < BOXES_FOR_TWO {
+            1
+        } else {
+            2
+        }
+    }
+
+    fn decide(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let mine = self.members.iter().filter(|(_, m)| m.hall == self.hall);
+        let heard = mine.clone().filter(|(_, m)| self.heard_watching(m, now)).count();
+        let before = mine.clone().filter(|(a, m)| **a < self.me && self.heard_watching(m, now)).count();
+        let place = mine.filter(|(a, _)| **a < self.me).count() as Millis;
+        if self.watching {
+            if before >= self.enough() {
+                self.watching = false;
+                self.lacking = None;
+                actions.push(Action::Watch(false));
+            }
+            return;
+        }
+        if heard >= self.enough() {
+            self.lacking = None;
+            return;
+        }
+        let since = *self.lacking.get_or_insert(now);
+        if now >= since + (place * STAGGER).min(STAGGER_MOST) {
+            self.watching = true;
+            self.lacking = None;
+            self.beat_at = 0;
+            actions.push(Action::Watch(true));
+        }
+    }
+
+    fn beat(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        self.beat_at = now + self.beat_every();
+        self.beats += 1;
+        let beat = Message::Beat(Beat {
+            hall: self.hall.clone(),
+            watches: self.reached,
+            table: self.holding.table,
+            directory: self.holding.directory,
+            members: self.digest(),
+        });
+        let all = self.beats % SILENT_BEATS == 0;
+        for (address, member) in &self.members {
+            let mine = member.hall == self.hall;
+            let spoken = now < member.heard + SILENT;
+            let other_watcher = self.heard_watching(member, now) || (all && self.first_of_hall(*address));
+            if (mine && (spoken || all)) || (!mine && other_watcher) {
+                actions.push(Action::Send(*address, beat.clone()));
+            }
+        }
+    }
+
+    /// True for the box that is the first to watch in its hall, as far as this box knows.
+    fn first_of_hall(&self, address: SocketAddr) -> bool {
+        let Some(member) = self.members.get(&address) else { return false };
+        let mut hall = self.members.iter().filter(|(_, m)| m.hall == member.hall);
+        hall.next().is_some_and(|(first, _)| *first == address)
+    }
+
+    fn hello(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let hello = Message::Hello { hall: self.hall.clone() };
+        let mine = self.members.iter().filter(|(_, m)| m.hall == self.hall);
+        let heard: Vec<SocketAddr> = mine.filter(|(_, m)| self.heard_watching(m, now)).map(|(a, _)| *a).collect();
+        let alone = heard.is_empty();
+        let mut to = heard;
+        if alone || self.members.is_empty() {
+            to.extend(self.seeds.iter().filter(|seed| !to.contains(seed)).copied().collect::<Vec<_>>());
+        }
+        let unknown = self.seeds.iter().any(|seed| !self.members.contains_key(seed));
+        self.hello_at = now + if alone || unknown { HELLO_ALONE } else { HELLO_EVERY };
+        if unknown {
+            to.extend(self.seeds.iter().filter(|seed| !self.members.contains_key(seed)));
+            to.sort_unstable();
+            to.dedup();
+        }
+        actions.extend(to.into_iter().map(|address| Action::Send(address, hello.clone())));
+    }
+
+    // ------------------------------------------------------------------------
+    // What others say
+
+    fn hear(&mut self, from: SocketAddr, hall: &str, now: Millis, actions: &mut Vec<Action>) {
+        let known = self.members.get(&from).is_some_and(|m| m.hall == hall);
+        let member = self.members.entry(from).or_insert_with(|| Member::new(hall, now));
+        member.heard = now;
+        if !known {
+            hall.clone_into(&mut member.hall);
+            self.beat_at = 0;
+            actions.push(Action::Send(from, Message::Members(self.list())));
+        }
+    }
+
+    fn take_beat(&mut self, from: SocketAddr, beat: &Beat, now: Millis, actions: &mut Vec<Action>) {
+        self.hear(from, &beat.hall, now, actions);
+        if let Some(member) = self.members.get_mut(&from) {
+            member.watched = beat.watches.then_some(now);
+        }
+        if beat.table > self.holding.table {
+            self.want(from, Subject::Table, now, actions);
+        }
+        if beat.directory > self.holding.directory {
+            self.want(from, Subject::Directory, now, actions);
+        }
+        if beat.members != self.digest() {
+            self.want(from, Subject::Members, now, actions);
+        }
+    }
+
+    fn want(&mut self, from: SocketAddr, subject: Subject, now: Millis, actions: &mut Vec<Action>) {
+        let last = self.wanted.get(&(subject as u8)).copied();
+        if last.is_none_or(|at| now >= at + WANT_EVERY) {
+            self.wanted.insert(subject as u8, now);
+            actions.push(Action::Send(from, Message::Want(subject)));
+        }
+    }
+
+    fn give(&self, to: SocketAddr, subject: Subject, actions: &mut Vec<Action>) {
+        actions.push(match subject {
+            Subject::Table => Action::SendTable(to),
+            Subject::Directory => Action::SendDirectory(to),
+            Subject::Members => Action::Send(to, Message::Members(self.list())),
+        });
+    }
+
+    fn meet(&mut self, members: Vec<(SocketAddr, String)>, now: Millis) {
+        for (address, hall) in members {
+            if address != self.me {
+                self.members.entry(address).or_insert_with(|| Member::new(&hall, now));
+            }
+        }
+    }
+
+    fn take_directory(&mut self, directory: Directory, actions: &mut Vec<Action>) {
+        if directory.revision > self.holding.directory {
+            actions.push(Action::Directory(directory));
+        }
+    }
+
+    fn take_changes(
+        &mut self,
+        from: SocketAddr,
+        since: u64,
+        until: u64,
+        changes: Vec<Change>,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        if until <= self.holding.directory {
+            return;
+        }
+        if since > self.holding.directory {
+            self.want(from, Subject::Directory, now, actions);
+        } else {
+            actions.push(Action::Changes(changes, until));
+        }
+    }
+
+    fn list(&self) -> Vec<(SocketAddr, String)> {
+        let others = self.members.iter().map(|(address, member)| (*address, member.hall.clone()));
+        others.chain([(self.me, self.hall.clone())]).collect()
+    }
+
+    /// Equal for equal sets of boxes, whoever computes it.
+    fn digest(&self) -> u32 {
+        let hash = |address: &SocketAddr| {
+            let mut hasher = DefaultHasher::new();
+            address.hash(&mut hasher);
+            hasher.finish() as u32
+        };
+        self.members.keys().chain([&self.me]).map(hash).fold(0, u32::wrapping_add)
+    }
+}
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -5,6 +5,10 @@
 use routing::{Directory, Table};
 use std::collections::{BTreeMap, HashMap};
 
+/// Boxes that are assumed before others were heard of: as many as a small deployment has, so that a box
+/// that has just started takes no more than its part of the budget.
+const BOXES_AT_START: usize = 8;
+
 /// Chooses servers and keeps the records behind the choices.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -23,7 +27,7 @@
     /// A placement for a box of `hall`, whose services may get second sends by `budget`.
     #[must_use]
     pub fn new(hall: &str, budget: Budget) -> Self {
-        Self { hall: hall.to_owned(), budget, budgets: HashMap::new(), pools: HashMap::new(), boxes: 1 }
+        Self { hall: hall.to_owned(), budget, budgets: HashMap::new(), pools: HashMap::new(), boxes: BOXES_AT_START }
     }
 
     /// Takes the servers and services in force.
@@ -41,9 +45,13 @@
         }
     }
 
-    /// Takes what other boxes said of their loads, summed by server, and how many boxes there are.
-    pub fn others(&mut self, loads: &HashMap<String, Load>, boxes: usize) {
+    /// Takes how many boxes share the budget, this one included.
+    pub fn set_boxes(&mut self, boxes: usize) {
         self.boxes = boxes.max(1);
+    }
+
+    /// Takes what other boxes said of their loads, summed by server.
+    pub fn others(&mut self, loads: &HashMap<String, Load>) {
         for pool in self.pools.values_mut() {
             pool.set_others(loads);
         }
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 /// One difference between two revisions of a directory.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// The server is there, as given.
     Present(Server),
