Parts are fetched only from a server that has surely read them; choices stand in the log at debug

Change: a part counts as read once a first event came; before, a second server is weighed as reading it again.

--- a/crates/placement/src/ask.rs
+++ b/crates/placement/src/ask.rs
@@ -1,6 +1,6 @@
 //! Questions and answers of a placement.
 
-use crate::{Millis, Prompt};
+use crate::{Load, Millis, Prompt};
 use routing::Server;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,6 +31,8 @@
     pub unread: u32,
     /// Expected cost in milliseconds, for the log.
     pub cost_ms: u32,
+    /// What ran there before, as far as this box knows; for the log.
+    pub load: Load,
     /// Servers that could have been chosen, for the log.
     pub candidates: usize,
 }
--- a/crates/placement/src/kept.rs
+++ b/crates/placement/src/kept.rs
@@ -3,33 +3,62 @@
 use crate::{Millis, Part};
 use std::collections::HashMap;
 
+/// What is known of one part on one server.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    tokens: u32,
+    used: Millis,
+    /// True once an answer showed that the server has read it; before, it may still be waiting.
+    read: bool,
+}
+
 /// Parts believed to be in one server's memory; the ones unused for longest are forgotten first.
 #[derive(Clone, Debug, Default)]
 pub struct Kept {
-    /// Tokens and last use by part.
-    parts: HashMap<u64, (u32, Millis)>,
+    parts: HashMap<u64, Entry>,
     /// Sum of the parts' tokens.
     tokens: u64,
 }
 
 impl Kept {
-    /// Tokens of `parts` from the first on that are kept without a gap.
+    /// Tokens of `parts`, from the first on without a gap, that are kept or will be when they are needed.
     #[must_use]
     pub fn prefix(&self, parts: &[Part]) -> u32 {
-        parts.iter().take_while(|part| self.parts.contains_key(&part.id)).map(|part| part.tokens).sum()
+        self.count(parts, |_| true)
+    }
+
+    /// Tokens of `parts`, from the first on without a gap, that have surely been read.
+    #[must_use]
+    pub fn read_prefix(&self, parts: &[Part]) -> u32 {
+        self.count(parts, |entry| entry.read)
     }
 
-    /// Notes that `parts` were used; forgets the oldest beyond `most` tokens.
+    fn count(&self, parts: &[Part], fits: impl Fn(&Entry) -> bool) -> u32 {
+        let kept = parts.iter().take_while(|part| self.parts.get(&part.id).is_some_and(&fits));
+        kept.map(|part| part.tokens).sum()
+    }
+
+    /// Notes that `parts` are being used; forgets the oldest beyond `most` tokens.
     pub fn touch(&mut self, parts: &[Part], most: u64, now: Millis) {
         for part in parts {
-            let old = self.parts.insert(part.id, (part.tokens, now));
+            let read = self.parts.get(&part.id).is_some_and(|entry| entry.read);
+            let old = self.parts.insert(part.id, Entry { tokens: part.tokens, used: now, read });
             self.tokens += u64::from(part.tokens);
-            self.tokens -= old.map_or(0, |(tokens, _)| u64::from(tokens));
+            self.tokens -= old.map_or(0, |entry| u64::from(entry.tokens));
         }
         while self.tokens > most {
-            let oldest = self.parts.iter().min_by_key(|(_, (_, used))| *used).map(|(id, _)| *id);
-            let Some((tokens, _)) = oldest.and_then(|id| self.parts.remove(&id)) else { return };
-            self.tokens -= u64::from(tokens);
+            let oldest = self.parts.iter().min_by_key(|(_, entry)| entry.used).map(|(id, _)| *id);
+            let Some(entry) = oldest.and_then(|id| self.parts.remove(&id)) else { return };
+            self.tokens -= u64::from(entry.tokens);
+        }
+    }
+
+    /// Notes that `parts` have been read.
+    pub fn confirm(&mut self, parts: &[Part]) {
+        for part in parts {
+            if let Some(entry) = self.parts.get_mut(&part.id) {
+                entry.read = true;
+            }
         }
     }
 }
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,7 +1,7 @@
 //! All services of a box.
 
 use crate::pool::Pool;
-use crate::{Ask, Budget, Choice, Ending, Load, Millis, Refusal, Work};
+use crate::{Ask, Budget, Choice, Ending, Load, Millis, Prompt, Refusal, Work};
 use routing::{Directory, Table};
 use std::collections::{BTreeMap, HashMap};
 
@@ -103,6 +103,13 @@
         }
     }
 
+    /// A server has answered a prompt, so that its parts are in the server's memory.
+    pub fn confirm(&mut self, service: &str, id: &str, prompt: &Prompt) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.confirm(id, prompt);
+        }
+    }
+
     /// A request's send has ended; [`Placement::read`] was called before.
     pub fn end(&mut self, service: &str, id: &str, work: Work, ending: Ending, now: Millis) {
         if let Some(pool) = self.pools.get_mut(service) {
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -56,6 +56,15 @@
     health: Health,
 }
 
+impl Member {
+    /// What runs there by this box and by others.
+    fn load(&self) -> Load {
+        let mut load = self.own;
+        load.add(self.others);
+        load
+    }
+}
+
 /// All servers of a service that aren't draining, and their records.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Pool {
@@ -121,6 +130,7 @@
             fetch: if best.fetch { keeper.map(|k| k.server.address) } else { None },
             unread: best.unread,
             cost_ms: best.cost as u32,
+            load: best.member.load(),
             candidates: among.len(),
         };
         self.chosen(&choice, ask);
@@ -152,8 +162,7 @@
         if far {
             cost += FAR_MS + FAR_MS_PER_KB * ask.bytes as f64 / 1024.0;
         }
-        let mut load = member.own;
-        load.add(member.others);
+        let load = member.load();
         let Some(prompt) = ask.prompt else {
             let over = load.running.saturating_sub(member.server.slots.saturating_sub(1));
             cost += f64::from(load.running) * PLAIN_BESIDE_MS + f64::from(over) * PLAIN_QUEUE_MS;
@@ -182,7 +191,8 @@
         }
         let lacking = shared.saturating_sub(kept);
         let unread = prompt.tokens.saturating_sub(kept);
-        if lacking >= FETCH_LEAST {
+        let there = keeper.kept.read_prefix(prompt.shared()) == shared;
+        if lacking >= FETCH_LEAST && there {
             return (unread - lacking, true, f64::from(lacking) / 1000.0 * FETCH_MS_PER_K);
         }
         (unread, false, f64::from(lacking) / 1000.0 * REREAD_MS_PER_K)
@@ -200,6 +210,12 @@
         }
     }
 
+    pub(crate) fn confirm(&mut self, id: &str, prompt: &Prompt) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.kept.confirm(&prompt.parts);
+        }
+    }
+
     pub(crate) fn end(&mut self, id: &str, work: Work, ending: Ending, now: Millis) {
         if let Some(member) = self.members.get_mut(id) {
             member.own.end(work);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -61,12 +61,13 @@
         }
     }
 
-    /// The prompt has been read.
-    pub(crate) fn read(&mut self) {
-        if !self.read {
-            self.read = true;
+    /// The prompt has been read. True for the first time.
+    pub(crate) fn read(&mut self) -> bool {
+        let first = !std::mem::replace(&mut self.read, true);
+        if first {
             self.shared.placement().read(&self.service, &self.server.id, self.work);
         }
+        first
     }
 
     /// How the send ended; if never told, the caller left.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -110,6 +110,23 @@
             now: self.shared.now(),
         };
         let choice = self.shared.placement().choose(&ask).ok()?;
+        telemetry::emit(
+            Event::ServerChosen,
+            format_args!(
+                "id={} server={} cost={} unread={} fetch={} among={} load={}/{}/{} prompt={} shared={}",
+                self.call.id,
+                choice.server.id,
+                choice.cost_ms,
+                choice.unread,
+                choice.fetch.map_or_else(|| "-".to_owned(), |f| f.to_string()),
+                choice.candidates,
+                choice.load.running,
+                choice.load.unread,
+                choice.load.held,
+                self.call.prompt.as_ref().map_or(0, |p| p.tokens),
+                self.call.prompt.as_ref().map_or(0, |p| p.shared_tokens()),
+            ),
+        );
         let held = self.call.prompt.as_ref().map_or(0, |p| p.tokens + p.out());
         let work = Work { unread: choice.unread, held };
         let claim = Claim::new(&self.shared, &self.service, &choice.server, work);
@@ -262,11 +279,9 @@
             .increment(1);
         metrics::histogram!("cleatshelf_request_seconds", "route" => self.route.name.clone())
             .record(took.as_secs_f64());
-        if outcome == Outcome::Answered && self.sends <= 1 {
-            return;
-        }
+        let plain = outcome == Outcome::Answered && self.sends <= 1;
         telemetry::emit(
-            Event::RequestEnded,
+            if plain { Event::RequestAnswered } else { Event::RequestEnded },
             format_args!(
                 "id={} outcome={} route={} ms={} sends={} trail=\"{}\"",
                 self.call.id,
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -111,7 +111,7 @@
                 return Pause::Broke("an event without end".to_owned());
             }
             if !whole.is_empty() {
-                claim.read();
+                self.began(claim);
                 if self.caller.send(Ok(Frame::data(whole))).await.is_err() {
                     return Pause::Left;
                 }
@@ -119,6 +119,21 @@
         }
     }
 
+    /// Notes the first event from a server: its prompt has been read.
+    fn began(&self, claim: &mut Claim) {
+        if claim.read() {
+            let exchange = &self.exchange;
+            if let Some(prompt) = &exchange.call.prompt {
+                exchange.shared.placement().confirm(&exchange.service, &claim.server.id, prompt);
+            }
+            let ms = exchange.began.elapsed().as_millis();
+            telemetry::emit(
+                Event::StreamBegan,
+                format_args!("id={} server={} ms={ms}", exchange.call.id, claim.server.id),
+            );
+        }
+    }
+
     async fn go_on(&mut self, why: &str) -> Option<(Answer, Claim)> {
         let exchange = &mut self.exchange;
         exchange.may_have_run = true;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -106,6 +106,12 @@
     RequestEnded = 503, Info;
     /// A request was not passed on, by the caller's fault.
     RequestRejected = 504, Info;
+    /// A server was chosen for a request.
+    ServerChosen = 505, Debug;
+    /// The first event of a stream came.
+    StreamBegan = 506, Debug;
+    /// A request ended with the first server's whole answer.
+    RequestAnswered = 507, Debug;
     /// Leases granted no longer equal held, returned and expired ones.
     LeaseCountBroken = 900, Error;
     /// A grant went above the floor while a more urgent request waited.
