Each server has an owner box that others ask before a long request

Cause: each box saw only what it sent itself, a seventh or a seventieth of a server's load, and read parts again where another box had had them read. Change: placement::Owner keeps exact loads, kept parts and health of a server on one box of its hall; a request asks two or three owners, waits 25 ms at the most and compares only servers it heard of.

--- a/crates/cleatshelf/src/control.rs
+++ b/crates/cleatshelf/src/control.rs
@@ -10,9 +10,9 @@
 use crate::{Envelope, Settings};
 use actix::{Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, WrapFuture};
 use catalog::{BoxId, ClassId, CustomerId, Digest, Order, ServerId};
+use feed::{Allowance, Clock, Listing, Source, Trouble, Value, MANIFEST};
 use fleet::{watchers, Probe, Spread, State, Timing};
 use gateway::{Offer, Request, Snapshot};
-use feed::{Allowance, Clock, Listing, Source, Trouble, Value, MANIFEST};
 use policy::{Action, Broker, Layout, Load, Permit, Refusal, Time, Verdict};
 use rand::Rng;
 use std::collections::HashMap;
--- a/crates/cleatshelf/src/desk.rs
+++ b/crates/cleatshelf/src/desk.rs
@@ -2,8 +2,8 @@
 
 use crate::Control;
 use actix::Addr;
-use gateway::{Desk, Request, Snapshot};
 use feed::Clock;
+use gateway::{Desk, Request, Snapshot};
 use policy::Time;
 use std::sync::{Arc, RwLock};
 
--- a/crates/cleatshelf/src/router.rs
+++ b/crates/cleatshelf/src/router.rs
@@ -4,6 +4,7 @@
 //! force; its traffic threads run `relay`. The product's own interface (`serve`) is beside it and uses
 //! other files.
 
+mod advice;
 mod circle;
 mod follow;
 mod knowledge;
--- /dev/null
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -0,0 +1,176 @@
+//! Which box owns a server, and the questions that are on their way there.
+
+use placement::{News, Opinion, Owner, Question, Report};
+use relay::Advisor;
+use routing::Server;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot};
+
+/// How long a box that gave no answer isn't asked again.
+const SILENT_MOST: Duration = Duration::from_secs(2);
+
+/// Most messages on their way to the control thread; more are dropped, and their questions go unanswered.
+const QUEUE_MOST: usize = 4_096;
+
+/// Questions from which on those are dropped that nobody waits for any more.
+const WAITING_MOST: usize = 256;
+
+/// Between boxes, about servers that one of them owns.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum Message {
+    Question(Question),
+    Opinion(Opinion),
+    Report(Report),
+}
+
+/// Questions to owners, answers, and what this box itself owns. Shared by all threads.
+pub(super) struct Advice {
+    me: SocketAddr,
+    began: Instant,
+    state: Mutex<State>,
+    out: mpsc::Sender<(SocketAddr, Message)>,
+}
+
+#[derive(Default)]
+struct State {
+    owner: Owner,
+    /// Boxes and their halls, this one included.
+    boxes: Vec<(SocketAddr, String)>,
+    /// Until when a box isn't asked.
+    silent: HashMap<SocketAddr, Instant>,
+    /// Whom to tell an answer, by the question's number. Those whose requests wait no longer are dropped now and then.
+    waiting: HashMap<u64, oneshot::Sender<Opinion>>,
+    /// Who hears of a lease, until it has ended.
+    leases: HashMap<u64, SocketAddr>,
+}
+
+impl Advice {
+    /// Advice for the box `me`, and what it wants to send.
+    pub(super) fn new(me: SocketAddr) -> (Arc<Self>, mpsc::Receiver<(SocketAddr, Message)>) {
+        let (out, sent) = mpsc::channel(QUEUE_MOST);
+        let advice = Self { me, began: Instant::now(), state: Mutex::default(), out };
+        (Arc::new(advice), sent)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    /// Takes the boxes that are known.
+    pub(super) fn set_boxes(&self, boxes: Vec<(SocketAddr, String)>) {
+        self.state().boxes = boxes;
+    }
+
+    /// Takes a message of another box; the answer, if it is owed one.
+    pub(super) fn handle(&self, from: SocketAddr, message: Message) -> Option<Message> {
+        let now = self.now();
+        let mut state = self.state();
+        match message {
+            Message::Question(question) => Some(Message::Opinion(state.owner.ask(question, now))),
+            Message::Report(report) => {
+                state.owner.report(from, report, now);
+                None
+            }
+            Message::Opinion(opinion) => {
+                if let Some(waiting) = state.waiting.remove(&opinion.number) {
+                    // An error means that the request no longer waits.
+                    let _ = waiting.send(opinion);
+                }
+                None
+            }
+        }
+    }
+
+    fn send(&self, to: SocketAddr, message: Message) {
+        if self.out.try_send((to, message)).is_err() {
+            metrics::counter!("cleatshelf_frames_dropped_total").increment(1);
+        }
+    }
+}
+
+impl State {
+    /// The box that owns a server: equal on every box that knows the same boxes. One of the server's hall, so that
+    /// who reaches the one reaches the other.
+    fn owner_of(&self, server: &Server) -> Option<SocketAddr> {
+        let now = Instant::now();
+        let heard = |address: &SocketAddr| self.silent.get(address).is_none_or(|until| *until < now);
+        let near = self.boxes.iter().filter(|(address, hall)| *hall == server.hall && heard(address));
+        let owner = near.map(|(address, _)| *address).max_by_key(|address| rank(&server.id, address));
+        owner.or_else(|| {
+            let all = self.boxes.iter().map(|(address, _)| *address).filter(heard);
+            all.max_by_key(|address| rank(&server.id, address))
+        })
+    }
+}
+
+fn rank(id: &str, address: &SocketAddr) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    address.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The advisor of the traffic threads.
+pub(super) struct Desk(pub(super) Arc<Advice>);
+
+impl Advisor for Desk {
+    fn ask(&self, server: &Server, question: Question) -> Option<oneshot::Receiver<Opinion>> {
+        let advice = &self.0;
+        let now = advice.now();
+        let mut state = advice.state();
+        let owner = state.owner_of(server)?;
+        let (answer, waiting) = oneshot::channel();
+        if owner == advice.me {
+            let opinion = state.owner.ask(question, now);
+            // The receiver is in this function.
+            let _ = answer.send(opinion);
+            return Some(waiting);
+        }
+        if state.waiting.len() >= WAITING_MOST {
+            state.waiting.retain(|_, waiting| !waiting.is_closed());
+        }
+        state.waiting.insert(question.number, answer);
+        drop(state);
+        advice.send(owner, Message::Question(question));
+        Some(waiting)
+    }
+
+    fn report(&self, server: &Server, report: Report) {
+        let advice = &self.0;
+        let now = advice.now();
+        let mut state = advice.state();
+        let owner = match report.news {
+            News::Sent { .. } => {
+                let owner = state.owner_of(server);
+                if let Some(owner) = owner {
+                    state.leases.insert(report.number, owner);
+                }
+                owner
+            }
+            News::Read => state.leases.get(&report.number).copied(),
+            News::Ended(_) => state.leases.remove(&report.number),
+        };
+        let Some(owner) = owner else { return };
+        if owner == advice.me {
+            state.owner.report(owner, report, now);
+            return;
+        }
+        drop(state);
+        advice.send(owner, Message::Report(report));
+    }
+
+    fn silent(&self, server: &Server) {
+        let mut state = self.0.state();
+        let Some(owner) = state.owner_of(server).filter(|owner| *owner != self.0.me) else { return };
+        state.silent.insert(owner, Instant::now() + SILENT_MOST);
+    }
+}
--- a/crates/cleatshelf/src/router/circle.rs
+++ b/crates/cleatshelf/src/router/circle.rs
@@ -1,9 +1,11 @@
 //! Carries out what `peers` asks for: links to other boxes, and what they send.
 
+use super::advice::{self, Advice};
 use super::follow::Troubles;
 use super::knowledge::{Knowledge, News, Origin};
 use peers::{Action, Message, Peers};
 use relay::Shared;
+use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -11,12 +13,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 use telemetry::Event;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use wire::{Key, Link, Listener};
 
 /// Pause between two looks at what is due.
 const TICK: Duration = Duration::from_millis(100);
 
+/// What boxes send each other.
+#[derive(Serialize, Deserialize)]
+enum Envelope {
+    Peers(Message),
+    Advice(advice::Message),
+}
+
 /// The other boxes, as this one deals with them. Lives on the control thread.
 pub(super) struct Circle {
     shared: Arc<Shared>,
@@ -25,8 +34,9 @@
     me: SocketAddr,
     key: Key,
     peers: RefCell<Peers>,
-    links: RefCell<HashMap<SocketAddr, Link<Message>>>,
+    links: RefCell<HashMap<SocketAddr, Link<Envelope>>>,
     watching: watch::Sender<bool>,
+    advice: Arc<Advice>,
 }
 
 impl Circle {
@@ -38,25 +48,42 @@
         me: SocketAddr,
         key: Key,
         watching: watch::Sender<bool>,
+        advice: Arc<Advice>,
     ) -> Rc<Self> {
         let (peers, links) = (RefCell::new(peers), RefCell::default());
-        Rc::new(Self { shared, knowledge, troubles, me, key, peers, links, watching })
+        Rc::new(Self { shared, knowledge, troubles, me, key, peers, links, watching, advice })
     }
 
     /// Listens to other boxes for as long as the process runs.
     pub(super) async fn listen(self: Rc<Self>, listener: tokio::net::TcpListener) {
         let this = Rc::clone(&self);
-        let handler = move |from: &str, message: Message| {
+        let handler = move |from: &str, envelope: Envelope| {
             let Ok(from) = from.parse() else {
                 telemetry::emit(Event::FrameRefused, format_args!("from={from} why=name"));
                 return;
             };
-            let actions = this.peers.borrow_mut().handle(from, message, this.shared.now());
-            this.carry_out(actions);
+            match envelope {
+                Envelope::Peers(message) => {
+                    let actions = this.peers.borrow_mut().handle(from, message, this.shared.now());
+                    this.carry_out(actions);
+                }
+                Envelope::Advice(message) => {
+                    if let Some(answer) = this.advice.handle(from, message) {
+                        this.send(from, &Envelope::Advice(answer));
+                    }
+                }
+            }
         };
         Listener::new(&self.key, &self.me.to_string(), Rc::new(handler)).run(listener).await;
     }
 
+    /// Sends what the traffic threads want owners to know.
+    pub(super) async fn carry_advice(self: Rc<Self>, mut sent: mpsc::Receiver<(SocketAddr, advice::Message)>) {
+        while let Some((to, message)) = sent.recv().await {
+            self.send(to, &Envelope::Advice(message));
+        }
+    }
+
     /// Does what is due, again and again.
     pub(super) async fn run(self: Rc<Self>) {
         loop {
@@ -101,13 +128,15 @@
     fn carry_out(&self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send(to, message) => self.send(to, &message),
+                Action::Send(to, message) => self.send(to, &Envelope::Peers(message)),
                 Action::SendTable(to) => {
                     if let Some(bytes) = self.knowledge.published() {
-                        self.send(to, &Message::Table(bytes.to_vec()));
+                        self.send(to, &Envelope::Peers(Message::Table(bytes.to_vec())));
                     }
                 }
-                Action::SendDirectory(to) => self.send(to, &Message::Directory(self.knowledge.directory())),
+                Action::SendDirectory(to) => {
+                    self.send(to, &Envelope::Peers(Message::Directory(self.knowledge.directory())));
+                }
                 Action::Watch(watching) => {
                     telemetry::emit(Event::WatchRole, format_args!("watching={watching}"));
                     self.watching.send_replace(watching);
@@ -119,15 +148,16 @@
         }
         self.peers.borrow_mut().hold(self.knowledge.holding());
         self.shared.placement().set_boxes(self.boxes());
+        self.advice.set_boxes(self.peers.borrow().list());
     }
 
-    fn send(&self, to: SocketAddr, message: &Message) {
+    fn send(&self, to: SocketAddr, envelope: &Envelope) {
         let mut links = self.links.borrow_mut();
-        let link = links.entry(to).or_insert_with(|| {
-            Link::open(&self.key, &self.me.to_string(), &to.to_string(), to, Box::new(|| {}))
-        });
+        let link = links
+            .entry(to)
+            .or_insert_with(|| Link::open(&self.key, &self.me.to_string(), &to.to_string(), to, Box::new(|| {})));
         // A full queue drops the frame and counts it; the next heartbeat makes up for it.
-        let _ = link.send(message);
+        let _ = link.send(envelope);
     }
 }
 
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -1,5 +1,6 @@
 //! Runs a router box: threads, listeners, signals, the planned stop.
 
+use super::advice::{Advice, Desk, Message};
 use super::circle::Circle;
 use super::follow::{Follower, Troubles};
 use super::knowledge::Knowledge;
@@ -16,7 +17,7 @@
 use std::time::{Duration, Instant};
 use telemetry::Event;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 /// Descriptors that are left for servers, the platform, boxes and files; callers may take the rest.
 const FILES_KEPT: usize = 1_024;
@@ -36,12 +37,14 @@
     let window = settings.retry_window.as_millis() as u64;
     let budget = Budget::new(settings.retry_ratio, settings.retry_slack, window);
     let placement = Placement::new(&settings.hall, budget);
-    let shared = Shared::new(Box::new(platform::Headers), placement);
+    let (advice, sent) = Advice::new(settings.boxes);
+    let desk = Desk(Arc::clone(&advice));
+    let shared = Shared::new(Box::new(platform::Headers), Box::new(desk), placement);
     let (stop, stopped) = watch::channel(false);
     let (done, mut front_done) = watch::channel(false);
     let traffic = actix::Arbiter::new();
     start_traffic(&settings, &shared, &traffic, stopped, done)?;
-    let circle = start_control(&settings, &shared)?;
+    let circle = start_control(&settings, &shared, advice, sent)?;
     telemetry::emit(Event::BoxStarted, format_args!("name={} hall={}", settings.name, settings.hall));
     wait_for_stop().await?;
     telemetry::emit(Event::StopBegun, format_args!("running={}", shared.running.load(Ordering::Relaxed)));
@@ -52,7 +55,8 @@
     let _ = stop.send(true);
     let most = settings.stop_time.saturating_sub(STOP_MARGIN);
     let clean = tokio::time::timeout(most, front_done.wait_for(|done| *done)).await.is_ok();
-    let (event, cut) = if clean { (Event::StopClean, 0) } else { (Event::StopCut, shared.running.load(Ordering::Relaxed)) };
+    let (event, cut) =
+        if clean { (Event::StopClean, 0) } else { (Event::StopCut, shared.running.load(Ordering::Relaxed)) };
     telemetry::emit(event, format_args!("ms={} cut={cut}", began.elapsed().as_millis()));
     traffic.stop();
     Ok(clean)
@@ -95,7 +99,12 @@
     TcpListener::bind(address).wrap_err_with(|| format!("can't listen on {address}"))
 }
 
-fn start_control(settings: &Settings, shared: &Arc<Shared>) -> eyre::Result<Rc<Circle>> {
+fn start_control(
+    settings: &Settings,
+    shared: &Arc<Shared>,
+    advice: Arc<Advice>,
+    sent: mpsc::Receiver<(SocketAddr, Message)>,
+) -> eyre::Result<Rc<Circle>> {
     let publisher: Rc<dyn Publisher> = Rc::new(platform::Store::new(settings.publisher));
     let knowledge = Rc::new(Knowledge::new(Arc::clone(shared), Rc::clone(&publisher)));
     let troubles = Rc::new(Troubles::default());
@@ -114,9 +123,10 @@
     let peers = Peers::new(settings.boxes, &settings.hall, &settings.seeds);
     let key = wire::Key::new(&settings.link_key);
     let circle =
-        Circle::new(Arc::clone(shared), Rc::clone(&knowledge), troubles, peers, settings.boxes, key, watching);
+        Circle::new(Arc::clone(shared), Rc::clone(&knowledge), troubles, peers, settings.boxes, key, watching, advice);
     actix_rt::spawn(Rc::clone(&circle).listen(listener));
     actix_rt::spawn(Rc::clone(&circle).run());
+    actix_rt::spawn(Rc::clone(&circle).carry_advice(sent));
     let teller = Rc::clone(&circle);
     actix_rt::spawn(async move {
         loop {
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -100,6 +100,13 @@
         self.members.len() + 1
     }
 
+    /// Addresses and halls of all boxes known, this one included.
+    #[must_use]
+    pub fn list(&self) -> Vec<(SocketAddr, String)> {
+        let others = self.members.iter().map(|(address, member)| (*address, member.hall.clone()));
+        others.chain([(self.me, self.hall.clone())]).collect()
+    }
+
     /// True while this box watches the publisher, or tries to.
     #[must_use]
     pub fn watching(&self) -> bool {
@@ -364,11 +371,6 @@
         }
     }
 
-    fn list(&self) -> Vec<(SocketAddr, String)> {
-        let others = self.members.iter().map(|(address, member)| (*address, member.hall.clone()));
-        others.chain([(self.me, self.hall.clone())]).collect()
-    }
-
     /// Equal for equal sets of boxes, whoever computes it.
     fn digest(&self) -> u32 {
         let hash = |address: &SocketAddr| {
--- a/crates/placement/src/ask.rs
+++ b/crates/placement/src/ask.rs
@@ -1,6 +1,6 @@
 //! Questions and answers of a placement.
 
-use crate::{Load, Millis, Prompt};
+use crate::{Load, Millis, Opinion, Prompt};
 use routing::Server;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,10 +16,20 @@
     pub bytes: usize,
     /// Ids of servers that it must not be sent to again.
     pub tried: &'a [String],
+    /// What owners said for this request, by server id.
+    pub opinions: &'a [(String, Opinion)],
     /// Now.
     pub now: Millis,
 }
 
+impl Ask<'_> {
+    /// What the owner of this server said for this request.
+    #[must_use]
+    pub fn opinion(&self, id: &str) -> Option<&Opinion> {
+        self.opinions.iter().find(|(server, _)| server == id).map(|(_, opinion)| opinion)
+    }
+}
+
 /// Where a request goes.
 #[derive(Clone, Debug)]
 pub struct Choice {
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -1,9 +1,10 @@
 //! How a server has behaved lately.
 
 use crate::Millis;
+use serde::{Deserialize, Serialize};
 
 /// How a send ended, as far as the server is to blame.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ending {
     /// A whole answer.
     Good,
--- a/crates/placement/src/kept.rs
+++ b/crates/placement/src/kept.rs
@@ -53,6 +53,16 @@
         }
     }
 
+    /// Drops those of `parts` that nobody has read.
+    pub fn forget_unread(&mut self, parts: &[Part]) {
+        for part in parts {
+            if self.parts.get(&part.id).is_some_and(|entry| !entry.read) {
+                let entry = self.parts.remove(&part.id);
+                self.tokens -= entry.map_or(0, |entry| u64::from(entry.tokens));
+            }
+        }
+    }
+
     /// Notes that `parts` have been read.
     pub fn confirm(&mut self, parts: &[Part]) {
         for part in parts {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -10,6 +10,7 @@
 mod health;
 mod kept;
 mod load;
+mod owner;
 mod placement;
 mod pool;
 mod prompt;
@@ -19,6 +20,7 @@
 pub use health::{Ending, Health};
 pub use kept::Kept;
 pub use load::{Load, Work};
+pub use owner::{News, Opinion, Owner, Question, Report};
 pub use placement::Placement;
 pub use prompt::{Part, Prompt};
 
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// What one request adds to its server's load.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
     /// Prompt tokens that the server must read before the first answer.
     pub unread: u32,
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,9 +1,10 @@
 //! All services of a box.
 
 use crate::pool::Pool;
-use crate::{Ask, Budget, Choice, Ending, Load, Millis, Prompt, Refusal, Work};
-use routing::{Directory, Table};
-use std::collections::{BTreeMap, HashMap};
+use crate::{Ask, Budget, Choice, Ending, Millis, Opinion, Prompt, Refusal, Work};
+use routing::{Directory, Server, Table};
+use std::collections::HashMap;
+use std::sync::Arc;
 
 /// Boxes that are assumed before others were heard of: as many as a small deployment has, so that a box
 /// that has just started takes no more than its part of the budget.
@@ -50,17 +51,23 @@
         self.boxes = boxes.max(1);
     }
 
-    /// Takes what other boxes said of their loads, summed by server.
-    pub fn others(&mut self, loads: &HashMap<String, Load>) {
-        for pool in self.pools.values_mut() {
-            pool.set_others(loads);
-        }
+    /// Servers whose owners are worth asking before a choice, the most likely one first.
+    #[must_use]
+    pub fn plan(&self, ask: &Ask<'_>, most: usize) -> Vec<Arc<Server>> {
+        self.pools.get(ask.service).map_or_else(Vec::new, |pool| pool.plan(ask, &self.hall, most))
     }
 
-    /// This box's own load by server, servers without any left out.
+    /// Tokens of parts that a server of this service can keep.
     #[must_use]
-    pub fn own(&self) -> BTreeMap<String, Load> {
-        self.pools.values().flat_map(Pool::own).map(|(id, load)| (id.clone(), load)).collect()
+    pub fn memory(&self, service: &str) -> u64 {
+        self.pools.get(service).map_or(0, Pool::memory)
+    }
+
+    /// Takes what the owner of a server said.
+    pub fn hear(&mut self, service: &str, id: &str, opinion: Opinion, now: Millis) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.hear(id, opinion, now);
+        }
     }
 
     /// Chooses a server.
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -1,6 +1,6 @@
 //! The servers of one service.
 
-use crate::{Ask, Choice, Ending, Health, Kept, Load, Millis, Part, Prompt, Refusal, Work};
+use crate::{Ask, Choice, Ending, Health, Kept, Load, Millis, Opinion, Part, Prompt, Refusal, Work};
 use routing::{Engine, Server};
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -11,10 +11,10 @@
 
 /// What reading a thousand shared tokens again costs beyond its time, in milliseconds of a wait. From the
 /// sheets' prices: 13,300 tokens cost 1.2 of a request, whose wait of 2,500 ms is worth about one.
-const REREAD_MS_PER_K: f64 = 120.0;
+const REREAD_MS_PER_K: f64 = 800.0;
 
 /// What fetching a thousand tokens from another server costs, by the same measure (0.32 for 13,300).
-const FETCH_MS_PER_K: f64 = 50.0;
+const FETCH_MS_PER_K: f64 = 120.0;
 
 /// Fewest missing tokens that are worth fetching: a transfer takes 8 ms to set up.
 const FETCH_LEAST: u32 = 1_000;
@@ -34,6 +34,9 @@
 /// What the way to another hall costs whatever its size.
 const FAR_MS: f64 = 3.0;
 
+/// How long what an owner said of a server's load is better than what this box has there itself.
+const HEARD_MOST: Millis = 400;
+
 /// Cost of a server that failed every time lately.
 const FAILING_MS: f64 = 4_000.0;
 
@@ -50,18 +53,22 @@
     server: Arc<Server>,
     /// What this box has running there.
     own: Load,
-    /// What other boxes said of theirs.
-    others: Load,
     kept: Kept,
     health: Health,
+    /// What its owner said last, and when.
+    heard: Option<(Opinion, Millis)>,
 }
 
 impl Member {
-    /// What runs there by this box and by others.
-    fn load(&self) -> Load {
-        let mut load = self.own;
-        load.add(self.others);
-        load
+    /// What runs there: what its owner said lately, else what this box has there.
+    fn load(&self, now: Millis) -> Load {
+        let heard = self.heard.as_ref().filter(|(_, at)| now < at + HEARD_MOST);
+        heard.map_or(self.own, |(opinion, _)| opinion.load)
+    }
+
+    fn paused(&self, now: Millis) -> bool {
+        let heard = self.heard.as_ref().filter(|(_, at)| now < at + HEARD_MOST);
+        self.health.paused(now) || heard.is_some_and(|(opinion, _)| opinion.paused)
     }
 }
 
@@ -87,6 +94,11 @@
         self.engine = engine;
     }
 
+    /// Tokens of parts that one server is expected to keep at most.
+    pub(crate) fn memory(&self) -> u64 {
+        self.engine.as_ref().map_or(0.0, |e| e.memory_tokens as f64 * KEPT_SHARE) as u64
+    }
+
     /// Takes the listed servers; records of others are dropped.
     pub(crate) fn set_servers(&mut self, servers: &[Arc<Server>]) {
         self.members.retain(|id, _| servers.iter().any(|s| s.id == *id));
@@ -94,34 +106,50 @@
             let fresh = || Member {
                 server: Arc::clone(server),
                 own: Load::default(),
-                others: Load::default(),
                 kept: Kept::default(),
                 health: Health::default(),
+                heard: None,
             };
             let member = self.members.entry(server.id.clone()).or_insert_with(fresh);
             member.server = Arc::clone(server);
         }
     }
 
-    pub(crate) fn set_others(&mut self, others: &HashMap<String, Load>) {
-        for (id, member) in &mut self.members {
-            member.others = others.get(id).copied().unwrap_or_default();
+    /// Servers whose owners are worth asking, the most likely one first.
+    pub(crate) fn plan(&self, ask: &Ask<'_>, hall: &str, most: usize) -> Vec<Arc<Server>> {
+        let among = self.among(ask);
+        let keeper = ask.prompt.and_then(|prompt| keeper(&among, prompt));
+        let mut candidates: Vec<_> = among.iter().map(|m| self.weigh(m, ask, hall, 0.0, keeper)).collect();
+        candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        candidates.iter().take(most).map(|c| Arc::clone(&c.member.server)).collect()
+    }
+
+    /// Takes what the owner of a server said.
+    pub(crate) fn hear(&mut self, id: &str, opinion: Opinion, now: Millis) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.heard = Some((opinion, now));
         }
     }
 
-    pub(crate) fn own(&self) -> impl Iterator<Item = (&String, Load)> {
-        self.members.iter().filter(|(_, m)| m.own != Load::default()).map(|(id, m)| (id, m.own))
+    fn among(&self, ask: &Ask<'_>) -> Vec<&Member> {
+        let open: Vec<&Member> =
+            self.members.values().filter(|m| !m.server.draining && !ask.tried.contains(&m.server.id)).collect();
+        let sound: Vec<&Member> = open.iter().copied().filter(|m| !m.paused(ask.now)).collect();
+        if sound.is_empty() {
+            soonest(&open)
+        } else {
+            sound
+        }
     }
 
     /// The server with the least cost. `hall` is this box's.
     pub(crate) fn choose(&mut self, ask: &Ask<'_>, hall: &str) -> Result<Choice, Refusal> {
-        let open: Vec<&Member> =
-            self.members.values().filter(|m| !m.server.draining && !ask.tried.contains(&m.server.id)).collect();
-        let sound: Vec<&Member> = open.iter().copied().filter(|m| !m.health.paused(ask.now)).collect();
-        let among = if sound.is_empty() { soonest(&open) } else { sound };
+        let among = self.among(ask);
         let least = among.iter().map(|m| m.health.failing()).fold(1.0, f64::min);
         let keeper = ask.prompt.and_then(|prompt| keeper(&among, prompt));
-        let candidates = among.iter().map(|m| self.weigh(m, ask, hall, least, keeper));
+        // A server whose owner wasn't heard looks idle: where some were heard, only those are compared.
+        let heard = |m: &&&Member| ask.opinions.is_empty() || ask.opinion(&m.server.id).is_some();
+        let candidates = among.iter().filter(heard).map(|m| self.weigh(m, ask, hall, least, keeper));
         let Some(best) = candidates.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
             return Err(Refusal::NoServer);
         };
@@ -130,7 +158,7 @@
             fetch: if best.fetch { keeper.map(|k| k.server.address) } else { None },
             unread: best.unread,
             cost_ms: best.cost as u32,
-            load: best.member.load(),
+            load: best.member.load(ask.now),
             candidates: among.len(),
         };
         self.chosen(&choice, ask);
@@ -139,13 +167,13 @@
 
     /// Notes what a choice changes: a try after a pause, and the parts that will be kept.
     fn chosen(&mut self, choice: &Choice, ask: &Ask<'_>) {
-        let most = self.engine.as_ref().map_or(0.0, |e| e.memory_tokens as f64 * KEPT_SHARE);
+        let most = self.memory();
         let Some(member) = self.members.get_mut(&choice.server.id) else { return };
         if member.health.on_trial(ask.now) {
             member.health.try_now(ask.now);
         }
         if let Some(prompt) = ask.prompt {
-            member.kept.touch(&prompt.parts, most as u64, ask.now);
+            member.kept.touch(&prompt.parts, most, ask.now);
         }
     }
 
@@ -162,13 +190,13 @@
         if far {
             cost += FAR_MS + FAR_MS_PER_KB * ask.bytes as f64 / 1024.0;
         }
-        let load = member.load();
+        let load = member.load(ask.now);
         let Some(prompt) = ask.prompt else {
             let over = load.running.saturating_sub(member.server.slots.saturating_sub(1));
             cost += f64::from(load.running) * PLAIN_BESIDE_MS + f64::from(over) * PLAIN_QUEUE_MS;
             return Candidate { member, cost, unread: 0, fetch: false };
         };
-        let (unread, fetch, reading) = self.reading(member, prompt, keeper);
+        let (unread, fetch, reading) = self.reading(member, ask, prompt, keeper);
         let beside = f64::from(load.running.min(member.server.slots));
         let read_ms = f64::from(unread) / READ_PER_MS;
         cost += load.unread as f64 / READ_PER_MS + read_ms * (1.0 + HOLD_UP * beside) + beside * BESIDE_MS + reading;
@@ -181,17 +209,20 @@
     }
 
     /// Tokens to read at a member, whether to fetch the missing ones, and what that costs besides time.
-    fn reading(&self, member: &Member, prompt: &Prompt, keeper: Option<&Member>) -> (u32, bool, f64) {
+    fn reading(&self, member: &Member, ask: &Ask<'_>, prompt: &Prompt, keeper: Option<&Member>) -> (u32, bool, f64) {
         let shared = prompt.shared_tokens();
-        let mut kept = member.kept.prefix(&prompt.parts);
-        let Some(keeper) = keeper else { return (prompt.tokens.saturating_sub(kept), false, 0.0) };
+        let said = ask.opinion(&member.server.id);
+        let kept = member.kept.prefix(&prompt.parts).max(said.map_or(0, |opinion| opinion.kept));
+        let unread = prompt.tokens.saturating_sub(kept);
+        let Some(keeper) = keeper else { return (unread, false, 0.0) };
         if keeper.server.id == member.server.id {
-            // Other boxes sent it the same parts, or will: it is the one that all of them name.
-            kept = kept.max(shared);
+            // Where the owner is not heard, it is taken that other boxes sent the parts there already.
+            let unread = if said.is_some() { unread } else { unread.min(prompt.tokens - shared) };
+            return (unread, false, 0.0);
         }
         let lacking = shared.saturating_sub(kept);
-        let unread = prompt.tokens.saturating_sub(kept);
-        let there = keeper.kept.read_prefix(prompt.shared()) == shared;
+        let known = ask.opinion(&keeper.server.id).map_or(0, |opinion| opinion.read);
+        let there = keeper.kept.read_prefix(prompt.shared()).max(known) >= shared;
         if lacking >= FETCH_LEAST && there {
             return (unread - lacking, true, f64::from(lacking) / 1000.0 * FETCH_MS_PER_K);
         }
--- a/crates/placement/src/prompt.rs
+++ b/crates/placement/src/prompt.rs
@@ -1,7 +1,9 @@
 //! What is known of a prompt.
 
+use serde::{Deserialize, Serialize};
+
 /// A part of a prompt that other prompts may share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
     /// Equal for equal parts.
     pub id: u64,
--- /dev/null
+++ b/crates/relay/src/advisor.rs
@@ -0,0 +1,17 @@
+//! The border towards the boxes that own servers.
+
+use placement::{Opinion, Question, Report};
+use routing::Server;
+use tokio::sync::oneshot;
+
+/// Asks the owners of servers. Lives on traffic threads; must not block.
+pub trait Advisor: Send + Sync {
+    /// Asks the owner of `server`; none when nobody can be asked.
+    fn ask(&self, server: &Server, question: Question) -> Option<oneshot::Receiver<Opinion>>;
+
+    /// Reports a request to the owner of `server`. All reports of one lease go to the same box.
+    fn report(&self, server: &Server, report: Report);
+
+    /// The owner of `server` gave no answer in time.
+    fn silent(&self, server: &Server);
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -7,8 +7,9 @@
 use http::{header, request, response, HeaderMap, HeaderValue, Request};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use placement::{Ending, Millis, Work};
+use placement::{Choice, Ending, Millis, News, Prompt, Report, Work};
 use routing::Server;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
 /// Largest answer that isn't a stream, in bytes: held whole, so that a broken one is never passed on.
@@ -45,20 +46,30 @@
     work: Work,
     read: bool,
     ending: Ending,
+    /// Names the request to the server's owner; none for requests that are no prompts.
+    lease: Option<u64>,
 }
 
 impl Claim {
     /// Notes that a request is being sent to a server.
-    pub(crate) fn new(shared: &Arc<Shared>, service: &str, server: &Arc<Server>, work: Work) -> Self {
-        shared.placement().begin(service, &server.id, work);
-        Self {
+    pub(crate) fn new(shared: &Arc<Shared>, service: &str, choice: &Choice, prompt: Option<&Prompt>) -> Self {
+        let held = prompt.map_or(0, |p| p.tokens + p.out());
+        let work = Work { unread: choice.unread, held };
+        shared.placement().begin(service, &choice.server.id, work);
+        let claim = Self {
             shared: Arc::clone(shared),
             service: service.to_owned(),
-            server: Arc::clone(server),
+            server: Arc::clone(&choice.server),
             work,
             read: false,
             ending: Ending::Left,
+            lease: prompt.map(|_| shared.numbers.fetch_add(1, Ordering::Relaxed)),
+        };
+        if let Some(prompt) = prompt {
+            let memory = shared.placement().memory(service);
+            claim.report(News::Sent { parts: prompt.parts.clone(), work, memory });
         }
+        claim
     }
 
     /// The prompt has been read. True for the first time.
@@ -66,10 +77,18 @@
         let first = !std::mem::replace(&mut self.read, true);
         if first {
             self.shared.placement().read(&self.service, &self.server.id, self.work);
+            self.report(News::Read);
         }
         first
     }
 
+    fn report(&self, news: News) {
+        if let Some(number) = self.lease {
+            let report = Report { number, server: self.server.id.clone(), news };
+            self.shared.advisor.report(&self.server, report);
+        }
+    }
+
     /// How the send ended; if never told, the caller left.
     pub(crate) fn ended(mut self, ending: Ending) {
         self.ending = ending;
@@ -78,7 +97,10 @@
 
 impl Drop for Claim {
     fn drop(&mut self) {
-        self.read();
+        if !std::mem::replace(&mut self.read, true) {
+            self.shared.placement().read(&self.service, &self.server.id, self.work);
+        }
+        self.report(News::Ended(self.ending));
         let now: Millis = self.shared.now();
         self.shared.placement().end(&self.service, &self.server.id, self.work, self.ending, now);
     }
@@ -163,9 +185,7 @@
     match shared.dialect.verdict(id, status, &parts.headers) {
         Verdict::Foreign => Sent::Broken(format!("status {status} is not this request's answer")),
         Verdict::NotRun => Sent::NotRun(format!("status {status}")),
-        Verdict::Answer => {
-            Sent::Answer(Box::new(Answer { parts, body, connection, life: server.id.clone() }))
-        }
+        Verdict::Answer => Sent::Answer(Box::new(Answer { parts, body, connection, life: server.id.clone() })),
     }
 }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -3,6 +3,7 @@
 use crate::answer::{self, strip_hop};
 use crate::attempt::{self, Answer, Claim, Message, Sent};
 use crate::connections::Connections;
+use crate::consult::Asked;
 use crate::dialect::{Call, Dispatch};
 use crate::outcome::Outcome;
 use crate::pump::Pump;
@@ -10,7 +11,7 @@
 use crate::Body;
 use bytes::Bytes;
 use http::{request, Response, StatusCode};
-use placement::{Ask, Choice, Ending, Work};
+use placement::{Ask, Choice, Ending, Opinion, Prompt};
 use routing::{Customer, Route};
 use std::fmt::Write;
 use std::sync::Arc;
@@ -30,6 +31,12 @@
 /// Lowest urgency that a server knows.
 const URGENCY_MOST: u8 = 9;
 
+/// How many servers' owners are asked for one request: the one that keeps its parts, and the next best.
+const OWNERS_ASKED: usize = 3;
+
+/// Longest wait for owners. They are a few milliseconds away; a slow one must not make requests late.
+const OPINION_MOST: Duration = Duration::from_millis(25);
+
 /// Ranks of routes: a customer's rank goes before them.
 const ROUTE_RANKS: u8 = 3;
 
@@ -81,7 +88,7 @@
 
     /// One send. None asks for another.
     async fn step(&mut self) -> Option<Reply> {
-        let Some((choice, mut claim)) = self.choose() else {
+        let Some((choice, mut claim)) = self.choose().await else {
             return Some(Reply::Whole(self.no_server()));
         };
         match self.send(&choice, self.call.last_event).await {
@@ -101,15 +108,40 @@
     }
 
     /// Chooses a server, and claims a place there.
-    pub(crate) fn choose(&mut self) -> Option<(Choice, Claim)> {
-        let ask = Ask {
+    pub(crate) async fn choose(&mut self) -> Option<(Choice, Claim)> {
+        let opinions = self.consult().await;
+        let ask = self.ask(&opinions);
+        let choice = self.shared.placement().choose(&ask).ok()?;
+        self.log_choice(&choice);
+        let claim = Claim::new(&self.shared, &self.service, &choice, self.call.prompt.as_ref());
+        Some((choice, claim))
+    }
+
+    fn ask<'a>(&'a self, opinions: &'a [(String, Opinion)]) -> Ask<'a> {
+        Ask {
             service: &self.service,
             prompt: self.call.prompt.as_ref(),
             bytes: self.body.len(),
             tried: &self.tried,
+            opinions,
             now: self.shared.now(),
-        };
-        let choice = self.shared.placement().choose(&ask).ok()?;
+        }
+    }
+
+    /// Asks the owners of the likeliest servers; nobody for requests that are no prompts.
+    async fn consult(&self) -> Vec<(String, Opinion)> {
+        let Some(prompt) = &self.call.prompt else { return Vec::new() };
+        let planned = self.shared.placement().plan(&self.ask(&[]), OWNERS_ASKED);
+        let asked: Vec<Asked> = planned.iter().filter_map(|server| Asked::new(&self.shared, server, prompt)).collect();
+        let until = Instant::now() + OPINION_MOST;
+        let mut opinions = Vec::new();
+        for asked in asked {
+            opinions.extend(asked.wait(&self.shared, &self.service, until).await);
+        }
+        opinions
+    }
+
+    fn log_choice(&self, choice: &Choice) {
         telemetry::emit(
             Event::ServerChosen,
             format_args!(
@@ -124,13 +156,9 @@
                 choice.load.unread,
                 choice.load.held,
                 self.call.prompt.as_ref().map_or(0, |p| p.tokens),
-                self.call.prompt.as_ref().map_or(0, |p| p.shared_tokens()),
+                self.call.prompt.as_ref().map_or(0, Prompt::shared_tokens),
             ),
         );
-        let held = self.call.prompt.as_ref().map_or(0, |p| p.tokens + p.out());
-        let work = Work { unread: choice.unread, held };
-        let claim = Claim::new(&self.shared, &self.service, &choice.server, work);
-        Some((choice, claim))
     }
 
     /// Sends to the chosen server, with what time is left.
@@ -237,7 +265,7 @@
     /// A further send of a stream that broke: its answer, if a server goes on with it.
     pub(crate) async fn resume(&mut self, last_event: Option<u64>) -> Option<(Answer, Claim)> {
         loop {
-            let (choice, claim) = self.choose()?;
+            let (choice, claim) = self.choose().await?;
             match self.send(&choice, last_event).await {
                 Sent::Answer(answer) if answer.parts.status.is_success() => return Some((*answer, claim)),
                 sent => {
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -200,7 +200,12 @@
         let Some(route) = table.route(host, parts.uri.path()) else {
             telemetry::emit(
                 Event::RequestRejected,
-                format_args!("id={} why=route host={host} path={} version={}", call.id, parts.uri.path(), table.version),
+                format_args!(
+                    "id={} why=route host={host} path={} version={}",
+                    call.id,
+                    parts.uri.path(),
+                    table.version
+                ),
             );
             return Err(answer::plain(StatusCode::NOT_FOUND, "no such route"));
         };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,9 +8,11 @@
 //! whether a request's bytes left, reuse connections without saying so, and go on with a request
 //! whose caller has left.
 
+mod advisor;
 mod answer;
 mod attempt;
 mod connections;
+mod consult;
 mod dialect;
 mod events;
 mod exchange;
@@ -20,6 +22,7 @@
 mod ready;
 mod shared;
 
+pub use advisor::Advisor;
 pub use dialect::{Call, Dialect, Dispatch, Verdict};
 pub use events::Events;
 pub use front::Front;
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -47,9 +47,8 @@
         let mut headers = answer.parts.headers.clone();
         strip_hop(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
-        let mut response = Response::new(
-            StreamBody::new(stream::poll_fn(move |context| pieces.poll_recv(context))).boxed_unsync(),
-        );
+        let mut response =
+            Response::new(StreamBody::new(stream::poll_fn(move |context| pieces.poll_recv(context))).boxed_unsync());
         *response.status_mut() = answer.parts.status;
         *response.headers_mut() = headers;
         let pump = Self { exchange, events: Events::default(), caller };
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -1,9 +1,9 @@
 //! What the traffic threads and the control thread share.
 
-use crate::Dialect;
+use crate::{Advisor, Dialect};
 use placement::{Millis, Placement};
 use routing::{Directory, Table};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Instant;
 
@@ -20,10 +20,14 @@
 pub struct Shared {
     /// Reads and writes headers.
     pub dialect: Box<dyn Dialect>,
+    /// Asks the owners of servers.
+    pub advisor: Box<dyn Advisor>,
     view: RwLock<Arc<View>>,
     placement: Mutex<Placement>,
     began: Instant,
     stopping: AtomicBool,
+    /// Numbers of questions and leases, unique in this process.
+    pub(crate) numbers: AtomicU64,
     /// Requests that are not ended.
     pub running: AtomicUsize,
 }
@@ -31,13 +35,15 @@
 impl Shared {
     /// State with nothing known yet.
     #[must_use]
-    pub fn new(dialect: Box<dyn Dialect>, placement: Placement) -> Arc<Self> {
+    pub fn new(dialect: Box<dyn Dialect>, advisor: Box<dyn Advisor>, placement: Placement) -> Arc<Self> {
         Arc::new(Self {
             dialect,
+            advisor,
             view: RwLock::default(),
             placement: Mutex::new(placement),
             began: Instant::now(),
             stopping: AtomicBool::new(false),
+            numbers: AtomicU64::new(0),
             running: AtomicUsize::new(0),
         })
     }
