Configurations travel packed; boxes that can do more watch first

After big_config each version is 100 kB; a watcher on a 10 Mbit/s link sent it to 26 boxes, 2.6 MB, which held its link for two seconds, requests included. Ruled out: late news of the servers (they were in force). Change: deflate (flate2) for configurations between boxes; watchers are ranked by the lesser of processor and link, which the settings now carry.

--- a/crates/cleatshelf/src/router/advice.rs
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -1,5 +1,6 @@
 //! Which box owns a server, and the questions that are on their way there.
 
+use peers::Profile;
 use placement::{News, Opinion, Owner, Question, Report};
 use relay::Advisor;
 use routing::Server;
@@ -39,8 +40,8 @@
 #[derive(Default)]
 struct State {
     owner: Owner,
-    /// Boxes and their halls, this one included.
-    boxes: Vec<(SocketAddr, String)>,
+    /// Boxes, this one included.
+    boxes: Vec<(SocketAddr, Profile)>,
     /// Until when a box isn't asked.
     silent: HashMap<SocketAddr, Instant>,
     /// Whom to tell an answer, by the question's number. Those whose requests wait no longer are dropped now and then.
@@ -66,7 +67,7 @@
     }
 
     /// Takes the boxes that are known.
-    pub(super) fn set_boxes(&self, boxes: Vec<(SocketAddr, String)>) {
+    pub(super) fn set_boxes(&self, boxes: Vec<(SocketAddr, Profile)>) {
         self.state().boxes = boxes;
     }
 
@@ -103,7 +104,7 @@
     fn owner_of(&self, server: &Server) -> Option<SocketAddr> {
         let now = Instant::now();
         let heard = |address: &SocketAddr| self.silent.get(address).is_none_or(|until| *until < now);
-        let near = self.boxes.iter().filter(|(address, hall)| *hall == server.hall && heard(address));
+        let near = self.boxes.iter().filter(|(address, profile)| profile.hall == server.hall && heard(address));
         let owner = near.map(|(address, _)| *address).max_by_key(|address| rank(&server.id, address));
         owner.or_else(|| {
             let all = self.boxes.iter().map(|(address, _)| *address).filter(heard);
--- a/crates/cleatshelf/src/router/circle.rs
+++ b/crates/cleatshelf/src/router/circle.rs
@@ -130,7 +130,7 @@
             match action {
                 Action::Send(to, message) => self.send(to, &Envelope::Peers(message)),
                 Action::SendTable(to) => {
-                    if let Some(bytes) = self.knowledge.published() {
+                    if let Some(bytes) = self.knowledge.packed() {
                         self.send(to, &Envelope::Peers(Message::Table(bytes.to_vec())));
                     }
                 }
@@ -141,7 +141,7 @@
                     telemetry::emit(Event::WatchRole, format_args!("watching={watching}"));
                     self.watching.send_replace(watching);
                 }
-                Action::Table(bytes) => drop(self.knowledge.offer_table(bytes, Origin::Peer)),
+                Action::Table(packed) => self.knowledge.offer_packed(&packed),
                 Action::Directory(directory) => self.knowledge.offer_directory(directory, Origin::Peer),
                 Action::Changes(changes, until) => self.knowledge.offer_changes(changes, until, Origin::Peer),
             }
--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -1,14 +1,21 @@
 //! What this box knows of the configuration and the servers, and where it got it from.
 
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use flate2::Compression;
 use peers::Holding;
 use relay::{Shared, View};
 use routing::{Change, Directory, Publisher, Table};
 use std::cell::RefCell;
+use std::io::{Read, Write};
 use std::rc::Rc;
 use std::sync::Arc;
 use telemetry::Event;
 use tokio::sync::Notify;
 
+/// Largest configuration that another box may send, unpacked: some more than a publisher's value holds.
+const PUBLISHED_MOST: u64 = 4 << 20;
+
 /// Where news came from, for the log.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Origin {
@@ -34,7 +41,7 @@
 
 #[derive(Default)]
 struct State {
-    /// The configuration in force, and as it was published, to be passed on to peers.
+    /// The configuration in force, and as it was published, packed for peers.
     table: Option<(Arc<Table>, Rc<Vec<u8>>)>,
     directory: Directory,
     /// What others have not been told yet, in order.
@@ -64,12 +71,20 @@
             Event::ReleaseInForce,
             format_args!("version={} routes={} from={origin:?}", table.version, table.len()),
         );
-        state.table = Some((Arc::new(table), Rc::new(bytes)));
+        state.table = Some((Arc::new(table), Rc::new(pack(&bytes))));
         self.put_in_force(&state);
         self.tell(&mut state, News::Table);
         true
     }
 
+    /// Takes a configuration as another box packed it.
+    pub(super) fn offer_packed(&self, packed: &[u8]) {
+        match unpack(packed) {
+            Ok(bytes) => drop(self.offer_table(bytes, Origin::Peer)),
+            Err(why) => telemetry::emit(Event::ReleaseRefused, format_args!("from=Peer why=\"{why}\"")),
+        }
+    }
+
     /// Takes a whole list of servers, unless a newer one is known.
     pub(super) fn offer_directory(&self, directory: Directory, origin: Origin) {
         let mut state = self.state.borrow_mut();
@@ -126,8 +141,8 @@
         Holding { table, directory: state.directory.revision }
     }
 
-    /// The configuration in force as it was published.
-    pub(super) fn published(&self) -> Option<Rc<Vec<u8>>> {
+    /// The configuration in force as it was published, packed.
+    pub(super) fn packed(&self) -> Option<Rc<Vec<u8>>> {
         self.state.borrow().table.as_ref().map(|(_, bytes)| Rc::clone(bytes))
     }
 
@@ -136,3 +151,18 @@
         self.state.borrow().directory.clone()
     }
 }
+
+/// Packs a published configuration: some hundred routes are 100 kB of text, and a box with a slow link sends it to
+/// all others of its hall.
+fn pack(bytes: &[u8]) -> Vec<u8> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    // Writing to memory can't fail.
+    let _ = encoder.write_all(bytes);
+    encoder.finish().unwrap_or_default()
+}
+
+fn unpack(packed: &[u8]) -> std::io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    DeflateDecoder::new(packed).take(PUBLISHED_MOST).read_to_end(&mut bytes)?;
+    Ok(bytes)
+}
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -6,7 +6,7 @@
 use super::knowledge::Knowledge;
 use super::Settings;
 use eyre::WrapErr;
-use peers::Peers;
+use peers::{Peers, Profile};
 use placement::{Budget, Placement};
 use relay::{Front, Ready, Shared};
 use routing::{Publisher, Subject};
@@ -120,7 +120,8 @@
         actix_rt::spawn(follower.run());
     }
     let listener = tokio(bind(settings.boxes)?)?;
-    let peers = Peers::new(settings.boxes, &settings.hall, &settings.seeds);
+    let profile = Profile { hall: settings.hall.clone(), capacity: settings.capacity };
+    let peers = Peers::new(settings.boxes, profile, &settings.seeds);
     let key = wire::Key::new(&settings.link_key);
     let circle =
         Circle::new(Arc::clone(shared), Rc::clone(&knowledge), troubles, peers, settings.boxes, key, watching, advice);
--- a/crates/cleatshelf/src/router/settings.rs
+++ b/crates/cleatshelf/src/router/settings.rs
@@ -32,6 +32,9 @@
     pub stop_time: Duration,
     /// Most files and connections that the process may hold.
     pub files_most: usize,
+    /// How much this box can do for others: the lesser of its processor in thousandths of a core and its link in
+    /// tenths of Mbit/s.
+    pub capacity: u32,
     /// Second sends that all boxes may make for each request.
     pub retry_ratio: f64,
     /// Second sends that all boxes may make besides.
@@ -45,6 +48,12 @@
     parsed.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
 }
 
+fn capacity(reader: &mut Reader<'_>) -> u32 {
+    let processor = reader.number("processor_share", &(0.0..=1_000.0)) * 1_000.0;
+    let link = reader.number("link_mbps", &(0.0..=1_000_000.0)) * 10.0;
+    processor.min(link) as u32
+}
+
 fn seeds(reader: &mut Reader<'_>) -> Vec<SocketAddr> {
     let texts = reader.texts("seeds");
     let parsed: Vec<SocketAddr> = texts.iter().filter_map(|text| text.parse().ok()).collect();
@@ -73,6 +82,7 @@
             link_key: reader.text("link_key"),
             stop_time: Duration::from_secs_f64(reader.number("stop_seconds", &(1.0..=86_400.0))),
             files_most: reader.integer("files_most", &(256..=1_000_000)) as usize,
+            capacity: capacity(&mut reader),
             retry_ratio: reader.number("retry_ratio", &(0.0..=10.0)),
             retry_slack: reader.number("retry_slack", &(0.0..=1_000_000.0)),
             retry_window: Duration::from_secs_f64(reader.number("retry_window_seconds", &(0.1..=3_600.0))),
--- a/crates/peers/src/member.rs
+++ b/crates/peers/src/member.rs
@@ -1,12 +1,12 @@
 //! One other box.
 
-use crate::Millis;
+use crate::{Millis, Profile};
 
 /// What is known of another box.
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
-    /// Its hall.
-    pub(crate) hall: String,
+    /// What it said of itself, or others of it.
+    pub(crate) profile: Profile,
     /// When it was last heard, or heard of for the first time.
     pub(crate) heard: Millis,
     /// When it last said that it watches; none when it doesn't, or hasn't said so.
@@ -14,7 +14,7 @@
 }
 
 impl Member {
-    pub(crate) fn new(hall: &str, now: Millis) -> Self {
-        Self { hall: hall.to_owned(), heard: now, watched: None }
+    pub(crate) fn new(profile: &Profile, now: Millis) -> Self {
+        Self { profile: profile.clone(), heard: now, watched: None }
     }
 }
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -18,8 +18,8 @@
 /// Says that the sender lives, what it knows, and whether it can be relied upon for news.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
-    /// The sender's hall.
-    pub hall: String,
+    /// The sender.
+    pub profile: Profile,
     /// True while the sender watches the publisher and its last call succeeded.
     pub watches: bool,
     /// Version of the configuration that it has; 0 for none.
@@ -30,20 +30,26 @@
     pub members: u32,
 }
 
+/// What boxes say of themselves when they meet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Profile {
+    /// Its hall.
+    pub hall: String,
+    /// How much it can do for others; boxes with more watch first.
+    pub capacity: u32,
+}
+
 /// A message between two boxes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// A box of this hall is there and wants to hear of news.
-    Hello {
-        /// The sender's hall.
-        hall: String,
-    },
+    /// A box is there and wants to hear of news.
+    Hello(Profile),
     /// A watcher's heartbeat.
     Beat(Beat),
     /// Asks for what the receiver has.
     Want(Subject),
-    /// Boxes by address, with their halls.
-    Members(Vec<(SocketAddr, String)>),
+    /// Boxes by address.
+    Members(Vec<(SocketAddr, Profile)>),
     /// A configuration as published.
     Table(Vec<u8>),
     /// A whole list of servers.
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -1,8 +1,9 @@
 //! The state machine.
 
 use crate::member::Member;
-use crate::{Action, Beat, Message, Millis, Subject};
+use crate::{Action, Beat, Message, Millis, Profile, Subject};
 use routing::{Change, Directory};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
@@ -51,7 +52,7 @@
 #[derive(Clone, Debug)]
 pub struct Peers {
     me: SocketAddr,
-    hall: String,
+    profile: Profile,
     seeds: Vec<SocketAddr>,
     /// Other boxes by the address where they listen for boxes. Never holds this box.
     members: BTreeMap<SocketAddr, Member>,
@@ -70,12 +71,12 @@
 }
 
 impl Peers {
-    /// A box of `hall` that other boxes reach at `me`. It begins by watching.
+    /// A box that other boxes reach at `me`. It begins by watching.
     #[must_use]
-    pub fn new(me: SocketAddr, hall: &str, seeds: &[SocketAddr]) -> Self {
+    pub fn new(me: SocketAddr, profile: Profile, seeds: &[SocketAddr]) -> Self {
         Self {
             me,
-            hall: hall.to_owned(),
+            profile,
             seeds: seeds.iter().copied().filter(|seed| *seed != me).collect(),
             members: BTreeMap::new(),
             holding: Holding::default(),
@@ -100,11 +101,11 @@
         self.members.len() + 1
     }
 
-    /// Addresses and halls of all boxes known, this one included.
+    /// All boxes known, this one included.
     #[must_use]
-    pub fn list(&self) -> Vec<(SocketAddr, String)> {
-        let others = self.members.iter().map(|(address, member)| (*address, member.hall.clone()));
-        others.chain([(self.me, self.hall.clone())]).collect()
+    pub fn list(&self) -> Vec<(SocketAddr, Profile)> {
+        let others = self.members.iter().map(|(address, member)| (*address, member.profile.clone()));
+        others.chain([(self.me, self.profile.clone())]).collect()
     }
 
     /// True while this box watches the publisher, or tries to.
@@ -146,7 +147,7 @@
             return actions;
         }
         match message {
-            Message::Hello { hall } => self.hear(from, &hall, now, &mut actions),
+            Message::Hello(profile) => self.hear(from, &profile, now, &mut actions),
             Message::Beat(beat) => self.take_beat(from, &beat, now, &mut actions),
             Message::Want(subject) => self.give(from, subject, &mut actions),
             Message::Members(members) => self.meet(members, now),
@@ -192,7 +193,7 @@
 
     /// The hall's other boxes, while this one watches; nobody otherwise.
     fn hall_members(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        let mine = self.members.iter().filter(|(_, m)| self.watching && m.hall == self.hall);
+        let mine = self.members.iter().filter(|(_, m)| self.watching && m.profile.hall == self.profile.hall);
         mine.map(|(address, _)| *address)
     }
 
@@ -200,7 +201,7 @@
     // Who watches
 
     fn beat_every(&self) -> Millis {
-        let hall = self.members.values().filter(|m| m.hall == self.hall).count() as u64;
+        let hall = self.members.values().filter(|m| m.profile.hall == self.profile.hall).count() as u64;
         BEAT_EVERY * hall.max(BEAT_BOXES) / BEAT_BOXES
     }
 
@@ -211,7 +212,7 @@
 
     /// Boxes of this hall that are to watch.
     fn enough(&self) -> usize {
-        let hall = self.members.values().filter(|m| m.hall == self.hall).count() + 1;
+        let hall = self.members.values().filter(|m| m.profile.hall == self.profile.hall).count() + 1;
         if hall < BOXES_FOR_TWO {
             1
         } else {
@@ -219,11 +220,17 @@
         }
     }
 
+    /// True when another box of the hall is to watch before this one: it can do more, or else has a lower address.
+    fn goes_before(&self, address: &SocketAddr, member: &Member) -> bool {
+        let theirs = (Reverse(member.profile.capacity), *address);
+        theirs < (Reverse(self.profile.capacity), self.me)
+    }
+
     fn decide(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let mine = self.members.iter().filter(|(_, m)| m.hall == self.hall);
+        let mine = self.members.iter().filter(|(_, m)| m.profile.hall == self.profile.hall);
         let heard = mine.clone().filter(|(_, m)| self.heard_watching(m, now)).count();
-        let before = mine.clone().filter(|(a, m)| **a < self.me && self.heard_watching(m, now)).count();
-        let place = mine.filter(|(a, _)| **a < self.me).count();
+        let before = mine.clone().filter(|(a, m)| self.goes_before(a, m) && self.heard_watching(m, now)).count();
+        let place = mine.filter(|(a, m)| self.goes_before(a, m)).count();
         if self.watching {
             if before >= self.enough() {
                 self.watching = false;
@@ -249,7 +256,7 @@
         self.beat_at = now + self.beat_every();
         self.beats += 1;
         let beat = Message::Beat(Beat {
-            hall: self.hall.clone(),
+            profile: self.profile.clone(),
             watches: self.reached,
             table: self.holding.table,
             directory: self.holding.directory,
@@ -257,7 +264,7 @@
         });
         let all = self.beats % SILENT_BEATS == 0;
         for (address, member) in &self.members {
-            let mine = member.hall == self.hall;
+            let mine = member.profile.hall == self.profile.hall;
             let spoken = now < member.heard + SILENT;
             let other_watcher = self.heard_watching(member, now) || (all && self.first_of_hall(*address));
             if (mine && (spoken || all)) || (!mine && other_watcher) {
@@ -269,13 +276,14 @@
     /// True for the box that is the first to watch in its hall, as far as this box knows.
     fn first_of_hall(&self, address: SocketAddr) -> bool {
         let Some(member) = self.members.get(&address) else { return false };
-        let mut hall = self.members.iter().filter(|(_, m)| m.hall == member.hall);
-        hall.next().is_some_and(|(first, _)| *first == address)
+        let hall = self.members.iter().filter(|(_, m)| m.profile.hall == member.profile.hall);
+        let first = hall.min_by_key(|(a, m)| (Reverse(m.profile.capacity), **a));
+        first.is_some_and(|(first, _)| *first == address)
     }
 
     fn hello(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let hello = Message::Hello { hall: self.hall.clone() };
-        let mine = self.members.iter().filter(|(_, m)| m.hall == self.hall);
+        let hello = Message::Hello(self.profile.clone());
+        let mine = self.members.iter().filter(|(_, m)| m.profile.hall == self.profile.hall);
         let heard: Vec<SocketAddr> = mine.filter(|(_, m)| self.heard_watching(m, now)).map(|(a, _)| *a).collect();
         let alone = heard.is_empty();
         let mut to = heard;
@@ -295,19 +303,19 @@
     // ------------------------------------------------------------------------
     // What others say
 
-    fn hear(&mut self, from: SocketAddr, hall: &str, now: Millis, actions: &mut Vec<Action>) {
-        let known = self.members.get(&from).is_some_and(|m| m.hall == hall);
-        let member = self.members.entry(from).or_insert_with(|| Member::new(hall, now));
+    fn hear(&mut self, from: SocketAddr, profile: &Profile, now: Millis, actions: &mut Vec<Action>) {
+        let known = self.members.get(&from).is_some_and(|m| m.profile == *profile);
+        let member = self.members.entry(from).or_insert_with(|| Member::new(profile, now));
         member.heard = now;
         if !known {
-            hall.clone_into(&mut member.hall);
+            member.profile = profile.clone();
             self.beat_at = 0;
             actions.push(Action::Send(from, Message::Members(self.list())));
         }
     }
 
     fn take_beat(&mut self, from: SocketAddr, beat: &Beat, now: Millis, actions: &mut Vec<Action>) {
-        self.hear(from, &beat.hall, now, actions);
+        self.hear(from, &beat.profile, now, actions);
         if let Some(member) = self.members.get_mut(&from) {
             member.watched = beat.watches.then_some(now);
         }
@@ -338,10 +346,10 @@
         });
     }
 
-    fn meet(&mut self, members: Vec<(SocketAddr, String)>, now: Millis) {
-        for (address, hall) in members {
+    fn meet(&mut self, members: Vec<(SocketAddr, Profile)>, now: Millis) {
+        for (address, profile) in members {
             if address != self.me {
-                self.members.entry(address).or_insert_with(|| Member::new(&hall, now));
+                self.members.entry(address).or_insert_with(|| Member::new(&profile, now));
             }
         }
     }
