Exchanges that are given up reset their connection

Ruled out: the silence limit of the socket, which doesn't hold for what a closed connection still has to deliver. Change: relay's Channel resets a connection whose exchange is not over.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -1,12 +1,12 @@
 //! Connections to servers, kept for reuse.
 
+use crate::channel::Channel;
 use bytes::Bytes;
 use http::{header, HeaderMap};
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -43,13 +43,13 @@
     task: AbortHandle,
     /// How long it may rest.
     rest: Duration,
-    /// Set while an exchange is not over: dropped then, the connection is closed.
-    busy: bool,
+    /// Set while an exchange is not over: dropped then, the connection is reset.
+    busy: Rc<Cell<bool>>,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        if self.busy {
+        if self.busy.get() {
             self.task.abort();
         }
     }
@@ -81,7 +81,7 @@
         let connections = idle.get_mut(life)?;
         while let Some((mut connection, since)) = connections.pop() {
             if since.elapsed() < connection.rest && connection.sender.is_ready() {
-                connection.busy = true;
+                connection.busy.set(true);
                 return Some(connection);
             }
         }
@@ -96,7 +96,7 @@
         let connections = idle.entry(life.to_owned()).or_default();
         if connections.len() < IDLE_COUNT {
             connection.rest = rest;
-            connection.busy = false;
+            connection.busy.set(false);
             connections.push((connection, Instant::now()));
         }
     }
@@ -141,9 +141,10 @@
 async fn connect(address: SocketAddr) -> std::io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     notice_death(&stream);
+    let busy = Rc::new(Cell::new(true));
     let shaken = hyper::client::conn::http1::Builder::new()
         .max_buf_size(BUFFER)
-        .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+        .handshake::<_, Full<Bytes>>(Channel::new(stream, Rc::clone(&busy)))
         .await;
     let (sender, connection) = shaken.map_err(std::io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
@@ -153,5 +154,5 @@
         }
     });
     metrics::counter!("cleatshelf_connections_opened_total").increment(1);
-    Ok(Connection { sender, task: task.abort_handle(), rest: IDLE_MOST, busy: true })
+    Ok(Connection { sender, task: task.abort_handle(), rest: IDLE_MOST, busy })
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod advisor;
 mod answer;
 mod attempt;
+mod channel;
 mod connections;
 mod consult;
 mod dialect;
