--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -117,6 +117,13 @@
         }
     }
 
+    /// A send ended badly, and its end was not told yet as that.
+    pub fn note(&mut self, service: &str, id: &str, ending: Ending, now: Millis) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.note(id, ending, now);
+        }
+    }
+
     /// A request's send has ended; [`Placement::read`] was called before.
     pub fn end(&mut self, service: &str, id: &str, work: Work, ending: Ending, now: Millis) {
         if let Some(pool) = self.pools.get_mut(service) {
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -247,6 +247,12 @@
         }
     }
 
+    pub(crate) fn note(&mut self, id: &str, ending: Ending, now: Millis) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.health.note(ending, now);
+        }
+    }
+
     pub(crate) fn end(&mut self, id: &str, work: Work, ending: Ending, now: Millis) {
         if let Some(member) = self.members.get_mut(id) {
             member.own.end(work);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http::{request, Response, StatusCode};
 use placement::{Ask, Choice, Ending, Opinion, Prompt};
-use routing::{Customer, Route};
+use routing::{Customer, Kind, Route};
 use std::fmt::Write;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,6 +37,10 @@
 /// Longest wait for owners. They are a few milliseconds away; a slow one must not make requests late.
 const OPINION_MOST: Duration = Duration::from_millis(25);
 
+/// How many aims long a server of repeatable requests may be silent before another is asked: the longest work on the
+/// users' sheets takes one and a half.
+const SILENT_AIMS: u32 = 3;
+
 /// Ranks of routes: a customer's rank goes before them.
 const ROUTE_RANKS: u8 = 3;
 
@@ -65,6 +69,13 @@
     pub(crate) trail: String,
 }
 
+/// What a send brought.
+enum Got {
+    Stream(Box<Answer>),
+    Whole(Box<http::response::Parts>, Bytes),
+    Nothing(Sent),
+}
+
 /// What follows a send that brought no answer.
 enum Next {
     Again,
@@ -91,22 +102,45 @@
         let Some((choice, mut claim)) = self.choose().await else {
             return Some(Reply::Whole(self.no_server()));
         };
-        match self.send(&choice, self.call.last_event).await {
-            Sent::Answer(answer) if self.route.kind.streams() && answer.parts.status.is_success() => {
-                Some(Reply::Stream(answer, claim))
-            }
-            Sent::Answer(answer) => {
-                let collected = answer.collect(&self.connections).await;
+        let until = self.patience(&choice).map_or(self.deadline, |patience| Instant::now() + patience);
+        let got = if until < self.deadline {
+            tokio::time::timeout_at(until, self.get(&choice))
+                .await
+                .unwrap_or_else(|_| Got::Nothing(Sent::Broken("silent".to_owned())))
+        } else {
+            self.get(&choice).await
+        };
+        match got {
+            Got::Stream(answer) => Some(Reply::Stream(answer, claim)),
+            Got::Whole(parts, bytes) => {
                 claim.read();
-                match collected {
-                    Ok((parts, bytes)) => self.whole(parts, bytes, claim),
-                    Err(why) => self.after(Sent::Broken(why), claim),
-                }
+                self.whole(parts, bytes, claim)
             }
-            sent => self.after(sent, claim),
+            Got::Nothing(sent) => self.after(sent, claim),
         }
     }
 
+    /// Sends, and reads the answer unless it is a stream.
+    async fn get(&mut self, choice: &Choice) -> Got {
+        match self.send(choice, self.call.last_event).await {
+            Sent::Answer(answer) if self.route.kind.streams() && answer.parts.status.is_success() => {
+                Got::Stream(answer)
+            }
+            Sent::Answer(answer) => match answer.collect(&self.connections).await {
+                Ok((parts, bytes)) => Got::Whole(Box::new(parts), bytes),
+                Err(why) => Got::Nothing(Sent::Broken(why)),
+            },
+            sent => Got::Nothing(sent),
+        }
+    }
+
+    /// How long a server may be silent before another is asked. Only where there is one and it may be done; elsewhere
+    /// silence is no reason to end a request sooner.
+    fn patience(&self, choice: &Choice) -> Option<Duration> {
+        let another = self.route.kind == Kind::Idempotent && self.sends + 1 < self.route.attempts;
+        (another && choice.candidates > 1).then(|| self.route.aim * SILENT_AIMS)
+    }
+
     /// Chooses a server, and claims a place there.
     pub(crate) async fn choose(&mut self) -> Option<(Choice, Claim)> {
         let opinions = self.consult().await;
@@ -185,7 +219,7 @@
     }
 
     /// A whole answer: passed on, unless it is a failure that another server may mend.
-    fn whole(&mut self, parts: http::response::Parts, bytes: Bytes, claim: Claim) -> Option<Reply> {
+    fn whole(&mut self, parts: Box<http::response::Parts>, bytes: Bytes, claim: Claim) -> Option<Reply> {
         self.sends += 1;
         let status = parts.status;
         let _ = write!(self.trail, "={}", status.as_u16());
@@ -198,7 +232,7 @@
         } else {
             claim.ended(Ending::Good);
         }
-        Some(Reply::Whole(self.pass_on(parts, bytes)))
+        Some(Reply::Whole(self.pass_on(*parts, bytes)))
     }
 
     fn pass_on(&mut self, mut parts: http::response::Parts, bytes: Bytes) -> Response<Body> {
@@ -296,6 +330,11 @@
     }
 
     fn too_late(&mut self) -> Response<Body> {
+        if let Some(server) = self.tried.last().filter(|_| !self.route.kind.streams()) {
+            // A plain server that says nothing for that long is broken; an engine may be busy.
+            let now = self.shared.now();
+            self.shared.placement().note(&self.service, server, Ending::Broken, now);
+        }
         self.conclude(Outcome::Late);
         answer::plain(StatusCode::GATEWAY_TIMEOUT, "its time is over")
     }
