--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -79,7 +79,7 @@
     fn take(&self, life: &str) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(life)?;
-        while let Some((mut connection, since)) = connections.pop() {
+        while let Some((connection, since)) = connections.pop() {
             if since.elapsed() < connection.rest && connection.sender.is_ready() {
                 connection.busy.set(true);
                 return Some(connection);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -32,7 +32,7 @@
 const URGENCY_MOST: u8 = 9;
 
 /// How many servers' owners are asked for one request: the one that keeps its parts, and the next best.
-const OWNERS_ASKED: usize = 3;
+const OWNERS_ASKED: usize = 2;
 
 /// Longest wait for owners. They are a few milliseconds away; a slow one must not make requests late.
 const OPINION_MOST: Duration = Duration::from_millis(25);
@@ -65,6 +65,8 @@
     pub(crate) unreached: usize,
     /// True when a send may have run.
     pub(crate) may_have_run: bool,
+    /// True once its one outcome is known.
+    pub(crate) concluded: bool,
     /// What was decided, for the log.
     pub(crate) trail: String,
 }
@@ -114,7 +116,7 @@
             Got::Stream(answer) => Some(Reply::Stream(answer, claim)),
             Got::Whole(parts, bytes) => {
                 claim.read();
-                self.whole(parts, bytes, claim)
+                self.whole(*parts, bytes, claim)
             }
             Got::Nothing(sent) => self.after(sent, claim),
         }
@@ -198,6 +200,10 @@
     /// Sends to the chosen server, with what time is left.
     pub(crate) async fn send(&mut self, choice: &Choice, last_event: Option<u64>) -> Sent {
         let server = Arc::clone(&choice.server);
+        if self.may_have_run && !self.route.kind.repeatable() {
+            telemetry::emit(Event::SecondSendBroken, format_args!("id={} trail=\"{}\"", self.call.id, self.trail));
+            return Sent::Broken("not sent a second time".to_owned());
+        }
         let at = self.began.elapsed().as_millis();
         let _ = write!(self.trail, " +{at}:{}@{}", server.id, server.address);
         self.tried.push(server.id.clone());
@@ -219,7 +225,7 @@
     }
 
     /// A whole answer: passed on, unless it is a failure that another server may mend.
-    fn whole(&mut self, parts: Box<http::response::Parts>, bytes: Bytes, claim: Claim) -> Option<Reply> {
+    fn whole(&mut self, parts: http::response::Parts, bytes: Bytes, claim: Claim) -> Option<Reply> {
         self.sends += 1;
         let status = parts.status;
         let _ = write!(self.trail, "={}", status.as_u16());
@@ -232,7 +238,7 @@
         } else {
             claim.ended(Ending::Good);
         }
-        Some(Reply::Whole(self.pass_on(*parts, bytes)))
+        Some(Reply::Whole(self.pass_on(parts, bytes)))
     }
 
     fn pass_on(&mut self, mut parts: http::response::Parts, bytes: Bytes) -> Response<Body> {
@@ -319,7 +325,10 @@
     }
 
     fn refuse(&mut self, why: &'static str) -> Response<Body> {
-        debug_assert!(!self.may_have_run, "a refusal says that the request has not run");
+        if self.may_have_run {
+            telemetry::emit(Event::RefusalBroken, format_args!("id={} trail=\"{}\"", self.call.id, self.trail));
+            return self.unknown(why);
+        }
         self.conclude(Outcome::Refused);
         answer::refused(why, COME_BACK)
     }
@@ -341,6 +350,10 @@
 
     /// Logs and counts the end of the request.
     pub(crate) fn conclude(&mut self, outcome: Outcome) {
+        if std::mem::replace(&mut self.concluded, true) {
+            telemetry::emit(Event::SecondOutcomeBroken, format_args!("id={} outcome={}", self.call.id, outcome.word()));
+            return;
+        }
         let took = self.began.elapsed();
         metrics::counter!("cleatshelf_requests_total", "outcome" => outcome.word(), "route" => self.route.name.clone())
             .increment(1);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -126,6 +126,8 @@
     ReleaseOrderBroken = 903, Error;
     /// A request was about to get a second outcome.
     SecondOutcomeBroken = 904, Error;
+    /// A request that may have run was about to be refused as not run.
+    RefusalBroken = 905, Error;
 }
 
 /// Logs `event` with its number, name and `detail`, and counts it.
