--- a/crates/cleatshelf/src/router/circle.rs
+++ b/crates/cleatshelf/src/router/circle.rs
@@ -39,19 +39,33 @@
     advice: Arc<Advice>,
 }
 
+/// What a circle is made of.
+pub(super) struct Parts {
+    pub(super) shared: Arc<Shared>,
+    pub(super) knowledge: Rc<Knowledge>,
+    pub(super) troubles: Rc<Troubles>,
+    pub(super) peers: Peers,
+    /// Where this box listens for others; its name among them.
+    pub(super) me: SocketAddr,
+    pub(super) key: Key,
+    /// Tells the followers whether this box is to watch.
+    pub(super) watching: watch::Sender<bool>,
+    pub(super) advice: Arc<Advice>,
+}
+
 impl Circle {
-    pub(super) fn new(
-        shared: Arc<Shared>,
-        knowledge: Rc<Knowledge>,
-        troubles: Rc<Troubles>,
-        peers: Peers,
-        me: SocketAddr,
-        key: Key,
-        watching: watch::Sender<bool>,
-        advice: Arc<Advice>,
-    ) -> Rc<Self> {
-        let (peers, links) = (RefCell::new(peers), RefCell::default());
-        Rc::new(Self { shared, knowledge, troubles, me, key, peers, links, watching, advice })
+    pub(super) fn new(parts: Parts) -> Rc<Self> {
+        Rc::new(Self {
+            shared: parts.shared,
+            knowledge: parts.knowledge,
+            troubles: parts.troubles,
+            me: parts.me,
+            key: parts.key,
+            peers: RefCell::new(parts.peers),
+            links: RefCell::default(),
+            watching: parts.watching,
+            advice: parts.advice,
+        })
     }
 
     /// Listens to other boxes for as long as the process runs.
--- a/crates/cleatshelf/src/router/follow.rs
+++ b/crates/cleatshelf/src/router/follow.rs
@@ -116,7 +116,7 @@
             Subject::Table => {
                 let found = self.publisher.table().await?;
                 let (revision, bytes) = found.ok_or_else(|| Trouble::Unreachable("no configuration yet".into()))?;
-                self.knowledge.offer_table(bytes, Origin::Publisher);
+                self.knowledge.offer_table(&bytes, Origin::Publisher);
                 Ok(revision)
             }
             Subject::Directory => {
@@ -132,7 +132,7 @@
         let wait = if self.troubles.of(self.subject).get() { WAIT_IN_TROUBLE } else { WAIT };
         let update = self.publisher.watch(self.subject, since, wait).await?;
         if let Some(bytes) = update.table {
-            self.knowledge.offer_table(bytes, Origin::Publisher);
+            self.knowledge.offer_table(&bytes, Origin::Publisher);
         }
         if !update.changes.is_empty() {
             self.knowledge.offer_changes(update.changes, update.revision, Origin::Publisher);
--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -57,8 +57,8 @@
     }
 
     /// Takes a configuration; an older one than that in force is ignored. True when it is in force now.
-    pub(super) fn offer_table(&self, bytes: Vec<u8>, origin: Origin) -> bool {
-        let table = match self.publisher.decode(&bytes) {
+    pub(super) fn offer_table(&self, bytes: &[u8], origin: Origin) -> bool {
+        let table = match self.publisher.decode(bytes) {
             Ok(table) => table,
             Err(why) => {
                 telemetry::emit(Event::ReleaseRefused, format_args!("from={origin:?} why=\"{why}\""));
@@ -74,7 +74,7 @@
             Event::ReleaseInForce,
             format_args!("version={} routes={} from={origin:?}", table.version, table.len()),
         );
-        state.table = Some((Arc::new(table), Rc::new(pack(&bytes))));
+        state.table = Some((Arc::new(table), Rc::new(pack(bytes))));
         self.put_in_force(&state);
         self.tell(&mut state, News::Table);
         true
@@ -83,7 +83,7 @@
     /// Takes a configuration as another box packed it.
     pub(super) fn offer_packed(&self, packed: &[u8]) {
         match unpack(packed) {
-            Ok(bytes) => drop(self.offer_table(bytes, Origin::Peer)),
+            Ok(bytes) => drop(self.offer_table(&bytes, Origin::Peer)),
             Err(why) => telemetry::emit(Event::ReleaseRefused, format_args!("from=Peer why=\"{why}\"")),
         }
     }
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -1,7 +1,7 @@
 //! Runs a router box: threads, listeners, signals, the planned stop.
 
 use super::advice::{Advice, Desk, Message};
-use super::circle::Circle;
+use super::circle::{Circle, Parts};
 use super::follow::{Follower, Troubles};
 use super::knowledge::Knowledge;
 use super::operators::Operators;
@@ -132,8 +132,16 @@
     let profile = Profile { hall: settings.hall.clone(), capacity: settings.capacity };
     let peers = Peers::new(settings.boxes, profile, &settings.seeds);
     let key = wire::Key::new(&settings.link_key);
-    let circle =
-        Circle::new(Arc::clone(shared), Rc::clone(&knowledge), troubles, peers, settings.boxes, key, watching, advice);
+    let circle = Circle::new(Parts {
+        shared: Arc::clone(shared),
+        knowledge: Rc::clone(&knowledge),
+        troubles,
+        peers,
+        me: settings.boxes,
+        key,
+        watching,
+        advice,
+    });
     actix_rt::spawn(Rc::clone(&circle).listen(listener));
     actix_rt::spawn(Rc::clone(&circle).run());
     actix_rt::spawn(Rc::clone(&circle).carry_advice(sent));
