Standard names in the router; an unused border method is gone

Cause: read as a newcomer: a circle of boxes and a beat are no terms of the field, and Dialect::unprove had no caller. Change: Peering, Heartbeat; the wait for a silent server is one match.

--- a/crates/cleatshelf/src/router.rs
+++ b/crates/cleatshelf/src/router.rs
@@ -5,10 +5,10 @@
 //! other files.
 
 mod advice;
-mod circle;
 mod follow;
 mod knowledge;
 mod operators;
+mod peering;
 mod reload;
 mod serve;
 mod settings;
--- a/crates/cleatshelf/src/router/circle.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -27,7 +27,7 @@
 }
 
 /// The other boxes, as this one deals with them. Lives on the control thread.
-pub(super) struct Circle {
+pub(super) struct Peering {
     shared: Arc<Shared>,
     knowledge: Rc<Knowledge>,
     troubles: Rc<Troubles>,
@@ -39,7 +39,7 @@
     advice: Arc<Advice>,
 }
 
-/// What a circle is made of.
+/// What a peering is made of.
 pub(super) struct Parts {
     pub(super) shared: Arc<Shared>,
     pub(super) knowledge: Rc<Knowledge>,
@@ -53,7 +53,7 @@
     pub(super) advice: Arc<Advice>,
 }
 
-impl Circle {
+impl Peering {
     pub(super) fn new(parts: Parts) -> Rc<Self> {
         Rc::new(Self {
             shared: parts.shared,
@@ -78,7 +78,7 @@
             };
             match envelope {
                 Envelope::Peers(message) => {
-                    if matches!(message, Message::Beat(_)) {
+                    if matches!(message, Message::Heartbeat(_)) {
                         this.knowledge.heard();
                     }
                     let actions = this.peers.borrow_mut().handle(from, message, this.shared.now());
--- a/crates/cleatshelf/src/router/reload.rs
+++ b/crates/cleatshelf/src/router/reload.rs
@@ -1,6 +1,6 @@
 //! Settings that change while the box runs.
 
-use super::circle::Circle;
+use super::peering::Peering;
 use super::Settings;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -14,7 +14,7 @@
 pub(super) struct Reload {
     pub(super) path: PathBuf,
     pub(super) settings: Settings,
-    pub(super) circle: Rc<Circle>,
+    pub(super) peering: Rc<Peering>,
 }
 
 impl Reload {
@@ -59,7 +59,7 @@
     fn take(&mut self, settings: Settings, by: &str) {
         let same = settings == self.settings;
         telemetry::emit(Event::SettingsReloaded, format_args!("by={by} changed={}", !same));
-        self.circle.set_seeds(&settings.seeds);
+        self.peering.set_seeds(&settings.seeds);
         self.settings = settings;
     }
 }
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -1,10 +1,10 @@
 //! Runs a router box: threads, listeners, signals, the planned stop.
 
 use super::advice::{Advice, Desk, Message};
-use super::circle::{Circle, Parts};
 use super::follow::{Follower, Troubles};
 use super::knowledge::Knowledge;
 use super::operators::Operators;
+use super::peering::{Parts, Peering};
 use super::reload::Reload;
 use super::Settings;
 use eyre::WrapErr;
@@ -48,17 +48,17 @@
     let (done, mut front_done) = watch::channel(false);
     let traffic = actix::Arbiter::new();
     start_traffic(&settings, &shared, &traffic, stopped, done)?;
-    let (circle, knowledge) = start_control(&settings, &shared, advice, sent)?;
+    let (peering, knowledge) = start_control(&settings, &shared, advice, sent)?;
     let operators = Operators { scrape, shared: Arc::clone(&shared), knowledge, lines };
     actix_rt::spawn(operators.run(tokio(bind(settings.operators)?)?));
     let hangup = Rc::new(tokio::sync::Notify::new());
-    let reload = Reload { path, settings: settings.clone(), circle: Rc::clone(&circle) };
+    let reload = Reload { path, settings: settings.clone(), peering: Rc::clone(&peering) };
     actix_rt::spawn(reload.run(Rc::clone(&hangup)));
     telemetry::emit(Event::BoxStarted, format_args!("name={} hall={}", settings.name, settings.hall));
     wait_for_stop(&hangup).await?;
     telemetry::emit(Event::StopBegun, format_args!("running={}", shared.running.load(Ordering::Relaxed)));
     shared.stop();
-    circle.leave();
+    peering.leave();
     let began = Instant::now();
     // The front holds the other end until it is done.
     let _ = stop.send(true);
@@ -113,7 +113,7 @@
     shared: &Arc<Shared>,
     advice: Arc<Advice>,
     sent: mpsc::Receiver<(SocketAddr, Message)>,
-) -> eyre::Result<(Rc<Circle>, Rc<Knowledge>)> {
+) -> eyre::Result<(Rc<Peering>, Rc<Knowledge>)> {
     let publisher: Rc<dyn Publisher> = Rc::new(platform::Store::new(settings.publisher));
     let knowledge = Rc::new(Knowledge::new(Arc::clone(shared), Rc::clone(&publisher)));
     let troubles = Rc::new(Troubles::default());
@@ -132,7 +132,7 @@
     let profile = Profile { hall: settings.hall.clone(), capacity: settings.capacity };
     let peers = Peers::new(settings.boxes, profile, &settings.seeds);
     let key = wire::Key::new(&settings.link_key);
-    let circle = Circle::new(Parts {
+    let peering = Peering::new(Parts {
         shared: Arc::clone(shared),
         knowledge: Rc::clone(&knowledge),
         troubles,
@@ -142,18 +142,18 @@
         watching,
         advice,
     });
-    actix_rt::spawn(Rc::clone(&circle).listen(listener));
-    actix_rt::spawn(Rc::clone(&circle).run());
-    actix_rt::spawn(Rc::clone(&circle).carry_advice(sent));
+    actix_rt::spawn(Rc::clone(&peering).listen(listener));
+    actix_rt::spawn(Rc::clone(&peering).run());
+    actix_rt::spawn(Rc::clone(&peering).carry_advice(sent));
     let told_by = Rc::clone(&knowledge);
-    let teller = Rc::clone(&circle);
+    let teller = Rc::clone(&peering);
     actix_rt::spawn(async move {
         loop {
             knowledge.told.notified().await;
             teller.news();
         }
     });
-    Ok((circle, told_by))
+    Ok((peering, told_by))
 }
 
 async fn wait_for_stop(reload: &tokio::sync::Notify) -> eyre::Result<()> {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -12,7 +12,7 @@
 mod peers;
 
 pub use action::Action;
-pub use message::{Beat, Message, Profile, Subject};
+pub use message::{Heartbeat, Message, Profile, Subject};
 pub use peers::{Holding, Peers};
 
 /// Milliseconds of a clock that never goes back.
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -17,7 +17,7 @@
 
 /// Says that the sender lives, what it knows, and whether it can be relied upon for news.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Heartbeat {
     /// The sender.
     pub profile: Profile,
     /// True while the sender watches the publisher and its last call succeeded.
@@ -45,7 +45,7 @@
     /// A box is there and wants to hear of news.
     Hello(Profile),
     /// A watcher's heartbeat.
-    Beat(Beat),
+    Heartbeat(Heartbeat),
     /// Asks for what the receiver has.
     Want(Subject),
     /// Boxes by address.
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -1,7 +1,7 @@
 //! The state machine.
 
 use crate::member::Member;
-use crate::{Action, Beat, Message, Millis, Profile, Subject};
+use crate::{Action, Heartbeat, Message, Millis, Profile, Subject};
 use routing::{Change, Directory};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -148,7 +148,7 @@
         }
         match message {
             Message::Hello(profile) => self.hear(from, &profile, now, &mut actions),
-            Message::Beat(beat) => self.take_beat(from, &beat, now, &mut actions),
+            Message::Heartbeat(beat) => self.take_heartbeat(from, &beat, now, &mut actions),
             Message::Want(subject) => self.give(from, subject, &mut actions),
             Message::Members(members) => self.meet(members, now),
             Message::Table(bytes) => actions.push(Action::Table(bytes)),
@@ -261,7 +261,7 @@
     fn beat(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.beat_at = now + self.beat_every();
         self.beats += 1;
-        let beat = Message::Beat(Beat {
+        let beat = Message::Heartbeat(Heartbeat {
             profile: self.profile.clone(),
             watches: self.reached,
             table: self.holding.table,
@@ -321,7 +321,7 @@
         }
     }
 
-    fn take_beat(&mut self, from: SocketAddr, beat: &Beat, now: Millis, actions: &mut Vec<Action>) {
+    fn take_heartbeat(&mut self, from: SocketAddr, beat: &Heartbeat, now: Millis, actions: &mut Vec<Action>) {
         self.hear(from, &beat.profile, now, actions);
         if let Some(member) = self.members.get_mut(&from) {
             member.tried = Some(now);
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -61,7 +61,4 @@
 
     /// What the head of an answer to the request `id` says.
     fn verdict(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> Verdict;
-
-    /// Takes out the headers by which a server proves its answer, for an answer that isn't its own.
-    fn unprove(&self, headers: &mut HeaderMap);
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -104,13 +104,11 @@
         let Some((choice, mut claim)) = self.choose().await else {
             return Some(Reply::Whole(self.no_server()));
         };
-        let until = self.patience(&choice).map_or(self.deadline, |patience| Instant::now() + patience);
-        let got = if until < self.deadline {
-            tokio::time::timeout_at(until, self.get(&choice))
+        let got = match self.patience(&choice) {
+            Some(patience) => tokio::time::timeout(patience, self.get(&choice))
                 .await
-                .unwrap_or_else(|_| Got::Nothing(Sent::Broken("silent".to_owned())))
-        } else {
-            self.get(&choice).await
+                .unwrap_or_else(|_| Got::Nothing(Sent::Broken("silent".to_owned()))),
+            None => self.get(&choice).await,
         };
         match got {
             Got::Stream(answer) => Some(Reply::Stream(answer, claim)),
@@ -140,7 +138,9 @@
     /// silence is no reason to end a request sooner.
     fn patience(&self, choice: &Choice) -> Option<Duration> {
         let another = self.route.kind == Kind::Idempotent && self.sends + 1 < self.route.attempts;
-        (another && choice.candidates > 1).then(|| self.route.aim * SILENT_AIMS)
+        let patience = self.route.aim * SILENT_AIMS;
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        (another && choice.candidates > 1 && patience < left).then_some(patience)
     }
 
     /// Chooses a server, and claims a place there.
