A box that starts waits before it watches

Cause: each box that starts read and watched both keys before it had heard of its hall's watcher: four calls where two do. Change: 1.2 s between the first read and the first watch; a start is not in touch for longer than that. New test: one box of a small hall watches for all.

--- a/crates/cleatshelf/src/router/follow.rs
+++ b/crates/cleatshelf/src/router/follow.rs
@@ -23,6 +23,10 @@
 /// Pause after news of servers, so that those of a release or a burst of failures come in few calls.
 const GATHER: Duration = Duration::from_millis(120);
 
+/// Pause between the first read and the first watch: by then a box that has just started has heard from a watcher of
+/// its hall, if there is one, and need not watch itself.
+const SETTLE: Duration = Duration::from_millis(1_200);
+
 /// Follows one subject for as long as the process runs.
 pub(super) struct Follower {
     pub(super) publisher: Rc<dyn Publisher>,
@@ -65,6 +69,7 @@
         let mut pause = PAUSE_LEAST;
         // None asks for a full read.
         let mut since = None;
+        let mut settled = false;
         loop {
             if !*self.watching.borrow_and_update() {
                 if self.watching.changed().await.is_err() {
@@ -84,6 +89,9 @@
                     self.calm();
                     pause = PAUSE_LEAST;
                     since = Some(revision);
+                    if !std::mem::replace(&mut settled, true) {
+                        actix_rt::time::sleep(SETTLE).await;
+                    }
                 }
                 Err(Trouble::Forgotten) => since = None,
                 Err(why) => {
--- a/crates/cleatshelf/tests/route.rs
+++ b/crates/cleatshelf/tests/route.rs
@@ -288,6 +288,21 @@
     soon("served", || two.get("/x/1") == (200, "first".to_owned()));
 }
 
+#[test]
+fn one_box_of_a_small_hall_watches_for_all() {
+    let store = Store::start();
+    store.put("op/config", &config(3, "/x/"));
+    let addresses = [free(), free(), free()];
+    let boxes = addresses.map(|address| Box::start(&store, address, &addresses));
+    soon("ready", || boxes.iter().all(Box::is_ready));
+    std::thread::sleep(Duration::from_secs(4));
+    let calls = || store.content.lock().expect("no thread died").calls;
+    let before = calls();
+    std::thread::sleep(Duration::from_secs(8));
+    // Two subjects in watches of four seconds: four or five calls of one box, twelve and more of three.
+    assert!(calls() - before <= 6, "{} calls in 8 s", calls() - before);
+}
+
 #[test]
 fn a_planned_stop_lets_a_request_end_and_gives_notice_to_the_balancer() {
     let store = Store::start();
