Owners forget servers that are no longer listed

Cause: read as a newcomer: Owner::retain had no caller, so a box kept a record for each life of each server for ever. Change: it is called with every change of the list. Test: placement/tests/owner.rs.

--- a/crates/cleatshelf/src/router/advice.rs
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -3,7 +3,7 @@
 use peers::Profile;
 use placement::{News, Opinion, Owner, Question, Report};
 use relay::Advisor;
-use routing::Server;
+use routing::{Directory, Server};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -71,6 +71,11 @@
         self.state().boxes = boxes;
     }
 
+    /// Forgets servers that are no longer listed.
+    pub(super) fn retain(&self, directory: &Directory) {
+        self.state().owner.retain(|id| directory.servers.contains_key(id));
+    }
+
     /// Takes a message of another box; the answer, if it is owed one.
     pub(super) fn handle(&self, from: SocketAddr, message: Message) -> Option<Message> {
         let now = self.now();
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -111,6 +111,9 @@
 
     fn tick(&self) {
         let news = self.knowledge.take_news();
+        if !news.is_empty() {
+            self.advice.retain(&self.knowledge.directory());
+        }
         let actions = {
             let mut peers = self.peers.borrow_mut();
             peers.hold(self.knowledge.holding());
--- a/crates/placement/tests/owner.rs
+++ b/crates/placement/tests/owner.rs
@@ -87,3 +87,13 @@
     assert!(ask(&mut owner, 2).paused);
     assert!(!ask(&mut owner, 1_000).paused);
 }
+
+#[test]
+fn servers_that_are_no_longer_listed_are_forgotten() {
+    let mut owner = Owner::default();
+    tell(&mut owner, 1, sent(), 0);
+    owner.retain(|id| id == "s");
+    assert_eq!(ask(&mut owner, 1).load.running, 1);
+    owner.retain(|id| id != "s");
+    assert_eq!((ask(&mut owner, 2).load.running, ask(&mut owner, 2).kept), (0, 0));
+}
