One reading of addresses and link keys for both settings files

Cause: the whole change read once more: the router's settings repeated the reading of an address and the check of the link key beside their twins. Change: both call crate::settings. No behaviour changed. Left: the router's bind lacks the other's second tries for an address in use; the member list is handed on after each message, though it seldom changes.

--- a/crates/cleatshelf/src/router/settings.rs
+++ b/crates/cleatshelf/src/router/settings.rs
@@ -1,12 +1,10 @@
 //! A router's settings, checked as a whole.
 
+use crate::settings::{address, check_link_key};
 use catalog::{Fault, Reader};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Shortest secret between boxes.
-const KEY_LEAST: usize = 16;
-
 /// Settings of one router box.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -43,11 +41,6 @@
     pub retry_window: Duration,
 }
 
-fn address(reader: &mut Reader<'_>, key: &str) -> SocketAddr {
-    let parsed = reader.parsed(key, "an IP address with a port, such as 10.0.0.5:7000");
-    parsed.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
-}
-
 fn capacity(reader: &mut Reader<'_>) -> u32 {
     let processor = reader.number("processor_share", &(0.0..=1_000.0)) * 1_000.0;
     let link = reader.number("link_mbps", &(0.0..=1_000_000.0)) * 10.0;
@@ -87,9 +80,7 @@
             retry_slack: reader.number("retry_slack", &(0.0..=1_000_000.0)),
             retry_window: Duration::from_secs_f64(reader.number("retry_window_seconds", &(0.1..=3_600.0))),
         };
-        if !settings.link_key.is_empty() && settings.link_key.len() < KEY_LEAST {
-            reader.fault("link_key", format!("must have at least {KEY_LEAST} bytes"));
-        }
+        check_link_key(&mut reader, &settings.link_key);
         let faults = reader.finish();
         if faults.is_empty() {
             Ok(settings)
--- a/crates/cleatshelf/src/settings.rs
+++ b/crates/cleatshelf/src/settings.rs
@@ -50,11 +50,19 @@
     pub stop_time: Duration,
 }
 
-fn address(reader: &mut Reader<'_>, key: &str) -> SocketAddr {
+/// An address that must stand under `key`; one fault if it doesn't.
+pub(crate) fn address(reader: &mut Reader<'_>, key: &str) -> SocketAddr {
     let parsed = reader.parsed(key, "an IP address with a port, such as 10.0.0.5:7000");
     parsed.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
 }
 
+/// Notes a fault when the secret between boxes is too short; a missing one is a fault already.
+pub(crate) fn check_link_key(reader: &mut Reader<'_>, key: &str) {
+    if !key.is_empty() && key.len() < KEY_LEAST {
+        reader.fault("link_key", format!("must have at least {KEY_LEAST} bytes"));
+    }
+}
+
 fn read_peer(reader: &mut Reader<'_>) -> Peer {
     Peer { name: reader.name("name"), hall: reader.name("hall"), address: address(reader, "address") }
 }
@@ -125,9 +133,7 @@
     }
 
     fn check(&self, reader: &mut Reader<'_>) {
-        if !self.link.key.is_empty() && self.link.key.len() < KEY_LEAST {
-            reader.fault("link_key", format!("must have at least {KEY_LEAST} bytes"));
-        }
+        check_link_key(reader, &self.link.key);
         let own = [self.me.address, self.callers, self.operators];
         if own[0] == own[1] || own[0] == own[2] || own[1] == own[2] {
             reader.fault("listen_boxes", "the three listen addresses must differ");
