--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -89,6 +89,13 @@
     fetch: bool,
 }
 
+/// A server that surely keeps the first `tokens` of a prompt's shared parts.
+#[derive(Clone, Copy)]
+struct Source<'a> {
+    member: &'a Member,
+    tokens: u32,
+}
+
 impl Pool {
     pub(crate) fn set_engine(&mut self, engine: Option<Engine>) {
         self.engine = engine;
@@ -118,10 +125,23 @@
     /// Servers whose owners are worth asking, the most likely one first.
     pub(crate) fn plan(&self, ask: &Ask<'_>, hall: &str, most: usize) -> Vec<Arc<Server>> {
         let among = self.among(ask);
-        let keeper = ask.prompt.and_then(|prompt| keeper(&among, prompt));
-        let mut candidates: Vec<_> = among.iter().map(|m| self.weigh(m, ask, hall, 0.0, keeper)).collect();
+        let homes = ask.prompt.map_or_else(Vec::new, |prompt| homes(&among, prompt));
+        let likely: Vec<&Member> = if homes.len() > 1 { homes[..2].to_vec() } else { Vec::new() };
+        let source = self.source(ask);
+        let mut candidates: Vec<_> =
+            among.iter().map(|m| self.weigh(m, ask, hall, 0.0, homes.first().copied(), source)).collect();
         candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
-        candidates.iter().take(most).map(|c| Arc::clone(&c.member.server)).collect()
+        let cheap = candidates.iter().map(|c| c.member).filter(|m| !likely.iter().any(|l| l.server.id == m.server.id));
+        likely.iter().copied().chain(cheap).take(most).map(|m| Arc::clone(&m.server)).collect()
+    }
+
+    /// The server that surely has read the most of the prompt's shared parts, as far as this box has heard.
+    fn source(&self, ask: &Ask<'_>) -> Option<Source<'_>> {
+        let shared = ask.prompt?.shared();
+        let read = |m: &Member| m.kept.read_prefix(shared).max(ask.opinion(&m.server.id).map_or(0, |o| o.read));
+        let best = self.members.values().filter(|m| !m.paused(ask.now)).max_by_key(|m| read(m))?;
+        let tokens = read(best).min(ask.prompt?.shared_tokens());
+        (tokens > 0).then_some(Source { member: best, tokens })
     }
 
     /// Takes what the owner of a server said.
@@ -146,16 +166,17 @@
     pub(crate) fn choose(&mut self, ask: &Ask<'_>, hall: &str) -> Result<Choice, Refusal> {
         let among = self.among(ask);
         let least = among.iter().map(|m| m.health.failing()).fold(1.0, f64::min);
-        let keeper = ask.prompt.and_then(|prompt| keeper(&among, prompt));
+        let home = ask.prompt.and_then(|prompt| homes(&among, prompt).first().copied());
+        let source = self.source(ask);
         // A server whose owner wasn't heard looks idle: where some were heard, only those are compared.
         let heard = |m: &&&Member| ask.opinions.is_empty() || ask.opinion(&m.server.id).is_some();
-        let candidates = among.iter().filter(heard).map(|m| self.weigh(m, ask, hall, least, keeper));
+        let candidates = among.iter().filter(heard).map(|m| self.weigh(m, ask, hall, least, home, source));
         let Some(best) = candidates.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
             return Err(Refusal::NoServer);
         };
         let choice = Choice {
             server: Arc::clone(&best.member.server),
-            fetch: if best.fetch { keeper.map(|k| k.server.address) } else { None },
+            fetch: if best.fetch { source.map(|s| s.member.server.address) } else { None },
             unread: best.unread,
             cost_ms: best.cost as u32,
             load: best.member.load(ask.now),
@@ -183,7 +204,8 @@
         ask: &Ask<'_>,
         hall: &str,
         least: f64,
-        keeper: Option<&Member>,
+        home: Option<&Member>,
+        source: Option<Source<'_>>,
     ) -> Candidate<'a> {
         let far = member.server.hall != hall;
         let mut cost = (member.health.failing() - least) * FAILING_MS;
@@ -196,7 +218,7 @@
             cost += f64::from(load.running) * PLAIN_BESIDE_MS + f64::from(over) * PLAIN_QUEUE_MS;
             return Candidate { member, cost, unread: 0, fetch: false };
         };
-        let (unread, fetch, reading) = self.reading(member, ask, prompt, keeper);
+        let (unread, fetch, reading) = self.reading(member, ask, prompt, home, source);
         let beside = f64::from(load.running.min(member.server.slots));
         let read_ms = f64::from(unread) / READ_PER_MS;
         cost += load.unread as f64 / READ_PER_MS + read_ms * (1.0 + HOLD_UP * beside) + beside * BESIDE_MS + reading;
@@ -209,23 +231,32 @@
     }
 
     /// Tokens to read at a member, whether to fetch the missing ones, and what that costs besides time.
-    fn reading(&self, member: &Member, ask: &Ask<'_>, prompt: &Prompt, keeper: Option<&Member>) -> (u32, bool, f64) {
+    fn reading(
+        &self,
+        member: &Member,
+        ask: &Ask<'_>,
+        prompt: &Prompt,
+        home: Option<&Member>,
+        source: Option<Source<'_>>,
+    ) -> (u32, bool, f64) {
         let shared = prompt.shared_tokens();
         let said = ask.opinion(&member.server.id);
         let kept = member.kept.prefix(&prompt.parts).max(said.map_or(0, |opinion| opinion.kept));
         let unread = prompt.tokens.saturating_sub(kept);
-        let Some(keeper) = keeper else { return (unread, false, 0.0) };
-        if keeper.server.id == member.server.id {
+        let at_home = home.is_some_and(|home| home.server.id == member.server.id);
+        if at_home && said.is_none() {
             // Where the owner is not heard, it is taken that other boxes sent the parts there already.
-            let unread = if said.is_some() { unread } else { unread.min(prompt.tokens - shared) };
-            return (unread, false, 0.0);
+            return (unread.min(prompt.tokens.saturating_sub(shared)), false, 0.0);
         }
-        let lacking = shared.saturating_sub(kept);
-        let known = ask.opinion(&keeper.server.id).map_or(0, |opinion| opinion.read);
-        let there = keeper.kept.read_prefix(prompt.shared()).max(known) >= shared;
-        if lacking >= FETCH_LEAST && there {
-            return (unread - lacking, true, f64::from(lacking) / 1000.0 * FETCH_MS_PER_K);
+        if let Some(source) = source.filter(|source| source.member.server.id != member.server.id) {
+            let fetched = source.tokens.saturating_sub(kept);
+            if fetched >= FETCH_LEAST {
+                let rest = if at_home { 0 } else { shared.saturating_sub(source.tokens) };
+                let cost = f64::from(fetched) / 1000.0 * FETCH_MS_PER_K + f64::from(rest) / 1000.0 * REREAD_MS_PER_K;
+                return (unread - fetched, true, cost);
+            }
         }
+        let lacking = if at_home { 0 } else { shared.saturating_sub(kept) };
         (unread, false, f64::from(lacking) / 1000.0 * REREAD_MS_PER_K)
     }
 
@@ -266,11 +297,12 @@
     paused.iter().copied().min_by_key(|m| m.health.pause_until()).into_iter().collect()
 }
 
-/// The server that keeps, or is to keep, a prompt's shared parts: one that is known to, else the one that
-/// every box would name.
-fn keeper<'a>(among: &[&'a Member], prompt: &Prompt) -> Option<&'a Member> {
-    let last = prompt.shared().last()?;
-    among.iter().copied().max_by_key(|m| rank(last, &m.server.id))
+/// The servers in the order in which every box would have them keep a prompt's last shared part; none without one.
+fn homes<'a>(among: &[&'a Member], prompt: &Prompt) -> Vec<&'a Member> {
+    let Some(last) = prompt.shared().last() else { return Vec::new() };
+    let mut ranked: Vec<(u64, &Member)> = among.iter().map(|m| (rank(last, &m.server.id), *m)).collect();
+    ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+    ranked.into_iter().map(|(_, member)| member).collect()
 }
 
 /// Equal on every box: the highest ranked server keeps the part.
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -102,6 +102,35 @@
     }
 }
 
+#[test]
+fn parts_are_fetched_from_whoever_surely_read_them() {
+    let mut placement = placement(servers(3));
+    let home = choose(&mut placement.clone(), &prompt(7, 100), &[]).server.clone();
+    let holder = servers(3).into_iter().find(|s| s.id != home.id).expect("another server");
+    // As after the home's restart: it has nothing, and the one that stood in for it is busy.
+    let heard = [(home.id.clone(), opinion(0, 0, 0, 0)), (holder.id.clone(), opinion(64, 3_000_000, 13_000, 13_000))];
+    let chosen = choose(&mut placement, &prompt(7, 101), &heard);
+    assert_eq!(chosen.server.id, home.id);
+    assert_eq!(chosen.fetch, Some(holder.address));
+    assert_eq!(chosen.unread, 3_000);
+}
+
+#[test]
+fn the_owners_of_the_first_homes_are_asked_and_then_those_of_cheap_servers() {
+    let mut placement = placement(servers(9));
+    let home = choose(&mut placement.clone(), &prompt(7, 100), &[]).server.id.clone();
+    let without = std::slice::from_ref(&home);
+    let next = choose_at(&mut placement.clone(), 0, &prompt(7, 101), without, &[]).server.id.clone();
+    for _ in 0..30 {
+        placement.begin(MODEL, &next, Work { unread: 10_000, held: 10_000 });
+    }
+    let prompt = prompt(7, 102);
+    let ask = Ask { service: MODEL, prompt: Some(&prompt), bytes: 0, tried: &[], opinions: &[], now: 0 };
+    let asked: Vec<String> = placement.plan(&ask, 3).iter().map(|server| server.id.clone()).collect();
+    assert_eq!(asked[..2], [home, next]);
+    assert_eq!(asked.len(), 3);
+}
+
 #[test]
 fn a_server_that_breaks_twice_is_left_alone_and_then_tried_by_one_request() {
     let mut placement = placement(servers(2));
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -32,7 +32,7 @@
 const URGENCY_MOST: u8 = 9;
 
 /// How many servers' owners are asked for one request: the one that keeps its parts, and the next best.
-const OWNERS_ASKED: usize = 2;
+const OWNERS_ASKED: usize = 3;
 
 /// Longest wait for owners. They are a few milliseconds away; a slow one must not make requests late.
 const OPINION_MOST: Duration = Duration::from_millis(25);
