--- /dev/null
+++ b/crates/placement/src/homes.rs
@@ -0,0 +1,24 @@
+//! Which servers are to keep a shared part of prompts.
+//!
+//! Every box names the same ones, without a word between them, by rendezvous hashing over the servers' lives.
+
+use crate::member::Member;
+use crate::{Part, Prompt};
+use std::cmp::Reverse;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// The servers in the order in which every box would have them keep a prompt's last shared part; none without one.
+pub(crate) fn homes<'a>(among: &[&'a Member], prompt: &Prompt) -> Vec<&'a Member> {
+    let Some(last) = prompt.shared().last() else { return Vec::new() };
+    let mut ranked: Vec<(u64, &Member)> = among.iter().map(|m| (rank(last, &m.server.id), *m)).collect();
+    ranked.sort_unstable_by_key(|(rank, _)| Reverse(*rank));
+    ranked.into_iter().map(|(_, member)| member).collect()
+}
+
+/// Equal on every box: the highest ranked server keeps the part.
+fn rank(part: &Part, id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    part.id.hash(&mut hasher);
+    id.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,12 +8,15 @@
 mod ask;
 mod budget;
 mod health;
+mod homes;
 mod kept;
 mod load;
+mod member;
 mod owner;
 mod placement;
 mod pool;
 mod prompt;
+mod weigh;
 
 pub use ask::{Ask, Choice, Refusal};
 pub use budget::Budget;
--- /dev/null
+++ b/crates/placement/src/member.rs
@@ -0,0 +1,45 @@
+//! One server of a pool, and what is known of it.
+
+use crate::{Health, Kept, Load, Millis, Opinion};
+use routing::Server;
+use std::sync::Arc;
+
+/// How long what an owner said of a server's load is better than what this box has there itself.
+const HEARD_MOST: Millis = 400;
+
+/// A server and what is known of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Member {
+    pub(crate) server: Arc<Server>,
+    /// What this box has running there.
+    pub(crate) own: Load,
+    pub(crate) kept: Kept,
+    pub(crate) health: Health,
+    /// What its owner said last, and when.
+    pub(crate) heard: Option<(Opinion, Millis)>,
+}
+
+impl Member {
+    /// A server of which nothing is known yet.
+    pub(crate) fn new(server: &Arc<Server>) -> Self {
+        Self {
+            server: Arc::clone(server),
+            own: Load::default(),
+            kept: Kept::default(),
+            health: Health::default(),
+            heard: None,
+        }
+    }
+
+    /// What runs there: what its owner said lately, else what this box has there.
+    pub(crate) fn load(&self, now: Millis) -> Load {
+        let heard = self.heard.as_ref().filter(|(_, at)| now < at + HEARD_MOST);
+        heard.map_or(self.own, |(opinion, _)| opinion.load)
+    }
+
+    /// True while the server is to be left alone, by what this box or its owner saw.
+    pub(crate) fn paused(&self, now: Millis) -> bool {
+        let heard = self.heard.as_ref().filter(|(_, at)| now < at + HEARD_MOST);
+        self.health.paused(now) || heard.is_some_and(|(opinion, _)| opinion.paused)
+    }
+}
