--- a/crates/placement/src/ask.rs
+++ b/crates/placement/src/ask.rs
@@ -1,9 +1,10 @@
 //! Questions and answers of a placement.
 
-use crate::{Load, Millis, Opinion, Prompt};
+use crate::{Load, Millis, Opinion, Prompt, Work};
 use routing::Server;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// A request that needs a server.
 #[derive(Clone, Copy, Debug)]
@@ -12,6 +13,8 @@
     pub service: &'a str,
     /// Its prompt, if it is for a model.
     pub prompt: Option<&'a Prompt>,
+    /// Longest pause between events of its answer that is still in time.
+    pub gap_aim: Option<Duration>,
     /// Bytes of its body, which cross the network to the server.
     pub bytes: usize,
     /// Ids of servers that it must not be sent to again.
@@ -37,8 +40,8 @@
     pub server: Arc<Server>,
     /// Another server that keeps shared parts of the prompt which this one lacks.
     pub fetch: Option<SocketAddr>,
-    /// Tokens that the server is expected to read.
-    pub unread: u32,
+    /// What it adds to the server's load.
+    pub work: Work,
     /// Expected cost in milliseconds, for the log.
     pub cost_ms: u32,
     /// What ran there before, as far as this box knows; for the log.
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -1,8 +1,8 @@
 //! The servers of one service.
 
-use crate::homes::homes;
+use crate::homes::{deep_side, homes};
 use crate::member::Member;
-use crate::weigh::{Scale, Source};
+use crate::weigh::{Scale, Source, FETCH_LEAST};
 use crate::{Ask, Choice, Ending, Millis, Opinion, Prompt, Refusal, Work};
 use routing::{Engine, Server};
 use std::collections::HashMap;
@@ -49,13 +49,15 @@
         let scale = self.scale(ask, hall, &among, &homes);
         let mut candidates: Vec<_> = among.iter().map(|member| scale.weigh(member)).collect();
         candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
-        let likely = &homes[..homes.len().min(HOMES_ASKED)];
+        // Few shared tokens are read at once anywhere.
+        let long = ask.prompt.is_some_and(|prompt| prompt.shared_tokens() >= FETCH_LEAST);
+        let likely = &homes[..if long { homes.len().min(HOMES_ASKED) } else { 0 }];
         let cheap = candidates.iter().map(|candidate| candidate.member);
         let others = cheap.filter(|member| !likely.iter().any(|home| home.server.id == member.server.id));
         likely.iter().copied().chain(others).take(most).map(|member| Arc::clone(&member.server)).collect()
     }
 
-    fn scale<'a>(&'a self, ask: &'a Ask<'_>, hall: &'a str, among: &[&Member], homes: &[&'a Member]) -> Scale<'a> {
+    fn scale<'a>(&'a self, ask: &'a Ask<'_>, hall: &'a str, among: &[&'a Member], homes: &[&'a Member]) -> Scale<'a> {
         Scale {
             ask,
             engine: self.engine.as_ref(),
@@ -63,6 +65,7 @@
             failing_least: among.iter().map(|member| member.health.failing()).fold(1.0, f64::min),
             home: homes.first().map(|home| home.server.id.as_str()),
             source: self.source(ask),
+            deep_side: deep_side(among),
         }
     }
 
@@ -107,7 +110,7 @@
         let choice = Choice {
             server: Arc::clone(&best.member.server),
             fetch: if best.fetch { scale.source.map(|s| s.member.server.address) } else { None },
-            unread: best.unread,
+            work: best.work,
             cost_ms: best.cost as u32,
             load: best.member.load(ask.now),
             candidates: among.len(),
--- a/crates/placement/src/weigh.rs
+++ b/crates/placement/src/weigh.rs
@@ -1,7 +1,7 @@
 //! What it costs to send a request to a server, in milliseconds of a wait.
 
 use crate::member::Member;
-use crate::{Ask, Load, Prompt};
+use crate::{Ask, Load, Prompt, Work};
 use routing::Engine;
 
 /// Prompt tokens that a server reads in a millisecond. From the users' sheets (36.7 and 48.2).
@@ -35,6 +35,28 @@
 /// Cost of a server that failed every time lately.
 const FAILING_MS: f64 = 4_000.0;
 
+/// Answers are quick whose tokens may take less than this each, in milliseconds: a step that also reads a piece of
+/// 2,048 prompt tokens takes 45 to 65 ms, and 0.5 ms more for each thousand tokens before that piece.
+const QUICK_TOKEN_MS: f64 = 78.0;
+
+/// Prompts longer than this are deep. Measured: of the quick answers beside one of 30,000 tokens a third are late, of
+/// those beside none of 25,000 not one.
+const DEEP_TOKENS: u32 = 24_000;
+
+/// Fewest tokens still to be read of a deep prompt that hold quick answers up: half an event's worth of pieces.
+const DEEP_UNREAD: u32 = 4_096;
+
+/// What a quick answer loses beside a deep prompt, and a deep prompt for each quick answer beside it: a third of what
+/// being late costs.
+const BESIDE_DEEP_MS: f64 = 700.0;
+const BESIDE_QUICK_MS: f64 = 500.0;
+
+/// Most deep prompts beside a quick answer that count: it can't be more than late.
+const DEEP_MOST: u32 = 3;
+
+/// What it costs a quick answer to run on the deep side, where deep prompts will come. Measured: docs/design/choosing.md.
+const DEEP_SIDE_MS: f64 = 400.0;
+
 /// Wait in a plain server's queue for each request above its slots, and below them.
 const PLAIN_QUEUE_MS: f64 = 30.0;
 const PLAIN_BESIDE_MS: f64 = 2.0;
@@ -43,8 +65,8 @@
 pub(crate) struct Candidate<'a> {
     pub(crate) member: &'a Member,
     pub(crate) cost: f64,
-    /// Tokens to read there, after a fetch if one is worth it.
-    pub(crate) unread: u32,
+    /// What the request adds there, after a fetch if one is worth it.
+    pub(crate) work: Work,
     pub(crate) fetch: bool,
 }
 
@@ -76,6 +98,8 @@
     pub(crate) home: Option<&'a str>,
     /// From where these can be fetched.
     pub(crate) source: Option<Source<'a>>,
+    /// Ids of the servers where deep prompts are to be read.
+    pub(crate) deep_side: Vec<&'a str>,
 }
 
 impl Scale<'_> {
@@ -86,7 +110,7 @@
         let load = said.map_or_else(|| member.load(self.ask.now), |opinion| opinion.load);
         match self.ask.prompt {
             Some(prompt) => self.weigh_prompt(member, &load, prompt, base),
-            None => Candidate { member, cost: base + plain_wait(member, &load), unread: 0, fetch: false },
+            None => Candidate { member, cost: base + plain_wait(member, &load), work: Work::default(), fetch: false },
         }
     }
 
@@ -103,11 +127,39 @@
         let beside = f64::from(load.running.min(member.server.slots));
         let read_ms = f64::from(reading.unread) / READ_PER_MS;
         let wait = load.unread as f64 / READ_PER_MS + read_ms * (1.0 + HOLD_UP * beside) + beside * BESIDE_MS;
-        let need = u64::from(prompt.tokens + prompt.out());
+        let work = self.work(prompt, reading.unread);
         let memory = self.engine.map_or(u64::MAX, |engine| engine.memory_tokens);
-        let full = load.running >= member.server.slots || load.held + need > memory;
-        let cost = base + wait + reading.cost + if full { FULL_MS } else { 0.0 };
-        Candidate { member, cost, unread: reading.unread, fetch: reading.fetch }
+        let full = load.running >= member.server.slots || load.held + u64::from(work.held) > memory;
+        let full = if full { FULL_MS } else { 0.0 };
+        let cost = base + wait + reading.cost + full + self.beside(member, load, work);
+        Candidate { member, cost, work, fetch: reading.fetch }
+    }
+
+    /// What a request adds to the load of a server that has `unread` of its tokens to read.
+    fn work(&self, prompt: &Prompt, unread: u32) -> Work {
+        let stride = self.engine.map_or(1, |engine| engine.stride.max(1));
+        let token_ms = self.ask.gap_aim.map(|aim| aim.as_secs_f64() * 1_000.0 / f64::from(stride));
+        Work {
+            unread,
+            held: prompt.tokens.saturating_add(prompt.out()),
+            quick: token_ms.is_some_and(|ms| ms < QUICK_TOKEN_MS),
+            deep: prompt.tokens > DEEP_TOKENS && unread > DEEP_UNREAD,
+        }
+    }
+
+    /// What quick answers lose beside deep prompts.
+    fn beside(&self, member: &Member, load: &Load, work: Work) -> f64 {
+        let mut cost = 0.0;
+        if work.quick {
+            cost += f64::from(load.deep.min(DEEP_MOST)) * BESIDE_DEEP_MS;
+            if self.deep_side.contains(&member.server.id.as_str()) {
+                cost += DEEP_SIDE_MS;
+            }
+        }
+        if work.deep {
+            cost += f64::from(load.quick) * BESIDE_QUICK_MS;
+        }
+        cost
     }
 
     fn reading(&self, member: &Member, prompt: &Prompt) -> Reading {
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -2,6 +2,7 @@
 
 use placement::{Ask, Budget, Choice, Ending, Load, Opinion, Part, Placement, Prompt, Work};
 use routing::{Change, Directory, Engine, Server, Service, Table};
+use std::time::Duration;
 
 const MODEL: &str = "model";
 
@@ -45,7 +46,7 @@
     tried: &[String],
     opinions: &[(String, Opinion)],
 ) -> Choice {
-    let ask = Ask { service: MODEL, prompt: Some(prompt), bytes: 17_000, tried, opinions, now };
+    let ask = Ask { service: MODEL, prompt: Some(prompt), gap_aim: None, bytes: 17_000, tried, opinions, now };
     placement.choose(&ask).expect("a server")
 }
 
@@ -54,7 +55,7 @@
 }
 
 fn opinion(running: u32, unread: u64, kept: u32, read: u32) -> Opinion {
-    Opinion { number: 0, load: Load { running, unread, held: 0 }, kept, read, paused: false }
+    Opinion { number: 0, load: Load { running, unread, ..Load::default() }, kept, read, paused: false }
 }
 
 #[test]
@@ -98,7 +99,7 @@
         let chosen = choose(&mut placement, &prompt(7, 101), &heard);
         assert_eq!(chosen.server.id, other);
         assert_eq!(chosen.fetch, fetches.then_some(home.address));
-        assert_eq!(chosen.unread, unread);
+        assert_eq!(chosen.work.unread, unread);
     }
 }
 
@@ -112,7 +113,7 @@
     let chosen = choose(&mut placement, &prompt(7, 101), &heard);
     assert_eq!(chosen.server.id, home.id);
     assert_eq!(chosen.fetch, Some(holder.address));
-    assert_eq!(chosen.unread, 3_000);
+    assert_eq!(chosen.work.unread, 3_000);
 }
 
 #[test]
@@ -122,15 +123,73 @@
     let without = std::slice::from_ref(&home);
     let next = choose_at(&mut placement.clone(), 0, &prompt(7, 101), without, &[]).server.id.clone();
     for _ in 0..30 {
-        placement.begin(MODEL, &next, Work { unread: 10_000, held: 10_000 });
+        placement.begin(MODEL, &next, Work { unread: 10_000, held: 10_000, ..Work::default() });
     }
     let prompt = prompt(7, 102);
-    let ask = Ask { service: MODEL, prompt: Some(&prompt), bytes: 0, tried: &[], opinions: &[], now: 0 };
+    let ask = Ask { service: MODEL, prompt: Some(&prompt), gap_aim: None, bytes: 0, tried: &[], opinions: &[], now: 0 };
     let asked: Vec<String> = placement.plan(&ask, 3).iter().map(|server| server.id.clone()).collect();
     assert_eq!(asked[..2], [home, next]);
     assert_eq!(asked.len(), 3);
 }
 
+fn quick_prompt(own: u64) -> Prompt {
+    let parts = vec![Part { id: 1, tokens: 200 }, Part { id: own, tokens: 800 }];
+    Prompt { model: "m".to_owned(), tokens: 1_000, out_most: 200, out_hint: None, parts }
+}
+
+fn deep_prompt(shared: u64) -> Prompt {
+    let parts = vec![Part { id: shared, tokens: 26_000 }, Part { id: 5_000 + shared, tokens: 4_000 }];
+    Prompt { model: "m".to_owned(), tokens: 30_000, out_most: 100, out_hint: None, parts }
+}
+
+/// An ask whose answer may pause for 300 ms between events of four tokens.
+fn quick_ask<'a>(prompt: &'a Prompt, opinions: &'a [(String, Opinion)]) -> Ask<'a> {
+    let gap_aim = Some(Duration::from_millis(300));
+    Ask { service: MODEL, prompt: Some(prompt), gap_aim, bytes: 1_500, tried: &[], opinions, now: 1_000 }
+}
+
+#[test]
+fn a_quick_answer_does_not_run_beside_a_deep_prompt() {
+    let mut placement = placement(servers(2));
+    let free = opinion(20, 0, 0, 0);
+    for deep in ["s0", "s1"] {
+        let load = Load { running: 1, deep: 1, ..Load::default() };
+        let opinion_of = |id: &str| if id == deep { Opinion { load, ..free.clone() } } else { free.clone() };
+        let heard = ["s0", "s1"].map(|id| (id.to_owned(), opinion_of(id)));
+        let prompt = quick_prompt(100);
+        let chosen = placement.choose(&quick_ask(&prompt, &heard)).expect("a server");
+        assert_ne!(chosen.server.id, deep);
+        assert!(chosen.work.quick && !chosen.work.deep);
+    }
+}
+
+#[test]
+fn a_deep_prompt_leaves_its_home_to_the_quick_answers_there() {
+    let mut placement = placement(servers(2));
+    let home = choose(&mut placement.clone(), &deep_prompt(7), &[]).server.id.clone();
+    let other = if home == "s0" { "s1" } else { "s0" };
+    let load = Load { running: 30, quick: 30, ..Load::default() };
+    let there = Opinion { load, ..opinion(30, 0, 26_000, 26_000) };
+    let heard = [(home, there), (other.to_owned(), opinion(0, 0, 0, 0))];
+    let long = Prompt { tokens: 40_000, ..deep_prompt(7) };
+    let chosen = choose(&mut placement, &long, &heard);
+    assert_eq!(chosen.server.id, other);
+    assert!(chosen.fetch.is_some() && chosen.work.deep && !chosen.work.quick);
+}
+
+#[test]
+fn the_longest_parts_are_kept_by_a_third_of_the_servers_and_quick_answers_run_elsewhere() {
+    let placement = placement(servers(9));
+    let home = |shared| choose(&mut placement.clone(), &deep_prompt(shared), &[]).server.id.clone();
+    let deep: std::collections::HashSet<String> = (0..60).map(home).collect();
+    assert_eq!(deep.len(), 3);
+    for own in 0..20 {
+        let prompt = quick_prompt(100 + own);
+        let chosen = placement.clone().choose(&quick_ask(&prompt, &[])).expect("a server");
+        assert!(!deep.contains(&chosen.server.id));
+    }
+}
+
 #[test]
 fn a_server_that_breaks_twice_is_left_alone_and_then_tried_by_one_request() {
     let mut placement = placement(servers(2));
@@ -155,7 +214,7 @@
 #[test]
 fn plain_requests_stay_in_the_hall_unless_it_is_busy() {
     let mut placement = placement(vec![server(0, "here", false), server(1, "there", false)]);
-    let ask = Ask { service: MODEL, prompt: None, bytes: 600, tried: &[], opinions: &[], now: 0 };
+    let ask = Ask { service: MODEL, prompt: None, gap_aim: None, bytes: 600, tried: &[], opinions: &[], now: 0 };
     assert_eq!(placement.choose(&ask).expect("a server").server.id, "s0");
     for _ in 0..70 {
         placement.begin(MODEL, "s0", Work::default());
--- a/crates/placement/tests/owner.rs
+++ b/crates/placement/tests/owner.rs
@@ -1,6 +1,6 @@
 //! What the owner of a server knows.
 
-use placement::{Ending, News, Opinion, Owner, Part, Question, Report, Work};
+use placement::{Ending, Load, News, Opinion, Owner, Part, Question, Report, Work};
 use std::net::SocketAddr;
 
 const MEMORY: u64 = 100_000;
@@ -22,7 +22,7 @@
 }
 
 fn sent() -> News {
-    News::Sent { parts: parts(), work: Work { unread: 10_500, held: 11_000 }, memory: MEMORY }
+    News::Sent { parts: parts(), work: Work { unread: 10_500, held: 11_000, ..Work::default() }, memory: MEMORY }
 }
 
 #[test]
@@ -97,3 +97,22 @@
     owner.retain(|id| id != "s");
     assert_eq!((ask(&mut owner, 2).load.running, ask(&mut owner, 2).kept), (0, 0));
 }
+
+#[test]
+fn an_owner_tells_of_quick_answers_until_they_end_and_of_deep_prompts_until_they_are_read() {
+    let mut owner = Owner::default();
+    let report = |number, news| Report { number, server: "s".to_owned(), news };
+    let sent = |work| News::Sent { parts: parts(), work, memory: MEMORY };
+    let question = || Question { number: 9, server: "s".to_owned(), parts: parts() };
+    owner.report(from(), report(1, sent(Work { quick: true, ..Work::default() })), 0);
+    owner.report(from(), report(2, sent(Work { deep: true, ..Work::default() })), 0);
+    let load = owner.ask(question(), 1).load;
+    assert_eq!((load.quick, load.deep), (1, 1));
+    owner.report(from(), report(1, News::Read), 2);
+    owner.report(from(), report(2, News::Read), 2);
+    let load = owner.ask(question(), 3).load;
+    assert_eq!((load.quick, load.deep), (1, 0));
+    owner.report(from(), report(1, News::Ended(Ending::Good)), 4);
+    owner.report(from(), report(2, News::Ended(Ending::Good)), 4);
+    assert_eq!(owner.ask(question(), 5).load, Load::default());
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -53,8 +53,7 @@
 impl Claim {
     /// Notes that a request is being sent to a server.
     pub(crate) fn new(shared: &Arc<Shared>, service: &str, choice: &Choice, prompt: Option<&Prompt>) -> Self {
-        let held = prompt.map_or(0, |p| p.tokens + p.out());
-        let work = Work { unread: choice.unread, held };
+        let work = choice.work;
         shared.placement().begin(service, &choice.server.id, work);
         let claim = Self {
             shared: Arc::clone(shared),
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -31,8 +31,8 @@
 /// Lowest urgency that a server knows.
 const URGENCY_MOST: u8 = 9;
 
-/// How many servers' owners are asked for one request: the one that keeps its parts, and the next best.
-const OWNERS_ASKED: usize = 3;
+/// How many servers' owners are asked for one request: the two that are to keep its parts, and two cheap ones.
+const OWNERS_ASKED: usize = 4;
 
 /// Longest wait for owners. They are a few milliseconds away; a slow one must not make requests late.
 const OPINION_MOST: Duration = Duration::from_millis(25);
@@ -67,10 +67,31 @@
     pub(crate) may_have_run: bool,
     /// True once its one outcome is known.
     pub(crate) concluded: bool,
+    /// When its events came, if it is a stream.
+    pub(crate) timing: Timing,
     /// What was decided, for the log.
     pub(crate) trail: String,
 }
 
+/// When the events of a stream came.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Timing {
+    /// From the request's beginning to its first event.
+    pub(crate) first: Option<Duration>,
+    /// Longest pause between two events.
+    pub(crate) pause: Duration,
+}
+
+impl Timing {
+    /// What made a whole stream late, by the aims of its route; none when it was in time.
+    fn late(&self, route: &Route) -> Option<&'static str> {
+        if self.first.is_some_and(|first| first > route.aim) {
+            return Some("first");
+        }
+        route.gap_aim.is_some_and(|aim| self.pause > aim).then_some("pause")
+    }
+}
+
 /// What a send brought.
 enum Got {
     Stream(Box<Answer>),
@@ -157,6 +178,7 @@
         Ask {
             service: &self.service,
             prompt: self.call.prompt.as_ref(),
+            gap_aim: self.route.gap_aim,
             bytes: self.body.len(),
             tried: &self.tried,
             opinions,
@@ -185,7 +207,7 @@
                 self.call.id,
                 choice.server.id,
                 choice.cost_ms,
-                choice.unread,
+                choice.work.unread,
                 choice.fetch.map_or_else(|| "-".to_owned(), |f| f.to_string()),
                 choice.candidates,
                 choice.load.running,
@@ -359,15 +381,22 @@
             .increment(1);
         metrics::histogram!("cleatshelf_request_seconds", "route" => self.route.name.clone())
             .record(took.as_secs_f64());
+        let late = if outcome == Outcome::Answered { self.timing.late(&self.route) } else { None };
+        if let Some(why) = late {
+            metrics::counter!("cleatshelf_streams_late_total", "why" => why, "route" => self.route.name.clone())
+                .increment(1);
+        }
         let plain = outcome == Outcome::Answered && self.sends <= 1;
         telemetry::emit(
             if plain { Event::RequestAnswered } else { Event::RequestEnded },
             format_args!(
-                "id={} outcome={} route={} ms={} sends={} trail=\"{}\"",
+                "id={} outcome={} route={} ms={} first={} pause={} sends={} trail=\"{}\"",
                 self.call.id,
                 outcome.word(),
                 self.route.name,
                 took.as_millis(),
+                self.timing.first.map_or(0, |first| first.as_millis()),
+                self.timing.pause.as_millis(),
                 self.sends,
                 self.trail.trim_start()
             ),
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::{self, strip_hop};
 use crate::connections::{notice_death, Connections};
-use crate::exchange::Exchange;
+use crate::exchange::{Exchange, Timing};
 use crate::{Body, Shared};
 use bytes::Bytes;
 use http::{header, request, HeaderValue, Request, Response, StatusCode};
@@ -234,6 +234,7 @@
             unreached: 0,
             may_have_run: false,
             concluded: false,
+            timing: Timing::default(),
             trail: String::new(),
         })
     }
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -15,6 +15,7 @@
 use std::fmt::Write;
 use telemetry::Event;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// Most pieces of a stream that wait for the caller. Few, so that a slow caller slows its server.
 const AHEAD_MOST: usize = 4;
@@ -26,6 +27,8 @@
     exchange: Exchange,
     events: Events,
     caller: mpsc::Sender<Piece>,
+    /// When the last event came; none before the first.
+    last_event: Option<Instant>,
 }
 
 /// How the reading of one server's stream ended.
@@ -51,7 +54,7 @@
             Response::new(StreamBody::new(stream::poll_fn(move |context| pieces.poll_recv(context))).boxed_unsync());
         *response.status_mut() = answer.parts.status;
         *response.headers_mut() = headers;
-        let pump = Self { exchange, events: Events::default(), caller };
+        let pump = Self { exchange, events: Events::default(), caller, last_event: None };
         tokio::task::spawn_local(pump.run(answer, claim));
         response
     }
@@ -111,6 +114,7 @@
             }
             if !whole.is_empty() {
                 self.began(claim);
+                self.time_event();
                 if self.caller.send(Ok(Frame::data(whole))).await.is_err() {
                     return Pause::Left;
                 }
@@ -118,6 +122,16 @@
         }
     }
 
+    /// Notes when events come, so that the log tells whether a stream was late and by what.
+    fn time_event(&mut self) {
+        let now = Instant::now();
+        let timing = &mut self.exchange.timing;
+        match self.last_event.replace(now) {
+            None => timing.first = Some(now.duration_since(self.exchange.began)),
+            Some(last) => timing.pause = timing.pause.max(now.duration_since(last)),
+        }
+    }
+
     /// Notes the first event from a server: its prompt has been read.
     fn began(&self, claim: &mut Claim) {
         if claim.read() {
