--- a/crates/placement/src/homes.rs
+++ b/crates/placement/src/homes.rs
@@ -3,24 +3,18 @@
 //! Every box names the same ones, without a word between them, by rendezvous hashing over the servers' lives.
 
 use crate::member::Member;
+use crate::pace::Pace;
 use crate::Prompt;
 use std::cmp::Reverse;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// Shared parts longer than this are kept by the deep side: with a few thousand tokens of a request's own they make
-/// deep prompts.
-const DEEP_HOME_TOKENS: u32 = 24_000;
-
-/// Share of the servers on the deep side. Measured: docs/design/choosing.md.
-const DEEP_SIDE: f64 = 0.34;
-
 /// Stands for a part in the ranking of servers for the deep side.
 const DEEP_SIDE_PART: u64 = 0;
 
 /// The servers in the order in which every box would have them keep a prompt's last shared part; none without one.
-pub(crate) fn homes<'a>(among: &[&'a Member], prompt: &Prompt) -> Vec<&'a Member> {
+pub(crate) fn homes<'a>(among: &[&'a Member], prompt: &Prompt, pace: Pace) -> Vec<&'a Member> {
     let Some(last) = prompt.shared().last() else { return Vec::new() };
-    let apart = if prompt.shared_tokens() > DEEP_HOME_TOKENS { deep_side(among) } else { Vec::new() };
+    let apart = if pace.keeps_apart(prompt.shared_tokens()) { deep_side(among, pace) } else { Vec::new() };
     let key = |member: &Member| (apart.contains(&member.server.id.as_str()), rank(last.id, &member.server.id));
     let mut ranked: Vec<((bool, u64), &Member)> = among.iter().map(|member| (key(member), *member)).collect();
     ranked.sort_unstable_by_key(|(key, _)| Reverse(*key));
@@ -28,10 +22,10 @@
 }
 
 /// Ids of the servers that keep the longest shared parts, and that quick answers rather avoid.
-pub(crate) fn deep_side<'a>(among: &[&'a Member]) -> Vec<&'a str> {
+pub(crate) fn deep_side<'a>(among: &[&'a Member], pace: Pace) -> Vec<&'a str> {
     let mut ids: Vec<&str> = among.iter().map(|member| member.server.id.as_str()).collect();
     ids.sort_unstable_by_key(|id| rank(DEEP_SIDE_PART, id));
-    ids.truncate((ids.len() as f64 * DEEP_SIDE) as usize);
+    ids.truncate(pace.deep_side(ids.len()));
     ids
 }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -13,6 +13,7 @@
 mod load;
 mod member;
 mod owner;
+mod pace;
 mod placement;
 mod pool;
 mod prompt;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -2,11 +2,13 @@
 
 use crate::homes::{deep_side, homes};
 use crate::member::Member;
+use crate::pace::Pace;
 use crate::weigh::{Scale, Source, FETCH_LEAST};
 use crate::{Ask, Choice, Ending, Millis, Opinion, Prompt, Refusal, Work};
 use routing::{Engine, Server};
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Part of a server's memory that kept parts are expected to fill at most.
 const KEPT_SHARE: f64 = 0.8;
@@ -19,12 +21,15 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Pool {
     engine: Option<Engine>,
+    pace: Pace,
     /// By id. Draining servers stay while they are listed, since requests may still run there.
     members: HashMap<String, Member>,
 }
 
 impl Pool {
-    pub(crate) fn set_engine(&mut self, engine: Option<Engine>) {
+    /// Takes what its servers are, and the strictest pause between events of an answer.
+    pub(crate) fn set_engine(&mut self, engine: Option<Engine>, gap_aim: Option<Duration>) {
+        self.pace = Pace::new(gap_aim, engine.as_ref());
         self.engine = engine;
     }
 
@@ -45,7 +50,7 @@
     /// Servers whose owners are worth asking: those that are to keep the prompt's shared parts, then the cheapest.
     pub(crate) fn plan(&self, ask: &Ask<'_>, hall: &str, most: usize) -> Vec<Arc<Server>> {
         let among = self.among(ask);
-        let homes = ask.prompt.map_or_else(Vec::new, |prompt| homes(&among, prompt));
+        let homes = ask.prompt.map_or_else(Vec::new, |prompt| homes(&among, prompt, self.pace));
         let scale = self.scale(ask, hall, &among, &homes);
         let mut candidates: Vec<_> = among.iter().map(|member| scale.weigh(member)).collect();
         candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
@@ -61,11 +66,12 @@
         Scale {
             ask,
             engine: self.engine.as_ref(),
+            pace: self.pace,
             hall,
             failing_least: among.iter().map(|member| member.health.failing()).fold(1.0, f64::min),
             home: homes.first().map(|home| home.server.id.as_str()),
             source: self.source(ask),
-            deep_side: deep_side(among),
+            deep_side: deep_side(among, self.pace),
         }
     }
 
@@ -99,7 +105,7 @@
     /// The server with the least cost. `hall` is this box's.
     pub(crate) fn choose(&mut self, ask: &Ask<'_>, hall: &str) -> Result<Choice, Refusal> {
         let among = self.among(ask);
-        let homes = ask.prompt.map_or_else(Vec::new, |prompt| homes(&among, prompt));
+        let homes = ask.prompt.map_or_else(Vec::new, |prompt| homes(&among, prompt, self.pace));
         let scale = self.scale(ask, hall, &among, &homes);
         // A server whose owner wasn't heard looks idle: where some were heard, only those are compared.
         let heard = |m: &&&Member| ask.opinions.is_empty() || ask.opinion(&m.server.id).is_some();
--- a/crates/placement/src/weigh.rs
+++ b/crates/placement/src/weigh.rs
@@ -1,6 +1,7 @@
 //! What it costs to send a request to a server, in milliseconds of a wait.
 
 use crate::member::Member;
+use crate::pace::{quick, Pace};
 use crate::{Ask, Load, Prompt, Work};
 use routing::Engine;
 
@@ -35,17 +36,6 @@
 /// Cost of a server that failed every time lately.
 const FAILING_MS: f64 = 4_000.0;
 
-/// Answers are quick whose tokens may take less than this each, in milliseconds: a step that also reads a piece of
-/// 2,048 prompt tokens takes 45 to 65 ms, and 0.5 ms more for each thousand tokens before that piece.
-const QUICK_TOKEN_MS: f64 = 78.0;
-
-/// Prompts longer than this are deep. Measured: of the quick answers beside one of 30,000 tokens a third are late, of
-/// those beside none of 25,000 not one.
-const DEEP_TOKENS: u32 = 24_000;
-
-/// Fewest tokens still to be read of a deep prompt that hold quick answers up: half an event's worth of pieces.
-const DEEP_UNREAD: u32 = 4_096;
-
 /// What a quick answer loses beside a deep prompt, and a deep prompt for each quick answer beside it: a third of what
 /// being late costs.
 const BESIDE_DEEP_MS: f64 = 700.0;
@@ -90,6 +80,7 @@
 pub(crate) struct Scale<'a> {
     pub(crate) ask: &'a Ask<'a>,
     pub(crate) engine: Option<&'a Engine>,
+    pub(crate) pace: Pace,
     /// This box's hall.
     pub(crate) hall: &'a str,
     /// Least share of failures among the servers: only more than that counts against one.
@@ -137,13 +128,11 @@
 
     /// What a request adds to the load of a server that has `unread` of its tokens to read.
     fn work(&self, prompt: &Prompt, unread: u32) -> Work {
-        let stride = self.engine.map_or(1, |engine| engine.stride.max(1));
-        let token_ms = self.ask.gap_aim.map(|aim| aim.as_secs_f64() * 1_000.0 / f64::from(stride));
         Work {
             unread,
             held: prompt.tokens.saturating_add(prompt.out()),
-            quick: token_ms.is_some_and(|ms| ms < QUICK_TOKEN_MS),
-            deep: prompt.tokens > DEEP_TOKENS && unread > DEEP_UNREAD,
+            quick: quick(self.ask.gap_aim, self.engine),
+            deep: self.pace.deep(prompt.tokens, unread),
         }
     }
 
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -1,11 +1,14 @@
 //! Which server is chosen.
 
 use placement::{Ask, Budget, Choice, Ending, Load, Opinion, Part, Placement, Prompt, Work};
-use routing::{Change, Directory, Engine, Server, Service, Table};
+use routing::{Change, Directory, Engine, Kind, Route, Server, Service, Share, Table};
 use std::time::Duration;
 
 const MODEL: &str = "model";
 
+/// A pause between events of four tokens that a deep prompt makes longer.
+const QUICK_GAP: Duration = Duration::from_millis(300);
+
 fn server(index: usize, hall: &str, draining: bool) -> Server {
     Server {
         id: format!("s{index}"),
@@ -21,16 +24,34 @@
     (0..count).map(|index| server(index, "here", false)).collect()
 }
 
-fn table() -> Table {
+/// A table with one route to engines whose events hold four tokens.
+fn table(gap_aim: Option<Duration>) -> Table {
+    let route = Route {
+        name: "quickest".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/".to_owned(),
+        kind: Kind::Stream { resumable: true },
+        timeout: Duration::from_secs(12),
+        aim: Duration::from_millis(1_500),
+        gap_aim,
+        priority: 0,
+        shares: vec![Share { service: MODEL.to_owned(), weight: 1 }],
+        attempts: 2,
+        open: false,
+    };
     let engine = Engine { slots: 64, memory_tokens: 500_000, token_bytes: 18_432, link_mbps: 100_000.0, stride: 4 };
-    Table::new(1, Vec::new(), vec![Service { name: MODEL.to_owned(), connections: 100, engine: Some(engine) }])
+    Table::new(1, vec![route], vec![Service { name: MODEL.to_owned(), connections: 100, engine: Some(engine) }])
 }
 
 fn placement(servers: Vec<Server>) -> Placement {
+    paced(servers, Some(QUICK_GAP))
+}
+
+fn paced(servers: Vec<Server>, gap_aim: Option<Duration>) -> Placement {
     let mut placement = Placement::new("here", Budget::new(0.2, 50.0, 10_000));
     let mut directory = Directory::default();
     directory.apply(servers.into_iter().map(Change::Present).collect(), 1);
-    placement.update(&table(), &directory);
+    placement.update(&table(gap_aim), &directory);
     placement
 }
 
@@ -138,14 +159,21 @@
 }
 
 fn deep_prompt(shared: u64) -> Prompt {
-    let parts = vec![Part { id: shared, tokens: 26_000 }, Part { id: 5_000 + shared, tokens: 4_000 }];
-    Prompt { model: "m".to_owned(), tokens: 30_000, out_most: 100, out_hint: None, parts }
+    let parts = vec![Part { id: shared, tokens: 28_000 }, Part { id: 5_000 + shared, tokens: 4_000 }];
+    Prompt { model: "m".to_owned(), tokens: 32_000, out_most: 100, out_hint: None, parts }
 }
 
-/// An ask whose answer may pause for 300 ms between events of four tokens.
+/// An ask whose answer may pause only for [`QUICK_GAP`].
 fn quick_ask<'a>(prompt: &'a Prompt, opinions: &'a [(String, Opinion)]) -> Ask<'a> {
-    let gap_aim = Some(Duration::from_millis(300));
-    Ask { service: MODEL, prompt: Some(prompt), gap_aim, bytes: 1_500, tried: &[], opinions, now: 1_000 }
+    Ask {
+        service: MODEL,
+        prompt: Some(prompt),
+        gap_aim: Some(QUICK_GAP),
+        bytes: 1_500,
+        tried: &[],
+        opinions,
+        now: 1_000,
+    }
 }
 
 #[test]
@@ -169,7 +197,7 @@
     let home = choose(&mut placement.clone(), &deep_prompt(7), &[]).server.id.clone();
     let other = if home == "s0" { "s1" } else { "s0" };
     let load = Load { running: 30, quick: 30, ..Load::default() };
-    let there = Opinion { load, ..opinion(30, 0, 26_000, 26_000) };
+    let there = Opinion { load, ..opinion(30, 0, 28_000, 28_000) };
     let heard = [(home, there), (other.to_owned(), opinion(0, 0, 0, 0))];
     let long = Prompt { tokens: 40_000, ..deep_prompt(7) };
     let chosen = choose(&mut placement, &long, &heard);
@@ -190,6 +218,26 @@
     }
 }
 
+#[test]
+fn the_less_time_a_token_has_the_shorter_are_deep_prompts_and_the_more_servers_keep_them() {
+    for (gap, deep_from, servers_apart) in [(Some(300), 24_001, 3), (Some(200), 16_501, 5), (Some(2_000), u32::MAX, 0)]
+    {
+        let mut placement = paced(servers(9), gap.map(Duration::from_millis));
+        for (tokens, deep) in [(deep_from - 1, false), (deep_from, true)] {
+            let parts = vec![Part { id: u64::from(tokens), tokens }];
+            let prompt = Prompt { model: String::new(), tokens, out_most: 0, out_hint: None, parts };
+            assert_eq!(
+                choose(&mut placement, &prompt, &[]).work.deep,
+                deep && gap != Some(2_000),
+                "{tokens} of {gap:?}"
+            );
+        }
+        let home = |shared| choose(&mut placement.clone(), &deep_prompt(shared), &[]).server.id.clone();
+        let homes: std::collections::HashSet<String> = (0..80).map(home).collect();
+        assert_eq!(homes.len(), if servers_apart == 0 { 9 } else { servers_apart });
+    }
+}
+
 #[test]
 fn a_server_that_breaks_twice_is_left_alone_and_then_tried_by_one_request() {
     let mut placement = placement(servers(2));
