--- a/crates/cleatshelf/tests/route.rs
+++ b/crates/cleatshelf/tests/route.rs
@@ -1,5 +1,6 @@
 //! Router boxes as separate processes, with a store and servers of this test: start, news, peers, planned stop.
 
+use lab::ports::free;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -172,10 +173,6 @@
     )
 }
 
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
-}
-
 /// A router process. Ends with the test.
 struct Box {
     child: Child,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -19,7 +19,7 @@
 mod plain;
 mod platform;
 mod plot;
-mod ports;
+pub mod ports;
 mod profile;
 mod relay;
 mod releases;
