--- a/crates/cleatshelf/src/router/follow.rs
+++ b/crates/cleatshelf/src/router/follow.rs
@@ -20,8 +20,9 @@
 const PAUSE_LEAST: Duration = Duration::from_millis(100);
 const PAUSE_MOST: Duration = Duration::from_millis(800);
 
-/// Pause after news of servers, so that those of a release or a burst of failures come in few calls.
-const GATHER: Duration = Duration::from_millis(120);
+/// Pause after news of servers, so that those of a release or a burst of failures come in few calls. A sixth of the
+/// shortest bound for news, 2 s.
+const GATHER: Duration = Duration::from_millis(300);
 
 /// Pause between the first read and the first watch: by then a box that has just started has heard from a watcher of
 /// its hall, if there is one, and need not watch itself.
@@ -106,10 +107,12 @@
 
     /// The revision up to which everything is known without asking; none where only a read can tell.
     fn known(&self) -> Option<u64> {
-        match self.subject {
-            Subject::Table => None,
-            Subject::Directory => Some(self.knowledge.holding().directory).filter(|revision| *revision > 0),
-        }
+        let holding = self.knowledge.holding();
+        let revision = match self.subject {
+            Subject::Table => holding.table_until,
+            Subject::Directory => holding.directory,
+        };
+        Some(revision).filter(|revision| *revision > 0)
     }
 
     async fn step(&self, since: Option<u64>) -> Result<u64, Trouble> {
@@ -124,7 +127,7 @@
             Subject::Table => {
                 let found = self.publisher.table().await?;
                 let (revision, bytes) = found.ok_or_else(|| Trouble::Unreachable("no configuration yet".into()))?;
-                self.knowledge.offer_table(&bytes, Origin::Publisher);
+                self.take_table(Some(&bytes), revision);
                 Ok(revision)
             }
             Subject::Directory => {
@@ -139,8 +142,8 @@
     async fn watch(&self, since: u64) -> Result<u64, Trouble> {
         let wait = if self.troubles.of(self.subject).get() { WAIT_IN_TROUBLE } else { WAIT };
         let update = self.publisher.watch(self.subject, since, wait).await?;
-        if let Some(bytes) = update.table {
-            self.knowledge.offer_table(&bytes, Origin::Publisher);
+        if self.subject == Subject::Table {
+            self.take_table(update.table.as_deref(), update.revision);
         }
         if !update.changes.is_empty() {
             self.knowledge.offer_changes(update.changes, update.revision, Origin::Publisher);
@@ -150,6 +153,13 @@
         Ok(update.revision)
     }
 
+    /// Takes the configuration that the publisher has at `revision`; none when it is the one known already.
+    fn take_table(&self, bytes: Option<&[u8]>, revision: u64) {
+        if bytes.is_none_or(|bytes| self.knowledge.offer_table(bytes, Origin::Publisher)) {
+            self.knowledge.table_stands(revision);
+        }
+    }
+
     fn troubled(&self, why: &Trouble) {
         if !self.troubles.of(self.subject).replace(true) {
             telemetry::emit(Event::PlatformUnreachable, format_args!("subject={:?} why=\"{why}\"", self.subject));
--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -44,6 +44,8 @@
 struct State {
     /// The configuration in force, and as it was published, packed for peers.
     table: Option<(Arc<Table>, Rc<Vec<u8>>)>,
+    /// Revision of the publisher at which that configuration was still the newest; 0 when this is not known.
+    table_until: u64,
     directory: Directory,
     /// What others have not been told yet, in order.
     news: Vec<News>,
@@ -56,7 +58,8 @@
         Self { shared, publisher, state: RefCell::default(), told: Notify::new() }
     }
 
-    /// Takes a configuration; an older one than that in force is ignored. True when it is in force now.
+    /// Takes a configuration; an older one than that in force is ignored. False when it can't be read, and the former
+    /// one stays.
     pub(super) fn offer_table(&self, bytes: &[u8], origin: Origin) -> bool {
         let table = match self.publisher.decode(bytes) {
             Ok(table) => table,
@@ -68,18 +71,25 @@
         let mut state = self.state.borrow_mut();
         let current = state.table.as_ref().map(|(table, _)| table.version);
         if current.is_some_and(|version| version >= table.version) {
-            return false;
+            return true;
         }
         telemetry::emit(
             Event::ReleaseInForce,
             format_args!("version={} routes={} from={origin:?}", table.version, table.len()),
         );
         state.table = Some((Arc::new(table), Rc::new(pack(bytes))));
+        state.table_until = 0;
         self.put_in_force(&state);
         self.tell(&mut state, News::Table);
         true
     }
 
+    /// The configuration in force was still the newest at this revision of the publisher.
+    pub(super) fn table_stands(&self, revision: u64) {
+        let mut state = self.state.borrow_mut();
+        state.table_until = state.table_until.max(revision);
+    }
+
     /// Takes a configuration as another box packed it.
     pub(super) fn offer_packed(&self, packed: &[u8]) {
         match unpack(packed) {
@@ -151,7 +161,7 @@
     pub(super) fn holding(&self) -> Holding {
         let state = self.state.borrow();
         let table = state.table.as_ref().map_or(0, |(table, _)| table.version);
-        Holding { table, directory: state.directory.revision }
+        Holding { table, table_until: state.table_until, directory: state.directory.revision }
     }
 
     /// The configuration in force as it was published, packed.
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -162,6 +162,7 @@
                     self.watching.send_replace(watching);
                 }
                 Action::Table(packed) => self.knowledge.offer_packed(&packed),
+                Action::TableUntil(revision) => self.knowledge.table_stands(revision),
                 Action::Directory(directory) => self.knowledge.offer_directory(directory, Origin::Peer),
                 Action::Changes(changes, until) => self.knowledge.offer_changes(changes, until, Origin::Peer),
             }
--- a/crates/peers/src/action.rs
+++ b/crates/peers/src/action.rs
@@ -17,6 +17,8 @@
     Watch(bool),
     /// A peer sent a configuration.
     Table(Vec<u8>),
+    /// A watcher says that the configuration which this box has was still the newest at this revision.
+    TableUntil(u64),
     /// A peer sent a list of servers.
     Directory(Directory),
     /// A peer told what became of servers, on top of the revision that this box has.
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -24,6 +24,8 @@
     pub watches: bool,
     /// Version of the configuration that it has; 0 for none.
     pub table: u64,
+    /// Revision of the publisher at which that was still the newest; 0 when it doesn't know.
+    pub table_until: u64,
     /// Revision of its list of servers.
     pub directory: u64,
     /// Digest of the boxes that it knows.
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -44,6 +44,8 @@
 pub struct Holding {
     /// Version of the configuration; 0 for none.
     pub table: u64,
+    /// Revision of the publisher at which that was still the newest; 0 when this is not known.
+    pub table_until: u64,
     /// Revision of the list of servers.
     pub directory: u64,
 }
@@ -265,6 +267,7 @@
             profile: self.profile.clone(),
             watches: self.reached,
             table: self.holding.table,
+            table_until: self.holding.table_until,
             directory: self.holding.directory,
             members: self.digest(),
         });
@@ -330,6 +333,9 @@
         if beat.table > self.holding.table {
             self.want(from, Subject::Table, now, actions);
         }
+        if beat.table == self.holding.table && beat.table_until > self.holding.table_until {
+            actions.push(Action::TableUntil(beat.table_until));
+        }
         if beat.directory > self.holding.directory {
             self.want(from, Subject::Directory, now, actions);
         }
--- a/crates/peers/tests/world.rs
+++ b/crates/peers/tests/world.rs
@@ -82,7 +82,7 @@
         for one in self.boxes.values_mut().filter(|b| b.watching && b.reached && !b.frozen) {
             if one.holding.directory < self.published {
                 self.calls += 1;
-                one.holding = Holding { table: self.published, directory: self.published };
+                one.holding = Holding { table: self.published, table_until: self.published, directory: self.published };
                 one.peers.hold(one.holding);
             }
         }
@@ -125,6 +125,11 @@
         for action in actions {
             let one = self.boxes.get_mut(&me).expect("a box");
             match action {
+                Action::TableUntil(revision) => {
+                    one.holding.table_until = one.holding.table_until.max(revision);
+                    // Versions and revisions are the same numbers here.
+                    assert!(one.holding.table_until <= one.holding.table, "{me} would miss a configuration");
+                }
                 Action::Send(to, message) => self.post(me, to, message),
                 Action::SendTable(to) => {
                     let version = one.holding.table.to_string().into_bytes();
