--- a/crates/placement/src/ask.rs
+++ b/crates/placement/src/ask.rs
@@ -13,6 +13,8 @@
     pub service: &'a str,
     /// Its prompt, if it is for a model.
     pub prompt: Option<&'a Prompt>,
+    /// Aim for the answer; for streams, for the first event.
+    pub aim: Duration,
     /// Longest pause between events of its answer that is still in time.
     pub gap_aim: Option<Duration>,
     /// Bytes of its body, which cross the network to the server.
--- a/crates/placement/src/pace.rs
+++ b/crates/placement/src/pace.rs
@@ -14,7 +14,7 @@
 /// Where a token may take less than this, in milliseconds, shorter prompts disturb too, by so many tokens for each
 /// millisecond: steps that read take most of the time already.
 const TIGHT_TOKEN_MS: f64 = 55.0;
-const TIGHTER_TOKENS: f64 = 1_500.0;
+const TIGHTER_TOKENS: f64 = 2_400.0;
 
 /// No prompt below this is deep, in tokens: it is read in too few steps to fill an event's time.
 const DEEP_LEAST: f64 = 8_000.0;
@@ -25,9 +25,11 @@
 /// Tokens of a deep prompt that are the request's own, and not shared, on average.
 const OWN_TOKENS: f64 = 2_000.0;
 
-/// The share of servers on the deep side is this by the milliseconds that a token may take, and not above the most:
-/// 0.34 at 75 ms, 0.45 at 57, 0.51 at 50. Measured: docs/design/choosing.md.
-const SIDE_MS: f64 = 25.5;
+/// The share of servers on the deep side where a token may take so many milliseconds, what it gains for each millisecond
+/// less, and its most. Measured: docs/design/choosing.md.
+const SIDE_TOKEN_MS: f64 = 75.0;
+const SIDE_SHARE: f64 = 0.34;
+const SIDE_GAIN: f64 = 0.0104;
 const SIDE_MOST: f64 = 0.6;
 
 /// What the strictest route of a service asks of its answers.
@@ -63,8 +65,8 @@
 
     /// How many of a service's servers keep the longest shared parts.
     pub(crate) fn deep_side(self, servers: usize) -> usize {
-        let share = self.token_ms.map_or(0.0, |ms| (SIDE_MS / ms).min(SIDE_MOST));
-        (servers as f64 * share) as usize
+        let share = self.token_ms.map_or(0.0, |ms| SIDE_SHARE + SIDE_GAIN * (SIDE_TOKEN_MS - ms).max(0.0));
+        (servers as f64 * share.min(SIDE_MOST)) as usize
     }
 }
 
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -13,9 +13,9 @@
 /// Part of a server's memory that kept parts are expected to fill at most.
 const KEPT_SHARE: f64 = 0.8;
 
-/// How many of the servers that are to keep a prompt's shared parts are always asked for: the first, and the one that
-/// had them before the first came or takes over when it goes.
-const HOMES_ASKED: usize = 2;
+/// How many of the servers that are to keep a prompt's shared parts are always asked for: the first, and those that had
+/// them before it came or take over when it goes.
+const HOMES_ASKED: usize = 3;
 
 /// All servers of a service that aren't draining, and their records.
 #[derive(Clone, Debug, Default)]
--- a/crates/placement/src/weigh.rs
+++ b/crates/placement/src/weigh.rs
@@ -27,8 +27,9 @@
 /// What a server without a free slot or enough memory costs.
 const FULL_MS: f64 = 1_500.0;
 
-/// What sending a kilobyte to another hall costs. From the sheets: 17 KB cost 0.02 to 0.15 of a request.
-const FAR_MS_PER_KB: f64 = 6.0;
+/// What sending a kilobyte to another hall costs. From the sheets: 17 KB cost 0.02 to 0.15 of a request, as much as 5
+/// to 40 ms of wait for each kilobyte.
+const FAR_MS_PER_KB: f64 = 20.0;
 
 /// What the way to another hall costs whatever its size.
 const FAR_MS: f64 = 3.0;
@@ -36,6 +37,11 @@
 /// Cost of a server that failed every time lately.
 const FAILING_MS: f64 = 4_000.0;
 
+/// What being late costs, in this order: nothing up to this part of the aim, and all of it where the first event is
+/// expected after the aim. From the sheets: a late answer loses about as much as 13,300 tokens read again cost.
+const LATE_FROM: f64 = 0.6;
+const LATE_MS: f64 = 4_000.0;
+
 /// What a quick answer loses beside a deep prompt, and a deep prompt for each quick answer beside it: a third of what
 /// being late costs.
 const BESIDE_DEEP_MS: f64 = 700.0;
@@ -122,10 +128,16 @@
         let memory = self.engine.map_or(u64::MAX, |engine| engine.memory_tokens);
         let full = load.running >= member.server.slots || load.held + u64::from(work.held) > memory;
         let full = if full { FULL_MS } else { 0.0 };
-        let cost = base + wait + reading.cost + full + self.beside(member, load, work);
+        let cost = base + wait + self.lateness(wait) + reading.cost + full + self.beside(member, load, work);
         Candidate { member, cost, work, fetch: reading.fetch }
     }
 
+    /// What a wait for the first event costs beyond itself, by how likely it makes the request late.
+    fn lateness(&self, wait_ms: f64) -> f64 {
+        let part = wait_ms / (self.ask.aim.as_secs_f64() * 1_000.0).max(1.0);
+        ((part - LATE_FROM) / (1.0 - LATE_FROM)).clamp(0.0, 1.0) * LATE_MS
+    }
+
     /// What a request adds to the load of a server that has `unread` of its tokens to read.
     fn work(&self, prompt: &Prompt, unread: u32) -> Work {
         Work {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -31,8 +31,9 @@
 /// Lowest urgency that a server knows.
 const URGENCY_MOST: u8 = 9;
 
-/// How many servers' owners are asked for one request: the two that are to keep its parts, and two cheap ones.
-const OWNERS_ASKED: usize = 4;
+/// How many servers' owners are asked for one request: the three that are to keep its parts first, and two cheap
+/// ones.
+const OWNERS_ASKED: usize = 5;
 
 /// Longest wait for owners. They are a few milliseconds away; a slow one must not make requests late.
 const OPINION_MOST: Duration = Duration::from_millis(25);
@@ -178,6 +179,7 @@
         Ask {
             service: &self.service,
             prompt: self.call.prompt.as_ref(),
+            aim: self.route.aim,
             gap_aim: self.route.gap_aim,
             bytes: self.body.len(),
             tried: &self.tried,
