--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -17,6 +17,9 @@
 /// them before it came or take over when it goes.
 const HOMES_ASKED: usize = 3;
 
+/// How many owners are asked for a prompt with few shared tokens: any server will do, and each question is two frames.
+const SHORT_ASKED: usize = 2;
+
 /// All servers of a service that aren't draining, and their records.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Pool {
@@ -54,12 +57,17 @@
         let scale = self.scale(ask, hall, &among, &homes);
         let mut candidates: Vec<_> = among.iter().map(|member| scale.weigh(member)).collect();
         candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
-        // Few shared tokens are read at once anywhere.
         let long = ask.prompt.is_some_and(|prompt| prompt.shared_tokens() >= FETCH_LEAST);
         let likely = &homes[..if long { homes.len().min(HOMES_ASKED) } else { 0 }];
         let cheap = candidates.iter().map(|candidate| candidate.member);
         let others = cheap.filter(|member| !likely.iter().any(|home| home.server.id == member.server.id));
-        likely.iter().copied().chain(others).take(most).map(|member| Arc::clone(&member.server)).collect()
+        likely
+            .iter()
+            .copied()
+            .chain(others)
+            .take(if long { most } else { most.min(SHORT_ASKED) })
+            .map(|member| Arc::clone(&member.server))
+            .collect()
     }
 
     fn scale<'a>(&'a self, ask: &'a Ask<'_>, hall: &'a str, among: &[&'a Member], homes: &[&'a Member]) -> Scale<'a> {
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -263,6 +263,15 @@
     }
 }
 
+#[test]
+fn for_a_prompt_with_few_shared_tokens_two_owners_are_asked() {
+    let placement = placement(servers(9));
+    let prompt = quick_prompt(100);
+    assert_eq!(placement.plan(&quick_ask(&prompt, &[]), 5).len(), 2);
+    let long = deep_prompt(7);
+    assert_eq!(placement.plan(&quick_ask(&long, &[]), 5).len(), 5);
+}
+
 #[test]
 fn a_server_that_breaks_twice_is_left_alone_and_then_tried_by_one_request() {
     let mut placement = placement(servers(2));
