--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use placement::{Choice, Ending, Millis, News, Prompt, Report, Work};
 use routing::Server;
+use std::cell::Cell;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
@@ -112,13 +113,15 @@
     pub(crate) body: &'a Bytes,
 }
 
-/// Sends a request and waits for the head of its answer.
+/// Sends a request and waits for the head of its answer. `under_way` becomes true before its first byte may leave this
+/// box, and false again only where it surely has not run.
 pub(crate) async fn send(
     shared: &Shared,
     connections: &Connections,
     server: &Server,
     message: &Message<'_>,
     dispatch: &Dispatch<'_>,
+    under_way: &Cell<bool>,
 ) -> Sent {
     let mut request = request_of(shared, server, message, dispatch);
     for _ in 0..STALE_MOST {
@@ -126,10 +129,18 @@
             Ok(connection) => connection,
             Err(why) => return Sent::Unreached(why.to_string()),
         };
+        under_way.set(true);
         match connection.sender.try_send_request(request).await {
-            Ok(response) => return judge(shared, server, message.id, response, connection),
+            Ok(response) => {
+                let sent = judge(shared, server, message.id, response, connection);
+                under_way.set(!matches!(sent, Sent::NotRun(_)));
+                return sent;
+            }
             Err(mut error) => match error.take_message() {
-                Some(unsent) => request = unsent,
+                Some(unsent) => {
+                    under_way.set(false);
+                    request = unsent;
+                }
                 None => return Sent::Broken(cause(&error.into_error())),
             },
         }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -13,7 +13,9 @@
 use http::{request, Response, StatusCode};
 use placement::{Ask, Choice, Ending, Opinion, Prompt};
 use routing::{Customer, Kind, Route};
+use std::cell::Cell;
 use std::fmt::Write;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use telemetry::Event;
@@ -64,8 +66,11 @@
     pub(crate) sends: u32,
     /// Sends that found no server.
     pub(crate) unreached: usize,
-    /// True when a send may have run.
+    /// True when a send that has ended may have run.
     pub(crate) may_have_run: bool,
+    /// True while the last send may run or have run. Stands beside `may_have_run`, since a send that is dropped when the
+    /// time is over can't say how it ended.
+    pub(crate) under_way: Rc<Cell<bool>>,
     /// True once its one outcome is known.
     pub(crate) concluded: bool,
     /// When its events came, if it is a stream.
@@ -240,7 +245,8 @@
             last_event,
         };
         let message = Message { id: &self.call.id, parts: &self.parts, body: &self.body };
-        attempt::send(&self.shared, &self.connections, &server, &message, &dispatch).await
+        let under_way = Rc::clone(&self.under_way);
+        attempt::send(&self.shared, &self.connections, &server, &message, &dispatch, &under_way).await
     }
 
     fn urgency(&self) -> u8 {
@@ -363,6 +369,9 @@
     }
 
     fn too_late(&mut self) -> Response<Body> {
+        if !self.may_have_run && !self.under_way.get() {
+            return self.refuse("no server could be reached in time");
+        }
         if let Some(server) = self.tried.last().filter(|_| !self.route.kind.streams()) {
             // A plain server that says nothing for that long is broken; an engine may be busy.
             let now = self.shared.now();
