--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -369,14 +369,14 @@
     }
 
     fn too_late(&mut self) -> Response<Body> {
-        if !self.may_have_run && !self.under_way.get() {
-            return self.refuse("no server could be reached in time");
-        }
         if let Some(server) = self.tried.last().filter(|_| !self.route.kind.streams()) {
             // A plain server that says nothing for that long is broken; an engine may be busy.
             let now = self.shared.now();
             self.shared.placement().note(&self.service, server, Ending::Broken, now);
         }
+        if !self.may_have_run && !self.under_way.get() {
+            return self.refuse("no server could be reached in time");
+        }
         self.conclude(Outcome::Late);
         answer::plain(StatusCode::GATEWAY_TIMEOUT, "its time is over")
     }
