--- a/crates/placement/src/homes.rs
+++ b/crates/placement/src/homes.rs
@@ -12,9 +12,11 @@
 const DEEP_SIDE_PART: u64 = 0;
 
 /// The servers in the order in which every box would have them keep a prompt's last shared part; none without one.
-pub(crate) fn homes<'a>(among: &[&'a Member], prompt: &Prompt, pace: Pace) -> Vec<&'a Member> {
+///
+/// The longest parts are kept by `deep_side` first.
+pub(crate) fn homes<'a>(among: &[&'a Member], prompt: &Prompt, pace: Pace, deep_side: &[&str]) -> Vec<&'a Member> {
     let Some(last) = prompt.shared().last() else { return Vec::new() };
-    let apart = if pace.keeps_apart(prompt.shared_tokens()) { deep_side(among, pace) } else { Vec::new() };
+    let apart = if pace.keeps_apart(prompt.shared_tokens()) { deep_side } else { &[] };
     let key = |member: &Member| (apart.contains(&member.server.id.as_str()), rank(last.id, &member.server.id));
     let mut ranked: Vec<((bool, u64), &Member)> = among.iter().map(|member| (key(member), *member)).collect();
     ranked.sort_unstable_by_key(|(key, _)| Reverse(*key));
@@ -23,9 +25,13 @@
 
 /// Ids of the servers that keep the longest shared parts, and that quick answers rather avoid.
 pub(crate) fn deep_side<'a>(among: &[&'a Member], pace: Pace) -> Vec<&'a str> {
+    let most = pace.deep_side(among.len());
+    if most == 0 {
+        return Vec::new();
+    }
     let mut ids: Vec<&str> = among.iter().map(|member| member.server.id.as_str()).collect();
     ids.sort_unstable_by_key(|id| rank(DEEP_SIDE_PART, id));
-    ids.truncate(pace.deep_side(ids.len()));
+    ids.truncate(most);
     ids
 }
 
--- a/crates/placement/src/pace.rs
+++ b/crates/placement/src/pace.rs
@@ -32,7 +32,7 @@
 const SIDE_GAIN: f64 = 0.0104;
 const SIDE_MOST: f64 = 0.6;
 
-/// What the strictest route of a service asks of its answers.
+/// What a route, or the strictest one of a service, asks of its answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Pace {
     /// Longest time for a token that is still in time, in milliseconds; none where no answer is quick.
@@ -40,12 +40,17 @@
 }
 
 impl Pace {
-    /// The pace of a service whose strictest pause between events is `gap_aim`.
+    /// The pace of answers whose events may be `gap_aim` apart.
     pub(crate) fn new(gap_aim: Option<Duration>, engine: Option<&Engine>) -> Self {
         let token_ms = gap_aim.zip(engine).map(|(aim, engine)| token_ms(aim, engine));
         Self { token_ms: token_ms.filter(|ms| *ms < QUICK_TOKEN_MS) }
     }
 
+    /// True when such an answer is late as soon as deep prompts are read beside it.
+    pub(crate) fn quick(self) -> bool {
+        self.token_ms.is_some()
+    }
+
     /// Tokens from which on a prompt is deep, or infinitely many.
     fn deep_tokens(self) -> f64 {
         let Some(token_ms) = self.token_ms else { return f64::INFINITY };
@@ -70,11 +75,6 @@
     }
 }
 
-/// True when an answer is late with events further apart than `gap_aim` as soon as deep prompts are read beside it.
-pub(crate) fn quick(gap_aim: Option<Duration>, engine: Option<&Engine>) -> bool {
-    gap_aim.zip(engine).is_some_and(|(aim, engine)| token_ms(aim, engine) < QUICK_TOKEN_MS)
-}
-
 fn token_ms(gap_aim: Duration, engine: &Engine) -> f64 {
     gap_aim.as_secs_f64() * 1_000.0 / f64::from(engine.stride.max(1))
 }
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -53,12 +53,11 @@
     /// Servers whose owners are worth asking: those that are to keep the prompt's shared parts, then the cheapest.
     pub(crate) fn plan(&self, ask: &Ask<'_>, hall: &str, most: usize) -> Vec<Arc<Server>> {
         let among = self.among(ask);
-        let homes = ask.prompt.map_or_else(Vec::new, |prompt| homes(&among, prompt, self.pace));
-        let scale = self.scale(ask, hall, &among, &homes);
+        let scale = self.scale(ask, hall, &among);
         let mut candidates: Vec<_> = among.iter().map(|member| scale.weigh(member)).collect();
         candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         let long = ask.prompt.is_some_and(|prompt| prompt.shared_tokens() >= FETCH_LEAST);
-        let likely = &homes[..if long { homes.len().min(HOMES_ASKED) } else { 0 }];
+        let likely = &scale.homes[..if long { scale.homes.len().min(HOMES_ASKED) } else { 0 }];
         let cheap = candidates.iter().map(|candidate| candidate.member);
         let others = cheap.filter(|member| !likely.iter().any(|home| home.server.id == member.server.id));
         likely
@@ -70,16 +69,17 @@
             .collect()
     }
 
-    fn scale<'a>(&'a self, ask: &'a Ask<'_>, hall: &'a str, among: &[&'a Member], homes: &[&'a Member]) -> Scale<'a> {
+    fn scale<'a>(&'a self, ask: &'a Ask<'_>, hall: &'a str, among: &[&'a Member]) -> Scale<'a> {
+        let deep_side = deep_side(among, self.pace);
         Scale {
             ask,
             engine: self.engine.as_ref(),
             pace: self.pace,
             hall,
             failing_least: among.iter().map(|member| member.health.failing()).fold(1.0, f64::min),
-            home: homes.first().map(|home| home.server.id.as_str()),
+            homes: ask.prompt.map_or_else(Vec::new, |prompt| homes(among, prompt, self.pace, &deep_side)),
             source: self.source(ask),
-            deep_side: deep_side(among, self.pace),
+            deep_side,
         }
     }
 
@@ -113,8 +113,7 @@
     /// The server with the least cost. `hall` is this box's.
     pub(crate) fn choose(&mut self, ask: &Ask<'_>, hall: &str) -> Result<Choice, Refusal> {
         let among = self.among(ask);
-        let homes = ask.prompt.map_or_else(Vec::new, |prompt| homes(&among, prompt, self.pace));
-        let scale = self.scale(ask, hall, &among, &homes);
+        let scale = self.scale(ask, hall, &among);
         // A server whose owner wasn't heard looks idle: where some were heard, only those are compared.
         let heard = |m: &&&Member| ask.opinions.is_empty() || ask.opinion(&m.server.id).is_some();
         let candidates = among.iter().filter(heard).map(|member| scale.weigh(member));
--- a/crates/placement/src/weigh.rs
+++ b/crates/placement/src/weigh.rs
@@ -1,7 +1,7 @@
 //! What it costs to send a request to a server, in milliseconds of a wait.
 
 use crate::member::Member;
-use crate::pace::{quick, Pace};
+use crate::pace::Pace;
 use crate::{Ask, Load, Prompt, Work};
 use routing::Engine;
 
@@ -42,8 +42,8 @@
 const LATE_FROM: f64 = 0.6;
 const LATE_MS: f64 = 4_000.0;
 
-/// What a quick answer loses beside a deep prompt, and a deep prompt for each quick answer beside it: a third of what
-/// being late costs.
+/// What a quick answer loses beside a deep prompt, and a deep prompt for each quick answer beside it: a third of them is
+/// late. Measured: twice as much serves no better.
 const BESIDE_DEEP_MS: f64 = 700.0;
 const BESIDE_QUICK_MS: f64 = 500.0;
 
@@ -91,8 +91,8 @@
     pub(crate) hall: &'a str,
     /// Least share of failures among the servers: only more than that counts against one.
     pub(crate) failing_least: f64,
-    /// Id of the server that is to keep the prompt's shared parts.
-    pub(crate) home: Option<&'a str>,
+    /// The servers that are to keep the prompt's shared parts, the first of them first; none without such parts.
+    pub(crate) homes: Vec<&'a Member>,
     /// From where these can be fetched.
     pub(crate) source: Option<Source<'a>>,
     /// Ids of the servers where deep prompts are to be read.
@@ -143,7 +143,7 @@
         Work {
             unread,
             held: prompt.tokens.saturating_add(prompt.out()),
-            quick: quick(self.ask.gap_aim, self.engine),
+            quick: Pace::new(self.ask.gap_aim, self.engine).quick(),
             deep: self.pace.deep(prompt.tokens, unread),
         }
     }
@@ -168,7 +168,7 @@
         let said = self.ask.opinion(&member.server.id);
         let kept = member.kept.prefix(&prompt.parts).max(said.map_or(0, |opinion| opinion.kept));
         let unread = prompt.tokens.saturating_sub(kept);
-        let at_home = self.home == Some(member.server.id.as_str());
+        let at_home = self.homes.first().is_some_and(|home| home.server.id == member.server.id);
         if at_home && said.is_none() {
             // Where the owner is not heard, it is taken that other boxes sent the parts there already.
             let unread = unread.min(prompt.tokens.saturating_sub(shared));
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -15,7 +15,6 @@
 use routing::{Customer, Kind, Route};
 use std::cell::Cell;
 use std::fmt::Write;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use telemetry::Event;
@@ -70,7 +69,7 @@
     pub(crate) may_have_run: bool,
     /// True while the last send may run or have run. Stands beside `may_have_run`, since a send that is dropped when the
     /// time is over can't say how it ended.
-    pub(crate) under_way: Rc<Cell<bool>>,
+    pub(crate) under_way: Cell<bool>,
     /// True once its one outcome is known.
     pub(crate) concluded: bool,
     /// When its events came, if it is a stream.
@@ -245,8 +244,7 @@
             last_event,
         };
         let message = Message { id: &self.call.id, parts: &self.parts, body: &self.body };
-        let under_way = Rc::clone(&self.under_way);
-        attempt::send(&self.shared, &self.connections, &server, &message, &dispatch, &under_way).await
+        attempt::send(&self.shared, &self.connections, &server, &message, &dispatch, &self.under_way).await
     }
 
     fn urgency(&self) -> u8 {
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -233,7 +233,7 @@
             sends: 0,
             unreached: 0,
             may_have_run: false,
-            under_way: Rc::default(),
+            under_way: Cell::default(),
             concluded: false,
             timing: Timing::default(),
             trail: String::new(),
