Placement learns each engine's speed and weighs a choice in answers that come late

Ruled out: first events (p50 47 ms). Change: a server's owner learns from first events and longest pauses what reading takes and how long it stalls answers (fit, learner, speed), counts which answers are still in time (load::paces), remembers expected stalls; choices cost answers made late, one's own and others'. pace and the deep side are gone, strictest_gap with them and its test. More owners are asked (4 for short prompts, 9).

--- a/crates/cleatshelf/src/router/advice.rs
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -22,7 +22,7 @@
 const WAITING_MOST: usize = 256;
 
 /// Between boxes, about servers that one of them owns.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) enum Message {
     Question(Question),
     Opinion(Opinion),
@@ -162,8 +162,8 @@
                 }
                 owner
             }
-            News::Read => state.leases.get(&report.number).copied(),
-            News::Ended(_) => state.leases.remove(&report.number),
+            News::Read | News::Late => state.leases.get(&report.number).copied(),
+            News::Ended { .. } => state.leases.remove(&report.number),
         };
         let Some(owner) = owner else { return };
         if owner == advice.me {
--- a/crates/placement/src/ask.rs
+++ b/crates/placement/src/ask.rs
@@ -1,6 +1,6 @@
 //! Questions and answers of a placement.
 
-use crate::{Load, Millis, Opinion, Prompt, Work};
+use crate::{Load, Millis, Opinion, Prompt, Speed, Work};
 use routing::Server;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -35,6 +35,21 @@
     }
 }
 
+/// What a choice expects, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Expectation {
+    /// In answers that come late.
+    pub cost: f64,
+    /// Milliseconds to the first event.
+    pub wait_ms: f64,
+    /// The chance that reading beside it makes it late.
+    pub stalled: f64,
+    /// How many others it makes late.
+    pub others: f64,
+    /// How fast the server was taken to be.
+    pub speed: Speed,
+}
+
 /// Where a request goes.
 #[derive(Clone, Debug)]
 pub struct Choice {
@@ -44,8 +59,8 @@
     pub fetch: Option<SocketAddr>,
     /// What it adds to the server's load.
     pub work: Work,
-    /// Expected cost in milliseconds, for the log.
-    pub cost_ms: u32,
+    /// What it is expected to cost, for the log.
+    pub expected: Expectation,
     /// What ran there before, as far as this box knows; for the log.
     pub load: Load,
     /// Servers that could have been chosen, for the log.
--- /dev/null
+++ b/crates/placement/src/harm.rs
@@ -0,0 +1,37 @@
+//! How many answers a choice is expected to make late.
+
+use crate::{Load, Speed, Work};
+
+/// How far real pauses differ from expected ones, as a part of them: a pause expected to be this much shorter than what
+/// an answer bears may be too long, one that is this much longer may be borne.
+const UNSURE: f64 = 0.08;
+
+/// The part of its aim up to which an expected first event is sure to come in time: what comes between a choice and the
+/// reading, as other boxes' requests, makes waits longer and never shorter.
+const FIRST_SURE: f64 = 0.6;
+
+/// The chance that the first event comes after the aim.
+pub(crate) fn first_late(wait_ms: f64, aim_ms: f64) -> f64 {
+    ((wait_ms / aim_ms.max(1.0) - FIRST_SURE) / (1.0 - FIRST_SURE)).clamp(0.0, 1.0)
+}
+
+/// The chance that a pause expected to last so long lasts longer than `most_ms`.
+pub(crate) fn exceeds(ms: f64, most_ms: f64) -> f64 {
+    ((ms / most_ms.max(1.0) - 1.0 + UNSURE) / (2.0 * UNSURE)).clamp(0.0, 1.0)
+}
+
+/// The chance that one of the stalls that come `per_second` makes an answer late that takes so long.
+pub(crate) fn stalled(per_second: f64, took_ms: f64) -> f64 {
+    1.0 - (-per_second * took_ms / 1e3).exp()
+}
+
+/// How many answers running beside it become late when `work` is added to a load.
+pub(crate) fn to_others(load: &Load, work: &Work, speed: &Speed) -> f64 {
+    if work.reading.tokens == 0 {
+        return 0.0;
+    }
+    let before = speed.stall(load.reading);
+    let after = speed.stall(load.reading.and(work.reading));
+    let late = |gap_ms: u32, ms: f64| exceeds(ms, f64::from(gap_ms));
+    load.paces.iter().map(|(gap, count)| f64::from(*count) * (late(*gap, after) - late(*gap, before)).max(0.0)).sum()
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,26 +7,32 @@
 
 mod ask;
 mod budget;
+mod fit;
+mod harm;
 mod health;
 mod homes;
 mod kept;
+mod learner;
 mod load;
 mod member;
 mod owner;
-mod pace;
 mod placement;
 mod pool;
 mod prompt;
+mod speed;
+mod stalls;
 mod weigh;
 
-pub use ask::{Ask, Choice, Refusal};
+pub use ask::{Ask, Choice, Expectation, Refusal};
 pub use budget::Budget;
 pub use health::{Ending, Health};
 pub use kept::Kept;
-pub use load::{Load, Work};
+pub use learner::Learner;
+pub use load::{Load, Reading, Work};
 pub use owner::{News, Opinion, Owner, Question, Report};
 pub use placement::Placement;
 pub use prompt::{Part, Prompt};
+pub use speed::Speed;
 
 /// Milliseconds of a clock that never goes back.
 pub type Millis = u64;
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -1,64 +1,120 @@
 //! What runs on a server.
 
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// What one request adds to its server's load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
-    /// Prompt tokens that the server must read before the first answer.
-    pub unread: u32,
+    /// What the server must read before the first answer.
+    pub reading: Reading,
     /// Tokens of memory that it holds while it runs.
     pub held: u32,
-    /// True when its answer has to come so evenly that the reading of a deep prompt beside it makes it late.
-    pub quick: bool,
-    /// True when reading its prompt makes quick answers beside it late.
-    pub deep: bool,
+    /// Tokens that it is expected to generate.
+    pub out: u32,
+    /// Longest pause between events that is still in time, in milliseconds; 0 where no pause makes it late.
+    pub gap_ms: u32,
 }
 
-/// The load that one box, or all other boxes, put on a server.
+/// Prompt tokens that are still to be read.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reading {
+    /// How many.
+    pub tokens: u64,
+    /// Thousands of pairs of one of them and a token before it: an engine looks back at all that stands before.
+    pub pairs_k: u64,
+    /// Tokens that stand before those that are read between two events, where that is the most.
+    pub depth: u32,
+}
+
+impl Reading {
+    /// Reading the last `unread` tokens of a prompt, of which `stretch` are read between two events.
+    #[must_use]
+    pub fn last(unread: u32, prompt: u32, stretch: u32) -> Self {
+        let tokens = u64::from(unread);
+        let before = u64::from(prompt) - u64::from(unread.min(prompt) / 2);
+        let last = unread.min(stretch);
+        let deep = u64::from(prompt.saturating_sub(last / 2));
+        // A short rest of a deep prompt is read with others between the same events.
+        let depth = deep * u64::from(last) / u64::from(stretch.max(1));
+        Self { tokens, pairs_k: tokens * before / 1_000, depth: u32::try_from(depth).unwrap_or(u32::MAX) }
+    }
+
+    /// Thousands of tokens that stand before those read between two events, where that is the most.
+    #[must_use]
+    pub fn depth_k(self) -> f64 {
+        f64::from(self.depth) / 1e3
+    }
+
+    /// A part of it.
+    #[must_use]
+    pub fn part(self, part: f64) -> Self {
+        Self { tokens: (self.tokens as f64 * part) as u64, pairs_k: (self.pairs_k as f64 * part) as u64, ..self }
+    }
+
+    /// Both.
+    #[must_use]
+    pub fn and(self, other: Self) -> Self {
+        Self {
+            tokens: self.tokens + other.tokens,
+            pairs_k: self.pairs_k + other.pairs_k,
+            depth: self.depth.max(other.depth),
+        }
+    }
+
+    /// This without `other`. The depth stays until nothing is left.
+    #[must_use]
+    pub fn without(self, other: Self) -> Self {
+        let tokens = self.tokens.saturating_sub(other.tokens);
+        Self {
+            tokens,
+            pairs_k: self.pairs_k.saturating_sub(other.pairs_k),
+            depth: if tokens == 0 { 0 } else { self.depth },
+        }
+    }
+}
+
+/// The load that one box, or all other boxes, put on a server.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Requests sent and not ended.
     pub running: u32,
-    /// Prompt tokens of these that are still to be read.
-    pub unread: u64,
+    /// What of their prompts is still to be read.
+    pub reading: Reading,
     /// Tokens of memory that they hold.
     pub held: u64,
-    /// How many of them have quick answers.
-    pub quick: u32,
-    /// How many deep prompts of these are still to be read.
-    pub deep: u32,
+    /// How many of them are still in time and will be late after a pause of so many milliseconds. No entry is 0.
+    pub paces: BTreeMap<u32, u32>,
 }
 
 impl Load {
     /// A request was sent.
     pub fn begin(&mut self, work: Work) {
         self.running += 1;
-        self.unread += u64::from(work.unread);
+        self.reading = self.reading.and(work.reading);
         self.held += u64::from(work.held);
-        self.quick += u32::from(work.quick);
-        self.deep += u32::from(work.deep);
+        if work.gap_ms > 0 {
+            *self.paces.entry(work.gap_ms).or_default() += 1;
+        }
     }
 
     /// A request's prompt has been read.
     pub fn read(&mut self, work: Work) {
-        self.unread = self.unread.saturating_sub(u64::from(work.unread));
-        self.deep = self.deep.saturating_sub(u32::from(work.deep));
+        self.reading = self.reading.without(work.reading);
     }
 
-    /// A request ended whose prompt had been read, or for which [`Load::read`] was called.
+    /// A request is late already: no further pause harms it.
+    pub fn late(&mut self, work: Work) {
+        let Some(count) = self.paces.get_mut(&work.gap_ms) else { return };
+        *count -= 1;
+        if *count == 0 {
+            self.paces.remove(&work.gap_ms);
+        }
+    }
+
+    /// A request ended; [`Load::read`] was called before, and [`Load::late`] unless it was `late` already.
     pub fn end(&mut self, work: Work) {
         self.running = self.running.saturating_sub(1);
         self.held = self.held.saturating_sub(u64::from(work.held));
-        self.quick = self.quick.saturating_sub(u32::from(work.quick));
-    }
-
-    /// Adds another load.
-    pub fn add(&mut self, other: Load) {
-        self.running += other.running;
-        self.unread += other.unread;
-        self.held += other.held;
-        self.quick += other.quick;
-        self.deep += other.deep;
     }
 }
--- a/crates/placement/src/member.rs
+++ b/crates/placement/src/member.rs
@@ -1,12 +1,15 @@
 //! One server of a pool, and what is known of it.
 
-use crate::{Health, Kept, Load, Millis, Opinion};
+use crate::{Health, Kept, Load, Millis, Opinion, Speed};
 use routing::Server;
 use std::sync::Arc;
 
 /// How long what an owner said of a server's load is better than what this box has there itself.
 const HEARD_MOST: Millis = 400;
 
+/// The same of its stalls, which change slowly.
+const STALLS_MOST: Millis = 2_000;
+
 /// A server and what is known of it.
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
@@ -32,9 +35,20 @@
     }
 
     /// What runs there: what its owner said lately, else what this box has there.
-    pub(crate) fn load(&self, now: Millis) -> Load {
+    pub(crate) fn load(&self, now: Millis) -> &Load {
         let heard = self.heard.as_ref().filter(|(_, at)| now < at + HEARD_MOST);
-        heard.map_or(self.own, |(opinion, _)| opinion.load)
+        heard.map_or(&self.own, |(opinion, _)| &opinion.load)
+    }
+
+    /// How fast its owner said that it is, whenever that was.
+    pub(crate) fn speed(&self) -> Option<&Speed> {
+        self.heard.as_ref().map(|(opinion, _)| &opinion.speed)
+    }
+
+    /// How often reading lately stalled answers there, as far as its owner said not long ago.
+    pub(crate) fn stalls_per_s(&self, now: Millis) -> f32 {
+        let heard = self.heard.as_ref().filter(|(_, at)| now < at + STALLS_MOST);
+        heard.map_or(0.0, |(opinion, _)| opinion.stalls_per_s)
     }
 
     /// True while the server is to be left alone, by what this box or its owner saw.
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -4,7 +4,8 @@
 //! sent, which parts of prompts were read, and how sends ended. It answers at once and holds nothing back;
 //! a box that gets no answer goes by what it knows itself.
 
-use crate::{Ending, Health, Kept, Load, Millis, Part, Work};
+use crate::stalls::Stalls;
+use crate::{Ending, Health, Kept, Learner, Load, Millis, Part, Reading, Speed, Work};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -12,6 +13,9 @@
 /// A lease whose end is never told is dropped after this long: its box has died, or no request takes longer.
 const LEASE_MOST: Millis = 60_000;
 
+/// The part of a prompt that is taken for read at most before its first event says that all of it was.
+const MOSTLY_READ: f64 = 0.8;
+
 /// Asks the owner of a server what it knows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Question {
@@ -21,10 +25,12 @@
     pub server: String,
     /// Parts of the prompt in order.
     pub parts: Vec<Part>,
+    /// Longest pause between events of its answer that is still in time, in milliseconds; 0 where none makes it late.
+    pub gap_ms: u32,
 }
 
 /// What an owner knows of its server.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Opinion {
     /// Number of the question.
     pub number: u64,
@@ -36,6 +42,10 @@
     pub read: u32,
     /// True while the server is left alone after failures.
     pub paused: bool,
+    /// How fast the server was seen to be.
+    pub speed: Speed,
+    /// How often a second reading there lately made pauses too long for such an answer.
+    pub stalls_per_s: f32,
 }
 
 /// Tells an owner of a request that is sent to its server.
@@ -63,8 +73,15 @@
     },
     /// Its prompt has been read.
     Read,
+    /// A pause between its events has made it late.
+    Late,
     /// The send has ended.
-    Ended(Ending),
+    Ended {
+        /// How, as far as the server is to blame.
+        ending: Ending,
+        /// The longest pause between two events, in milliseconds.
+        pause_ms: u32,
+    },
 }
 
 /// A request that some box has at a server.
@@ -72,8 +89,15 @@
 struct Lease {
     work: Work,
     parts: Vec<Part>,
-    /// True once the prompt was read.
-    read: bool,
+    sent: Millis,
+    /// What had to be read before its first event.
+    ahead: Reading,
+    /// When the prompt was read; none before.
+    read: Option<Millis>,
+    /// The most that was read beside its answer, and since when.
+    beside: (Reading, Millis),
+    /// True once a pause has made it late.
+    late: bool,
     until: Millis,
 }
 
@@ -82,6 +106,10 @@
     load: Load,
     kept: Kept,
     health: Health,
+    learner: Learner,
+    stalls: Stalls,
+    /// When the last prompt was read.
+    last_read: Millis,
     /// By asking box and number. The sum of their works is `load`.
     leases: HashMap<(SocketAddr, u64), Lease>,
 }
@@ -99,10 +127,12 @@
         owned.expire(now);
         Opinion {
             number: question.number,
-            load: owned.load,
+            load: Load { reading: owned.left(now), ..owned.load.clone() },
             kept: owned.kept.prefix(&question.parts),
             read: owned.kept.read_prefix(&question.parts),
             paused: owned.health.paused(now),
+            speed: owned.learner.speed(),
+            stalls_per_s: owned.stalls.per_second(question.gap_ms, now),
         }
     }
 
@@ -112,8 +142,9 @@
         let key = (from, report.number);
         match report.news {
             News::Sent { parts, work, memory } => owned.begin(key, parts, work, memory, now),
-            News::Read => owned.read(&key),
-            News::Ended(ending) => owned.end(&key, ending, now),
+            News::Read => owned.read(&key, now),
+            News::Late => owned.late(&key),
+            News::Ended { ending, pause_ms } => owned.end(&key, ending, pause_ms, now),
         }
     }
 
@@ -125,37 +156,80 @@
 
 impl Owned {
     fn begin(&mut self, key: (SocketAddr, u64), parts: Vec<Part>, work: Work, memory: u64, now: Millis) {
+        let ahead = self.left(now).and(work.reading);
         self.load.begin(work);
         self.kept.touch(&parts, memory, now);
-        self.leases.insert(key, Lease { work, parts, read: false, until: now + LEASE_MOST });
+        self.stalls.note(self.learner.speed().stall(ahead), now);
+        for beside in self.leases.values_mut().filter(|lease| lease.read.is_some()) {
+            if ahead.tokens > beside.beside.0.tokens {
+                beside.beside = (ahead, now);
+            }
+        }
+        let beside = (Reading::default(), now);
+        let until = now + LEASE_MOST;
+        self.leases.insert(key, Lease { work, parts, sent: now, ahead, read: None, beside, late: false, until });
     }
 
-    fn read(&mut self, key: &(SocketAddr, u64)) {
-        let Some(lease) = self.leases.get_mut(key) else { return };
-        if !std::mem::replace(&mut lease.read, true) {
-            self.load.read(lease.work);
-            self.kept.confirm(&lease.parts);
-        }
+    /// What is still to be read: prompts are read in the order in which they came, so the first may be half done.
+    fn left(&self, now: Millis) -> Reading {
+        let unread = || self.leases.values().filter(|lease| lease.read.is_none());
+        let Some(first) = unread().min_by_key(|lease| lease.sent) else { return self.load.reading };
+        let since = now.saturating_sub(first.sent.max(self.last_read)) as f64;
+        let takes = self.learner.speed().read(first.work.reading).max(1.0);
+        let left = self.load.reading.without(first.work.reading.part((since / takes).min(MOSTLY_READ)));
+        Reading { depth: unread().map(|lease| lease.work.reading.depth).max().unwrap_or_default(), ..left }
+    }
+
+    fn read(&mut self, key: &(SocketAddr, u64), now: Millis) {
+        let Some(lease) = self.leases.get_mut(key).filter(|lease| lease.read.is_none()) else { return };
+        lease.read = Some(now);
+        self.last_read = now;
+        self.load.read(lease.work);
+        self.kept.confirm(&lease.parts);
+        self.learner.first_event(lease.ahead, now.saturating_sub(lease.sent) as f64);
     }
 
-    fn end(&mut self, key: &(SocketAddr, u64), ending: Ending, now: Millis) {
+    fn late(&mut self, key: &(SocketAddr, u64)) {
+        let Some(lease) = self.leases.get_mut(key).filter(|lease| !lease.late) else { return };
+        lease.late = true;
+        self.load.late(lease.work);
+    }
+
+    fn end(&mut self, key: &(SocketAddr, u64), ending: Ending, pause_ms: u32, now: Millis) {
         self.health.note(ending, now);
         let Some(lease) = self.leases.remove(key) else { return };
-        if !lease.read {
+        if lease.read.is_none() {
             self.load.read(lease.work);
             // Parts that no other request waits for either are not there.
             let others = |part: &Part| self.leases.values().any(|other| other.parts.contains(part));
             let gone: Vec<Part> = lease.parts.iter().filter(|part| !others(part)).copied().collect();
             self.kept.forget_unread(&gone);
         }
+        if ending == Ending::Good {
+            self.learn(&lease, pause_ms, now);
+        }
+        if !lease.late {
+            self.load.late(lease.work);
+        }
         self.load.end(lease.work);
     }
 
+    /// What a whole answer shows of the server's speed.
+    fn learn(&mut self, lease: &Lease, pause_ms: u32, now: Millis) {
+        let Some(read) = lease.read else { return };
+        self.learner.answer(lease.work.out, now.saturating_sub(read) as f64);
+        let (beside, since) = lease.beside;
+        // An answer that ended before all was read says nothing of it.
+        if now.saturating_sub(since) as f64 > self.learner.speed().read(beside) {
+            self.learner.pause(beside, f64::from(pause_ms));
+        }
+    }
+
     fn expire(&mut self, now: Millis) {
         let over: Vec<(SocketAddr, u64)> =
             self.leases.iter().filter(|(_, lease)| lease.until < now).map(|(key, _)| *key).collect();
         for key in over {
-            self.end(&key, Ending::Left, now);
+            self.end(&key, Ending::Left, 0, now);
         }
     }
 }
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -41,7 +41,7 @@
             self.pools.entry((*name).to_owned()).or_default();
         }
         for (name, pool) in &mut self.pools {
-            pool.set_engine(table.services.get(name).and_then(|s| s.engine.clone()), table.strictest_gap(name));
+            pool.set_engine(table.services.get(name).and_then(|s| s.engine.clone()));
             pool.set_servers(by_service.get(name.as_str()).map_or(&[], Vec::as_slice));
         }
     }
@@ -110,6 +110,13 @@
         }
     }
 
+    /// A pause has made a request's answer late.
+    pub fn late(&mut self, service: &str, id: &str, work: Work) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.late(id, work);
+        }
+    }
+
     /// A server has answered a prompt, so that its parts are in the server's memory.
     pub fn confirm(&mut self, service: &str, id: &str, prompt: &Prompt) {
         if let Some(pool) = self.pools.get_mut(service) {
@@ -124,7 +131,7 @@
         }
     }
 
-    /// A request's send has ended; [`Placement::read`] was called before.
+    /// A request's send has ended; [`Placement::read`] was called before, and [`Placement::late`].
     pub fn end(&mut self, service: &str, id: &str, work: Work, ending: Ending, now: Millis) {
         if let Some(pool) = self.pools.get_mut(service) {
             pool.end(id, work, ending, now);
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -1,14 +1,12 @@
 //! The servers of one service.
 
-use crate::homes::{deep_side, homes};
+use crate::homes::homes;
 use crate::member::Member;
-use crate::pace::Pace;
 use crate::weigh::{Scale, Source, FETCH_LEAST};
-use crate::{Ask, Choice, Ending, Millis, Opinion, Prompt, Refusal, Work};
+use crate::{Ask, Choice, Ending, Millis, Opinion, Prompt, Refusal, Speed, Work};
 use routing::{Engine, Server};
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Part of a server's memory that kept parts are expected to fill at most.
 const KEPT_SHARE: f64 = 0.8;
@@ -18,21 +16,22 @@
 const HOMES_ASKED: usize = 3;
 
 /// How many owners are asked for a prompt with few shared tokens: any server will do, and each question is two frames.
-const SHORT_ASKED: usize = 2;
+const SHORT_ASKED: usize = 4;
+
+/// How much one server's speed counts at most in the mean of all, in observations.
+const SPEED_SEEN_MOST: f32 = 20.0;
 
 /// All servers of a service that aren't draining, and their records.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Pool {
     engine: Option<Engine>,
-    pace: Pace,
     /// By id. Draining servers stay while they are listed, since requests may still run there.
     members: HashMap<String, Member>,
 }
 
 impl Pool {
-    /// Takes what its servers are, and the strictest pause between events of an answer.
-    pub(crate) fn set_engine(&mut self, engine: Option<Engine>, gap_aim: Option<Duration>) {
-        self.pace = Pace::new(gap_aim, engine.as_ref());
+    /// Takes what its servers are.
+    pub(crate) fn set_engine(&mut self, engine: Option<Engine>) {
         self.engine = engine;
     }
 
@@ -55,7 +54,7 @@
         let among = self.among(ask);
         let scale = self.scale(ask, hall, &among);
         let mut candidates: Vec<_> = among.iter().map(|member| scale.weigh(member)).collect();
-        candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        candidates.sort_by(|a, b| a.cost().total_cmp(&b.cost()));
         let long = ask.prompt.is_some_and(|prompt| prompt.shared_tokens() >= FETCH_LEAST);
         let likely = &scale.homes[..if long { scale.homes.len().min(HOMES_ASKED) } else { 0 }];
         let cheap = candidates.iter().map(|candidate| candidate.member);
@@ -70,16 +69,14 @@
     }
 
     fn scale<'a>(&'a self, ask: &'a Ask<'_>, hall: &'a str, among: &[&'a Member]) -> Scale<'a> {
-        let deep_side = deep_side(among, self.pace);
         Scale {
             ask,
             engine: self.engine.as_ref(),
-            pace: self.pace,
+            speed: Speed::mean(self.members.values().filter_map(Member::speed), SPEED_SEEN_MOST),
             hall,
             failing_least: among.iter().map(|member| member.health.failing()).fold(1.0, f64::min),
-            homes: ask.prompt.map_or_else(Vec::new, |prompt| homes(among, prompt, self.pace, &deep_side)),
+            homes: ask.prompt.map_or_else(Vec::new, |prompt| homes(among, prompt)),
             source: self.source(ask),
-            deep_side,
         }
     }
 
@@ -117,15 +114,15 @@
         // A server whose owner wasn't heard looks idle: where some were heard, only those are compared.
         let heard = |m: &&&Member| ask.opinions.is_empty() || ask.opinion(&m.server.id).is_some();
         let candidates = among.iter().filter(heard).map(|member| scale.weigh(member));
-        let Some(best) = candidates.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
+        let Some(best) = candidates.min_by(|a, b| a.cost().total_cmp(&b.cost())) else {
             return Err(Refusal::NoServer);
         };
         let choice = Choice {
             server: Arc::clone(&best.member.server),
             fetch: if best.fetch { scale.source.map(|s| s.member.server.address) } else { None },
             work: best.work,
-            cost_ms: best.cost as u32,
-            load: best.member.load(ask.now),
+            expected: best.expected,
+            load: best.member.load(ask.now).clone(),
             candidates: among.len(),
         };
         self.chosen(&choice, ask);
@@ -156,6 +153,12 @@
         }
     }
 
+    pub(crate) fn late(&mut self, id: &str, work: Work) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.own.late(work);
+        }
+    }
+
     pub(crate) fn confirm(&mut self, id: &str, prompt: &Prompt) {
         if let Some(member) = self.members.get_mut(id) {
             member.kept.confirm(&prompt.parts);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -12,6 +12,7 @@
 use std::cell::Cell;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Largest answer that isn't a stream, in bytes: held whole, so that a broken one is never passed on.
 const ANSWER_MOST: usize = 32 << 20;
@@ -46,6 +47,10 @@
     pub(crate) server: Arc<Server>,
     work: Work,
     read: bool,
+    /// True once a pause has made the answer late.
+    late: bool,
+    /// Longest pause between two events, in milliseconds.
+    pause_ms: u32,
     ending: Ending,
     /// Names the request to the server's owner; none for requests that are no prompts.
     lease: Option<u64>,
@@ -62,6 +67,8 @@
             server: Arc::clone(&choice.server),
             work,
             read: false,
+            late: false,
+            pause_ms: 0,
             ending: Ending::Left,
             lease: prompt.map(|_| shared.numbers.fetch_add(1, Ordering::Relaxed)),
         };
@@ -82,6 +89,16 @@
         first
     }
 
+    /// Between two events passed so long a time; the first that is too long makes the answer late.
+    pub(crate) fn paused(&mut self, pause: Duration) {
+        let ms = u32::try_from(pause.as_millis()).unwrap_or(u32::MAX);
+        self.pause_ms = self.pause_ms.max(ms);
+        if self.work.gap_ms > 0 && ms > self.work.gap_ms && !std::mem::replace(&mut self.late, true) {
+            self.shared.placement().late(&self.service, &self.server.id, self.work);
+            self.report(News::Late);
+        }
+    }
+
     fn report(&self, news: News) {
         if let Some(number) = self.lease {
             let report = Report { number, server: self.server.id.clone(), news };
@@ -100,7 +117,10 @@
         if !std::mem::replace(&mut self.read, true) {
             self.shared.placement().read(&self.service, &self.server.id, self.work);
         }
-        self.report(News::Ended(self.ending));
+        if !std::mem::replace(&mut self.late, true) {
+            self.shared.placement().late(&self.service, &self.server.id, self.work);
+        }
+        self.report(News::Ended { ending: self.ending, pause_ms: self.pause_ms });
         let now: Millis = self.shared.now();
         self.shared.placement().end(&self.service, &self.server.id, self.work, self.ending, now);
     }
--- a/crates/relay/src/consult.rs
+++ b/crates/relay/src/consult.rs
@@ -16,9 +16,9 @@
 
 impl Asked {
     /// Asks the owner of `server`; none when nobody can be asked.
-    pub(crate) fn new(shared: &Shared, server: &Arc<Server>, prompt: &Prompt) -> Option<Self> {
+    pub(crate) fn new(shared: &Shared, server: &Arc<Server>, prompt: &Prompt, gap_ms: u32) -> Option<Self> {
         let number = shared.numbers.fetch_add(1, Ordering::Relaxed);
-        let question = Question { number, server: server.id.clone(), parts: prompt.parts.clone() };
+        let question = Question { number, server: server.id.clone(), parts: prompt.parts.clone(), gap_ms };
         let answer = shared.advisor.ask(server, question)?;
         Some(Self { server: Arc::clone(server), answer })
     }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -34,7 +34,7 @@
 
 /// How many servers' owners are asked for one request: the three that are to keep its parts first, and two cheap
 /// ones.
-const OWNERS_ASKED: usize = 5;
+const OWNERS_ASKED: usize = 9;
 
 /// Longest wait for owners. They are a few milliseconds away; a slow one must not make requests late.
 const OPINION_MOST: Duration = Duration::from_millis(25);
@@ -196,7 +196,9 @@
     async fn consult(&self) -> Vec<(String, Opinion)> {
         let Some(prompt) = &self.call.prompt else { return Vec::new() };
         let planned = self.shared.placement().plan(&self.ask(&[]), OWNERS_ASKED);
-        let asked: Vec<Asked> = planned.iter().filter_map(|server| Asked::new(&self.shared, server, prompt)).collect();
+        let gap_ms = self.route.gap_aim.map_or(0, |gap| gap.as_millis() as u32);
+        let asked: Vec<Asked> =
+            planned.iter().filter_map(|server| Asked::new(&self.shared, server, prompt, gap_ms)).collect();
         let until = Instant::now() + OPINION_MOST;
         let mut opinions = Vec::new();
         for asked in asked {
@@ -206,21 +208,31 @@
     }
 
     fn log_choice(&self, choice: &Choice) {
+        let Choice { expected, work, load, .. } = choice;
+        let prompt = self.call.prompt.as_ref();
         telemetry::emit(
             Event::ServerChosen,
             format_args!(
-                "id={} server={} cost={} unread={} fetch={} among={} load={}/{}/{} prompt={} shared={}",
+                "id={} server={} cost={:.3} expected_ms={:.0} stalled={:.2} others={:.2} unread={} fetch={} among={} \
+                 running={} ahead={} held={} prompt={} shared={} read_ms={:.1} pair_ms={:.2} stall_ms={:.0} stall_depth_ms={:.1}",
                 self.call.id,
                 choice.server.id,
-                choice.cost_ms,
-                choice.work.unread,
+                expected.cost,
+                expected.wait_ms,
+                expected.stalled,
+                expected.others,
+                work.reading.tokens,
                 choice.fetch.map_or_else(|| "-".to_owned(), |f| f.to_string()),
                 choice.candidates,
-                choice.load.running,
-                choice.load.unread,
-                choice.load.held,
-                self.call.prompt.as_ref().map_or(0, |p| p.tokens),
-                self.call.prompt.as_ref().map_or(0, Prompt::shared_tokens),
+                load.running,
+                load.reading.tokens,
+                load.held,
+                prompt.map_or(0, |p| p.tokens),
+                prompt.map_or(0, Prompt::shared_tokens),
+                expected.speed.read_ms,
+                expected.speed.pair_ms,
+                expected.speed.stall_ms,
+                expected.speed.stall_depth_ms,
             ),
         );
     }
--- a/crates/relay/src/pump.rs
+++ b/crates/relay/src/pump.rs
@@ -114,7 +114,7 @@
             }
             if !whole.is_empty() {
                 self.began(claim);
-                self.time_event();
+                self.time_event(claim);
                 if self.caller.send(Ok(Frame::data(whole))).await.is_err() {
                     return Pause::Left;
                 }
@@ -123,12 +123,16 @@
     }
 
     /// Notes when events come, so that the log tells whether a stream was late and by what.
-    fn time_event(&mut self) {
+    fn time_event(&mut self, claim: &mut Claim) {
         let now = Instant::now();
         let timing = &mut self.exchange.timing;
         match self.last_event.replace(now) {
             None => timing.first = Some(now.duration_since(self.exchange.began)),
-            Some(last) => timing.pause = timing.pause.max(now.duration_since(last)),
+            Some(last) => {
+                let pause = now.duration_since(last);
+                timing.pause = timing.pause.max(pause);
+                claim.paused(pause);
+            }
         }
     }
 
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -3,7 +3,6 @@
 use crate::{Customer, Limits, Route, Service};
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Whether a request may pass, by its key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -86,13 +85,6 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
-    /// The shortest aim for pauses between events among the routes to this service.
-    #[must_use]
-    pub fn strictest_gap(&self, service: &str) -> Option<Duration> {
-        let to_it = |route: &&Arc<Route>| route.shares.iter().any(|share| share.service == service);
-        self.routes.values().flatten().filter(to_it).filter_map(|route| route.gap_aim).min()
-    }
-
     /// Whether a request on `route` with this key may pass.
     #[must_use]
     pub fn access(&self, route: &Route, key: Option<&str>) -> Access {
