Pauses are learned from readings chosen by their length, not by the pause that came of them

Ruled out: noise of the reading times (median expected first event 53 to 73 ms, seen 63). Change: a reading counts when it takes longer than the longest pause expected, or than the longest seen lately.

--- a/crates/placement/src/learner.rs
+++ b/crates/placement/src/learner.rs
@@ -9,8 +9,9 @@
 /// Observations are counted up to about so many: older ones hardly weigh in the fits.
 const SEEN_MOST: f32 = 40.0;
 
-/// How much longer than a pause the reading beside it must have taken to say that the pause was as long as pauses get.
-const BOUND_BY_STEPS: f64 = 1.5;
+/// How much longer than the longest expected pause a reading must take for the pauses beside it to say how long they
+/// get. Chosen by what is read and not by the pause that came of it: short pauses would choose themselves.
+const BOUND_BY_STEPS: f64 = 1.3;
 
 /// How much a pause counts that was shorter than expected: often less was read beside it than was known of, since the
 /// server kept more of the prompts.
@@ -19,6 +20,36 @@
 /// Pauses that weigh as much as the first guess.
 const GUESS_SEEN: f64 = 8.0;
 
+/// Pauses that must have been seen before the longest of them says how long they get.
+const PEAK_SEEN: u32 = 6;
+
+/// How much of the way to a shorter pause the longest one shrinks.
+const PEAK_SHRINK: f64 = 0.02;
+
+/// The longest pause seen lately, beside any reading.
+#[derive(Clone, Copy, Debug, Default)]
+struct Peak {
+    ms: f64,
+    seen: u32,
+}
+
+impl Peak {
+    fn note(&mut self, pause_ms: f64) {
+        self.seen = self.seen.saturating_add(1);
+        let step = if pause_ms > self.ms { 1.0 } else { PEAK_SHRINK };
+        self.ms += (pause_ms - self.ms) * step;
+    }
+
+    /// The longest that pauses are known to get; without a bound until enough were seen.
+    fn most(&self) -> f64 {
+        if self.seen < PEAK_SEEN {
+            f64::INFINITY
+        } else {
+            self.ms
+        }
+    }
+}
+
 /// Learns one engine's [`Speed`].
 #[derive(Clone, Debug)]
 pub struct Learner {
@@ -26,6 +57,7 @@
     reading: Fit<3>,
     /// Over one and thousands of tokens that stand before what is read.
     stalls: Fit<2>,
+    peak: Peak,
     speed: Speed,
 }
 
@@ -35,6 +67,7 @@
         Self {
             reading: Fit::new([speed.base_ms, speed.read_ms, speed.pair_ms].map(f64::from)),
             stalls: Fit::new([speed.stall_ms, speed.stall_depth_ms].map(f64::from)),
+            peak: Peak::default(),
             speed,
         }
     }
@@ -59,7 +92,12 @@
 
     /// An answer's longest pause was this long, and the most that was read beside it was `reading`.
     pub fn pause(&mut self, reading: Reading, pause_ms: f64) {
-        if reading.tokens == 0 || self.speed.read(reading) < BOUND_BY_STEPS * pause_ms {
+        let took = self.speed.read(reading);
+        if took <= 0.0 {
+            return;
+        }
+        self.peak.note(pause_ms);
+        if took < BOUND_BY_STEPS * self.speed.longest_stall(reading).min(self.peak.most()) {
             return;
         }
         // The first guess is no better than the first pauses, whichever way they differ from it.
--- a/crates/placement/src/speed.rs
+++ b/crates/placement/src/speed.rs
@@ -65,8 +65,13 @@
         if reading.tokens == 0 {
             return 0.0;
         }
-        let longest = f64::from(self.stall_ms) + reading.depth_k() * f64::from(self.stall_depth_ms);
-        self.read(reading).min(longest)
+        self.read(reading).min(self.longest_stall(reading))
+    }
+
+    /// The longest such pause at the depth of `reading`, however much is read.
+    #[must_use]
+    pub fn longest_stall(&self, reading: Reading) -> f64 {
+        f64::from(self.stall_ms) + reading.depth_k() * f64::from(self.stall_depth_ms)
     }
 
     /// The mean of several, weighted by their observations up to `most` each; the default where there are none.
