Connections are waited for as long as others took; pauses include the event's own steps

Ruled out: the boxes' start after all were killed (the first event comes 0.1 s after the store was read). Change: relay::Handshake waits mean and eight deviations of what connections took, 40 to 400 ms, and 400 ms again when none comes; Speed has the longest pause of answers beside which nothing is read.

--- a/crates/placement/src/learner.rs
+++ b/crates/placement/src/learner.rs
@@ -92,10 +92,11 @@
 
     /// An answer's longest pause was this long, and the most that was read beside it was `reading`.
     pub fn pause(&mut self, reading: Reading, pause_ms: f64) {
-        let took = self.speed.read(reading);
-        if took <= 0.0 {
+        if reading.tokens == 0 {
+            self.speed.calm_ms += (pause_ms as f32 - self.speed.calm_ms) * NEWEST;
             return;
         }
+        let took = self.speed.read(reading);
         self.peak.note(pause_ms);
         if took < BOUND_BY_STEPS * self.speed.longest_stall(reading).min(self.peak.most()) {
             return;
--- a/crates/placement/src/speed.rs
+++ b/crates/placement/src/speed.rs
@@ -19,6 +19,8 @@
     pub out_ms: f32,
     /// Observations behind these figures; old ones count less.
     pub seen: f32,
+    /// Longest pause between two events of an answer beside which nothing is read, in milliseconds.
+    pub calm_ms: f32,
     /// Longest pause between two events that reading without an end makes, in milliseconds, if nothing stands before
     /// what is read.
     pub stall_ms: f32,
@@ -38,6 +40,7 @@
             pair_ms: 0.4,
             out_ms: 15.0,
             seen: 0.0,
+            calm_ms: 30.0,
             stall_ms: 200.0,
             stall_depth_ms: 4.0,
             stalls_seen: 0.0,
@@ -65,7 +68,7 @@
         if reading.tokens == 0 {
             return 0.0;
         }
-        self.read(reading).min(self.longest_stall(reading))
+        (self.read(reading) + f64::from(self.calm_ms)).min(self.longest_stall(reading))
     }
 
     /// The longest such pause at the depth of `reading`, however much is read.
@@ -104,6 +107,7 @@
             (&mut self.read_ms, other.read_ms),
             (&mut self.pair_ms, other.pair_ms),
             (&mut self.out_ms, other.out_ms),
+            (&mut self.calm_ms, other.calm_ms),
         ] {
             *mine += (its - *mine) * share;
         }
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -1,6 +1,7 @@
 //! Connections to servers, kept for reuse.
 
 use crate::channel::Channel;
+use crate::handshake::Handshake;
 use bytes::Bytes;
 use http::{header, HeaderMap};
 use http_body_util::Full;
@@ -14,10 +15,6 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-/// Longest wait for a connection: halls are a few ms apart, and a lost opening packet is sent again only
-/// after a second, by when another server has answered.
-const CONNECT_MOST: Duration = Duration::from_millis(400);
-
 /// A peer that acknowledges nothing for this long is taken as dead.
 const SILENT_MOST: Duration = Duration::from_millis(1_500);
 
@@ -62,6 +59,8 @@
 #[derive(Clone, Default)]
 pub(crate) struct Connections {
     idle: Rc<RefCell<HashMap<String, Vec<Resting>>>>,
+    /// How long new ones took lately.
+    handshake: Rc<Cell<Handshake>>,
 }
 
 impl Connections {
@@ -70,10 +69,19 @@
         if let Some(connection) = self.take(life) {
             return Ok(connection);
         }
-        match tokio::time::timeout(CONNECT_MOST, connect(address)).await {
-            Ok(connected) => connected,
-            Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
+        let mut handshake = self.handshake.get();
+        let began = Instant::now();
+        let connected = tokio::time::timeout(handshake.patience(), connect(address)).await;
+        // Others may have connected meanwhile.
+        handshake = self.handshake.get();
+        match &connected {
+            Ok(Ok(_)) => handshake.took(began.elapsed()),
+            // Refused at once: says nothing of how long connections take.
+            Ok(Err(_)) => {}
+            Err(_) => handshake.given_up(),
         }
+        self.handshake.set(handshake);
+        connected.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
     }
 
     fn take(&self, life: &str) -> Option<Connection> {
