--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod ask;
 mod budget;
+mod ends;
 mod fit;
 mod harm;
 mod health;
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -4,6 +4,7 @@
 //! sent, which parts of prompts were read, and how sends ended. It answers at once and holds nothing back;
 //! a box that gets no answer goes by what it knows itself.
 
+use crate::ends::Ends;
 use crate::stalls::Stalls;
 use crate::{Ending, Health, Kept, Learner, Load, Millis, Part, Reading, Speed, Work};
 use serde::{Deserialize, Serialize};
@@ -46,6 +47,8 @@
     pub speed: Speed,
     /// How often a second reading there lately made pauses too long for such an answer.
     pub stalls_per_s: f32,
+    /// Milliseconds until one of the requests that run there ends, on average; 0 where none ended lately.
+    pub end_ms: f32,
 }
 
 /// Tells an owner of a request that is sent to its server.
@@ -108,6 +111,7 @@
     health: Health,
     learner: Learner,
     stalls: Stalls,
+    ends: Ends,
     /// When the last prompt was read.
     last_read: Millis,
     /// By asking box and number. The sum of their works is `load`.
@@ -133,6 +137,7 @@
             paused: owned.health.paused(now),
             speed: owned.learner.speed(),
             stalls_per_s: owned.stalls.per_second(question.gap_ms, now),
+            end_ms: owned.ends.interval_ms(now),
         }
     }
 
@@ -208,6 +213,9 @@
         if ending == Ending::Good {
             self.learn(&lease, pause_ms, now);
         }
+        if lease.read.is_some() {
+            self.ends.note(now);
+        }
         if !lease.late {
             self.load.late(lease.work);
         }
--- a/crates/placement/src/weigh.rs
+++ b/crates/placement/src/weigh.rs
@@ -18,7 +18,7 @@
 /// Fewest missing tokens that are worth fetching: a transfer takes some milliseconds to set up.
 pub(crate) const FETCH_LEAST: u32 = 1_000;
 
-/// What a server without a free slot or enough memory costs: another request is put back, or this one waits.
+/// What a server without enough memory costs: another request is put back, or this one waits.
 const FULL: f64 = 0.4;
 
 /// What sending a kilobyte to another hall costs. From the sheets: 17 KB cost 0.02 to 0.15 of a request.
@@ -109,20 +109,29 @@
         let speed = member.speed().map_or(self.speed, |own| own.or(&self.speed));
         let plan = self.reading(member, prompt);
         let work = self.work(prompt, plan.unread, &speed);
-        let wait_ms = f64::from(speed.base_ms) + speed.read(load.reading.and(work.reading));
+        let reading_ms = speed.read(load.reading.and(work.reading));
+        let wait_ms = f64::from(speed.base_ms) + reading_ms.max(self.place_ms(member, load));
         let aim_ms = self.ask.aim.as_secs_f64() * 1e3;
         let wait = WAIT * wait_ms / aim_ms.max(1.0) + harm::first_late(wait_ms, aim_ms);
         let took_ms = f64::from(work.out) * f64::from(speed.out_ms);
         let stalled = harm::stalled(f64::from(member.stalls_per_s(self.ask.now)), took_ms);
         let others = harm::to_others(load, &work, &speed);
         let memory = self.engine.map_or(u64::MAX, |engine| engine.memory_tokens);
-        let full = load.running >= member.server.slots || load.held + u64::from(work.held) > memory;
-        let full = if full { FULL } else { 0.0 };
+        let full = if load.held + u64::from(work.held) > memory { FULL } else { 0.0 };
         let cost = base + wait + stalled + others + plan.cost + full;
         let expected = Expectation { cost, wait_ms, stalled, others, speed };
         Candidate { member, expected, work, fetch: plan.fetch }
     }
 
+    /// How long a request waits for a place where all are taken.
+    fn place_ms(&self, member: &Member, load: &Load) -> f64 {
+        let Some(before) = load.running.checked_sub(member.server.slots) else { return 0.0 };
+        let end_ms = self.ask.opinion(&member.server.id).map_or(0.0, |opinion| opinion.end_ms);
+        // Where none ended lately, none is expected to.
+        let end_ms = if end_ms > 0.0 { f64::from(end_ms) } else { self.ask.aim.as_secs_f64() * 1e3 };
+        f64::from(before + 1) * end_ms
+    }
+
     /// What a request adds to the load of a server that has `unread` of its tokens to read.
     fn work(&self, prompt: &Prompt, unread: u32, speed: &Speed) -> Work {
         Work {
