Admission: what would wait beyond its aim for a place is refused at once, the less urgent first

Ruled out: reading (the log's waits are for places). Change: placement::Admission: where all places of the chosen server are taken and the expected wait for one is beyond the aim, the request is told to come back in that time and a second, up to doubled by chance. Each more urgent class that is present halves, thirds, ... what a class may wait. Better for callers: they hear at once, and those who are admitted are in time. Nothing is refused while a place is free.

--- /dev/null
+++ b/crates/placement/src/admission.rs
@@ -0,0 +1,40 @@
+//! Whether a request is sent or told to come back.
+//!
+//! Where all places are taken and a request would wait beyond its aim, sending it makes it late and those after it too.
+//! It is refused at once instead, the less urgent ones before the more urgent.
+
+use crate::Millis;
+
+/// How long a class counts as present after its last request.
+const PRESENT: Millis = 2_000;
+
+/// Most urgencies that are told apart.
+const URGENCIES: usize = 10;
+
+/// The admission of one service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Admission {
+    /// When a request of each urgency last came; none before the first.
+    seen: [Option<Millis>; URGENCIES],
+}
+
+impl Admission {
+    /// A request came.
+    pub(crate) fn note(&mut self, urgency: u8, now: Millis) {
+        self.seen[index(urgency)] = Some(now);
+    }
+
+    /// True when a request may be sent that would wait for a place, by its expected wait and its aim in milliseconds.
+    ///
+    /// Each more urgent class that is present halves, thirds, … what a class may wait, so that it is refused before
+    /// them.
+    pub(crate) fn admits(&self, urgency: u8, wait_ms: f64, aim_ms: f64, now: Millis) -> bool {
+        let present = |seen: &&Option<Millis>| seen.is_some_and(|at| now < at + PRESENT);
+        let more_urgent = self.seen[..index(urgency)].iter().filter(present).count();
+        wait_ms <= aim_ms / (1.0 + more_urgent as f64)
+    }
+}
+
+fn index(urgency: u8) -> usize {
+    usize::from(urgency).min(URGENCIES - 1)
+}
--- a/crates/placement/src/ask.rs
+++ b/crates/placement/src/ask.rs
@@ -17,6 +17,8 @@
     pub aim: Duration,
     /// Longest pause between events of its answer that is still in time.
     pub gap_aim: Option<Duration>,
+    /// How urgent it is, 0 first.
+    pub urgency: u8,
     /// Bytes of its body, which cross the network to the server.
     pub bytes: usize,
     /// Ids of servers that it must not be sent to again.
@@ -42,6 +44,8 @@
     pub cost: f64,
     /// Milliseconds to the first event.
     pub wait_ms: f64,
+    /// Of these, milliseconds until a place is free; 0 where one is.
+    pub place_ms: f64,
     /// The chance that reading beside it makes it late.
     pub stalled: f64,
     /// How many others it makes late.
@@ -68,8 +72,13 @@
 }
 
 /// Why no server was chosen. The request has not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Refusal {
     /// The service has no server that may be tried.
     NoServer,
+    /// All places are taken, and it would wait beyond its aim.
+    Crowded {
+        /// How long it would wait for a place, in milliseconds.
+        wait_ms: f64,
+    },
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,6 +5,7 @@
 //! parts that a server would have to read, memory and distance. A [`Budget`] bounds second sends.
 //! No I/O and no clock: the time is an argument.
 
+mod admission;
 mod ask;
 mod budget;
 mod ends;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -1,5 +1,6 @@
 //! The servers of one service.
 
+use crate::admission::Admission;
 use crate::homes::homes;
 use crate::member::Member;
 use crate::weigh::{Scale, Source, FETCH_LEAST};
@@ -27,6 +28,7 @@
     engine: Option<Engine>,
     /// By id. Draining servers stay while they are listed, since requests may still run there.
     members: HashMap<String, Member>,
+    admission: Admission,
 }
 
 impl Pool {
@@ -109,6 +111,7 @@
 
     /// The server with the least cost. `hall` is this box's.
     pub(crate) fn choose(&mut self, ask: &Ask<'_>, hall: &str) -> Result<Choice, Refusal> {
+        self.admission.note(ask.urgency, ask.now);
         let among = self.among(ask);
         let scale = self.scale(ask, hall, &among);
         // A server whose owner wasn't heard looks idle: where some were heard, only those are compared.
@@ -117,6 +120,13 @@
         let Some(best) = candidates.min_by(|a, b| a.cost().total_cmp(&b.cost())) else {
             return Err(Refusal::NoServer);
         };
+        let place_ms = best.expected.place_ms;
+        if place_ms > 0.0 && ask.tried.is_empty() {
+            let aim_ms = ask.aim.as_secs_f64() * 1e3;
+            if !self.admission.admits(ask.urgency, place_ms, aim_ms, ask.now) {
+                return Err(Refusal::Crowded { wait_ms: place_ms });
+            }
+        }
         let choice = Choice {
             server: Arc::clone(&best.member.server),
             fetch: if best.fetch { scale.source.map(|s| s.member.server.address) } else { None },
--- a/crates/placement/src/weigh.rs
+++ b/crates/placement/src/weigh.rs
@@ -109,8 +109,9 @@
         let speed = member.speed().map_or(self.speed, |own| own.or(&self.speed));
         let plan = self.reading(member, prompt);
         let work = self.work(prompt, plan.unread, &speed);
+        let place_ms = self.place_ms(member, load);
         let reading_ms = speed.read(load.reading.and(work.reading));
-        let wait_ms = f64::from(speed.base_ms) + reading_ms.max(self.place_ms(member, load));
+        let wait_ms = f64::from(speed.base_ms) + reading_ms.max(place_ms);
         let aim_ms = self.ask.aim.as_secs_f64() * 1e3;
         let wait = WAIT * wait_ms / aim_ms.max(1.0) + harm::first_late(wait_ms, aim_ms);
         let took_ms = f64::from(work.out) * f64::from(speed.out_ms);
@@ -119,7 +120,7 @@
         let memory = self.engine.map_or(u64::MAX, |engine| engine.memory_tokens);
         let full = if load.held + u64::from(work.held) > memory { FULL } else { 0.0 };
         let cost = base + wait + stalled + others + plan.cost + full;
-        let expected = Expectation { cost, wait_ms, stalled, others, speed };
+        let expected = Expectation { cost, wait_ms, place_ms, stalled, others, speed };
         Candidate { member, expected, work, fetch: plan.fetch }
     }
 
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -1,6 +1,6 @@
 //! Which server is chosen.
 
-use placement::{Ask, Budget, Choice, Ending, Load, Opinion, Part, Placement, Prompt, Reading, Speed, Work};
+use placement::{Ask, Budget, Choice, Ending, Load, Opinion, Part, Placement, Prompt, Reading, Refusal, Speed, Work};
 use routing::{Change, Directory, Engine, Kind, Route, Server, Service, Share, Table};
 use std::time::Duration;
 
@@ -66,8 +66,17 @@
     tried: &[String],
     opinions: &[(String, Opinion)],
 ) -> Choice {
-    let ask =
-        Ask { service: MODEL, prompt: Some(prompt), aim: AIM, gap_aim: None, bytes: 17_000, tried, opinions, now };
+    let ask = Ask {
+        service: MODEL,
+        prompt: Some(prompt),
+        aim: AIM,
+        gap_aim: None,
+        urgency: 0,
+        bytes: 17_000,
+        tried,
+        opinions,
+        now,
+    };
     placement.choose(&ask).expect("a server")
 }
 
@@ -157,6 +166,7 @@
         prompt: Some(&prompt),
         aim: AIM,
         gap_aim: None,
+        urgency: 0,
         bytes: 0,
         tried: &[],
         opinions: &[],
@@ -184,6 +194,7 @@
         prompt: Some(prompt),
         aim: AIM,
         gap_aim: Some(QUICK_GAP),
+        urgency: 0,
         bytes: 1_500,
         tried: &[],
         opinions,
@@ -289,6 +300,56 @@
     assert_eq!(placement.plan(&quick_ask(&long, &[]), 9).len(), 9);
 }
 
+/// What is said of two servers of 64 places that so many requests have or wait for, of which one ends every 100 ms.
+fn places(running: u32) -> Vec<(String, Opinion)> {
+    let load = Load { running, ..Load::default() };
+    let said = Opinion { load, end_ms: 100.0, ..Opinion::default() };
+    ["s0", "s1"].map(|id| (id.to_owned(), said.clone())).into()
+}
+
+/// How long a quick request would have to wait for a place; none if it is sent.
+fn refused(placement: &mut Placement, running: u32, urgency: u8, now: u64) -> Option<f64> {
+    let (prompt, opinions) = (quick_prompt(100), places(running));
+    let ask = Ask { urgency, now, ..quick_ask(&prompt, &opinions) };
+    match placement.choose(&ask) {
+        Ok(_) => None,
+        Err(Refusal::Crowded { wait_ms }) => Some(wait_ms),
+        Err(Refusal::NoServer) => panic!("there are servers"),
+    }
+}
+
+#[test]
+fn nothing_is_refused_while_a_place_is_free_or_comes_free_in_time() {
+    for running in [0, 32, 63, 64, 70, 78] {
+        assert_eq!(refused(&mut placement(servers(2)), running, 3, 0), None, "{running} of 64 places");
+    }
+}
+
+#[test]
+fn what_would_wait_beyond_its_aim_for_a_place_is_refused() {
+    assert_eq!(refused(&mut placement(servers(2)), 79, 0, 0), Some(1_600.0), "the aim is 1,500 ms");
+}
+
+#[test]
+fn the_less_urgent_are_refused_before_the_more_urgent() {
+    let mut placement = placement(servers(2));
+    let admitted = |placement: &mut Placement, urgency| {
+        let fits = |running: &u32| refused(placement, *running, urgency, 0).is_none();
+        (64..90).filter(fits).count()
+    };
+    let counts = [0, 1, 2].map(|urgency| admitted(&mut placement, urgency));
+    assert_eq!(counts, [15, 7, 5], "waits of 1,500, 750 and 500 ms");
+    assert_eq!(refused(&mut placement, 78, 2, 10_000), None, "the more urgent have not come for long");
+}
+
+#[test]
+fn a_request_that_was_sent_already_is_not_refused_for_want_of_a_place() {
+    let mut placement = placement(servers(2));
+    let (prompt, opinions, tried) = (quick_prompt(100), places(100), ["s0".to_owned()]);
+    let ask = Ask { tried: &tried, ..quick_ask(&prompt, &opinions) };
+    assert_eq!(placement.choose(&ask).expect("a server").server.id, "s1");
+}
+
 #[test]
 fn a_server_that_breaks_twice_is_left_alone_and_then_tried_by_one_request() {
     let mut placement = placement(servers(2));
@@ -313,8 +374,17 @@
 #[test]
 fn plain_requests_stay_in_the_hall_unless_it_is_busy() {
     let mut placement = placement(vec![server(0, "here", false), server(1, "there", false)]);
-    let ask =
-        Ask { service: MODEL, prompt: None, aim: AIM, gap_aim: None, bytes: 600, tried: &[], opinions: &[], now: 0 };
+    let ask = Ask {
+        service: MODEL,
+        prompt: None,
+        aim: AIM,
+        gap_aim: None,
+        urgency: 0,
+        bytes: 600,
+        tried: &[],
+        opinions: &[],
+        now: 0,
+    };
     assert_eq!(placement.choose(&ask).expect("a server").server.id, "s0");
     for _ in 0..70 {
         placement.begin(MODEL, "s0", Work::default());
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -11,7 +11,8 @@
 use crate::Body;
 use bytes::Bytes;
 use http::{request, Response, StatusCode};
-use placement::{Ask, Choice, Ending, Opinion, Prompt};
+use placement::{Ask, Choice, Ending, Opinion, Prompt, Refusal};
+use rand::Rng;
 use routing::{Customer, Kind, Route};
 use std::cell::Cell;
 use std::fmt::Write;
@@ -26,6 +27,10 @@
 /// When a refused caller is asked to come back: a crashed server's place is taken by others within that.
 const COME_BACK: Duration = Duration::from_millis(400);
 
+/// Shortest time after which a caller is asked back where all places are taken: as long as an answer of seconds takes, so
+/// that others have ended. Up to twice the time, by chance, so that those who were refused don't come back together.
+const CROWD_LEAST: Duration = Duration::from_secs(1);
+
 /// Less time than this is not worth a send: the way to a server and back, and its shortest work.
 const TIME_LEAST: Duration = Duration::from_millis(8);
 
@@ -127,8 +132,9 @@
 
     /// One send. None asks for another.
     async fn step(&mut self) -> Option<Reply> {
-        let Some((choice, mut claim)) = self.choose().await else {
-            return Some(Reply::Whole(self.no_server()));
+        let (choice, mut claim) = match self.choose().await {
+            Ok(chosen) => chosen,
+            Err(refusal) => return Some(Reply::Whole(self.not_sent(refusal))),
         };
         let got = match self.patience(&choice) {
             Some(patience) => tokio::time::timeout(patience, self.get(&choice))
@@ -170,13 +176,13 @@
     }
 
     /// Chooses a server, and claims a place there.
-    pub(crate) async fn choose(&mut self) -> Option<(Choice, Claim)> {
+    pub(crate) async fn choose(&mut self) -> Result<(Choice, Claim), Refusal> {
         let opinions = self.consult().await;
         let ask = self.ask(&opinions);
-        let choice = self.shared.placement().choose(&ask).ok()?;
+        let choice = self.shared.placement().choose(&ask)?;
         self.log_choice(&choice);
         let claim = Claim::new(&self.shared, &self.service, &choice, self.call.prompt.as_ref());
-        Some((choice, claim))
+        Ok((choice, claim))
     }
 
     fn ask<'a>(&'a self, opinions: &'a [(String, Opinion)]) -> Ask<'a> {
@@ -185,6 +191,7 @@
             prompt: self.call.prompt.as_ref(),
             aim: self.route.aim,
             gap_aim: self.route.gap_aim,
+            urgency: self.urgency(),
             bytes: self.body.len(),
             tried: &self.tried,
             opinions,
@@ -345,7 +352,7 @@
     /// A further send of a stream that broke: its answer, if a server goes on with it.
     pub(crate) async fn resume(&mut self, last_event: Option<u64>) -> Option<(Answer, Claim)> {
         loop {
-            let (choice, claim) = self.choose().await?;
+            let (choice, claim) = self.choose().await.ok()?;
             match self.send(&choice, last_event).await {
                 Sent::Answer(answer) if answer.parts.status.is_success() => return Some((*answer, claim)),
                 sent => {
@@ -357,20 +364,32 @@
         }
     }
 
-    fn no_server(&mut self) -> Response<Body> {
+    fn not_sent(&mut self, refusal: Refusal) -> Response<Body> {
         if self.may_have_run {
             return self.unknown("no other server");
         }
-        self.refuse("no server")
+        match refusal {
+            Refusal::NoServer => self.refuse("no server"),
+            Refusal::Crowded { wait_ms } => {
+                let _ = write!(self.trail, "crowded, {wait_ms:.0} ms to a place");
+                let wait = Duration::from_secs_f64(wait_ms / 1e3) + CROWD_LEAST;
+                self.refuse_until("all places are taken", wait.mul_f64(rand::rng().random_range(1.0..2.0)))
+            }
+        }
     }
 
     fn refuse(&mut self, why: &'static str) -> Response<Body> {
+        self.refuse_until(why, COME_BACK)
+    }
+
+    /// Refuses, and says when to come back.
+    fn refuse_until(&mut self, why: &'static str, after: Duration) -> Response<Body> {
         if self.may_have_run {
             telemetry::emit(Event::RefusalBroken, format_args!("id={} trail=\"{}\"", self.call.id, self.trail));
             return self.unknown(why);
         }
         self.conclude(Outcome::Refused);
-        answer::refused(why, COME_BACK)
+        answer::refused(why, after)
     }
 
     fn unknown(&mut self, why: &'static str) -> Response<Body> {
--- a/crates/relay/src/handshake.rs
+++ b/crates/relay/src/handshake.rs
@@ -45,10 +45,9 @@
         self.row = 0;
         self.times = Some(match self.times {
             None => (time, time / 2.0),
-            Some((mean, deviation)) => (
-                mean + (time - mean) * NEWEST_MEAN,
-                deviation + ((time - mean).abs() - deviation) * NEWEST_DEVIATION,
-            ),
+            Some((mean, deviation)) => {
+                (mean + (time - mean) * NEWEST_MEAN, deviation + ((time - mean).abs() - deviation) * NEWEST_DEVIATION)
+            }
         });
     }
 
