Urgency: a customer's rank orders requests within a route's rank, never across

The log shows the chats of customers of rank 1 (urgency 3) beside explanations of customers of rank 0 (urgency 1): engines put back the least urgent first, as they were told. Ruled out: clipping at 9 (urgencies are 0 to 5). Test in routing: every customer's rank against every other.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -34,9 +34,6 @@
 /// Less time than this is not worth a send: the way to a server and back, and its shortest work.
 const TIME_LEAST: Duration = Duration::from_millis(8);
 
-/// Lowest urgency that a server knows.
-const URGENCY_MOST: u8 = 9;
-
 /// How many servers' owners are asked for one request: the three that are to keep its parts first, and two cheap
 /// ones.
 const OWNERS_ASKED: usize = 9;
@@ -48,9 +45,6 @@
 /// users' sheets takes one and a half.
 const SILENT_AIMS: u32 = 3;
 
-/// Ranks of routes: a customer's rank goes before them.
-const ROUTE_RANKS: u8 = 3;
-
 /// A request that may pass, and what became of its sends.
 pub(crate) struct Exchange {
     pub(crate) shared: Arc<Shared>,
@@ -267,8 +261,7 @@
     }
 
     fn urgency(&self) -> u8 {
-        let customer = self.customer.as_ref().and_then(|c| c.priority).unwrap_or(0);
-        customer.saturating_mul(ROUTE_RANKS).saturating_add(self.route.priority).min(URGENCY_MOST)
+        self.route.urgency(self.customer.as_deref())
     }
 
     /// A whole answer: passed on, unless it is a failure that another server may mend.
--- a/crates/routing/src/route.rs
+++ b/crates/routing/src/route.rs
@@ -1,8 +1,14 @@
 //! One route.
 
-use crate::Kind;
+use crate::{Customer, Kind};
 use std::time::Duration;
 
+/// Lowest urgency that an engine knows.
+const URGENCY_MOST: u8 = 9;
+
+/// Urgencies of one route: what its customers' ranks are told apart by.
+const CUSTOMER_RANKS: u8 = 3;
+
 /// A service's share of a route's requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Share {
@@ -40,6 +46,14 @@
 }
 
 impl Route {
+    /// How urgent this customer's requests are, 0 first. Whatever the customer, a route's requests never come after those
+    /// of a route of lower rank: engines put back the least urgent when their memory is full.
+    #[must_use]
+    pub fn urgency(&self, customer: Option<&Customer>) -> u8 {
+        let within = customer.and_then(|customer| customer.priority).unwrap_or(0).min(CUSTOMER_RANKS - 1);
+        self.priority.saturating_mul(CUSTOMER_RANKS).saturating_add(within).min(URGENCY_MOST)
+    }
+
     /// The service for a draw in 0..1.
     #[must_use]
     pub fn service(&self, draw: f64) -> &str {
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -66,3 +66,20 @@
     assert_eq!(with.access(&closed, Some("k2")), Access::Granted(Some(customer.into())));
     assert_eq!(with.access(&open, None), Access::Granted(None));
 }
+
+#[test]
+fn no_customer_makes_a_routes_requests_less_urgent_than_those_of_a_lower_rank() {
+    let of_rank = |priority| Route { priority, ..route("r", "a.example", "/") };
+    let customer = |priority| Customer { name: "c".to_owned(), priority };
+    for rank in 0..=2 {
+        let urgencies = |rank| {
+            let route = of_rank(rank);
+            (0..=20).map(move |priority| route.urgency(Some(&customer(Some(priority))))).collect::<Vec<u8>>()
+        };
+        let (own, below) = (urgencies(rank), urgencies(rank + 1));
+        assert!(own.iter().max() < below.iter().min(), "{own:?} {below:?}");
+        assert!(own[0] < own[1], "among equals the customer's rank decides");
+        assert_eq!(of_rank(rank).urgency(None), of_rank(rank).urgency(Some(&customer(None))));
+    }
+    assert_eq!(of_rank(u8::MAX).urgency(None), 9);
+}
