Places are counted by urgency: the urgent aren't refused for places that the less urgent hold

Change: Work and Load carry urgencies; a request waits for those as urgent as itself only, and a choice that displaces another answer costs one; memory that would run out before those that run have ended costs the answer that is put back (a fixed cost before).

--- a/crates/placement/src/harm.rs
+++ b/crates/placement/src/harm.rs
@@ -2,8 +2,8 @@
 
 use crate::{Load, Speed, Work};
 
-/// How far real pauses differ from expected ones, as a part of them: a pause expected to be this much shorter than what
-/// an answer bears may be too long, one that is this much longer may be borne.
+/// How far pauses and memory differ from what is expected, as a part of it: a pause expected to be this much shorter than
+/// what an answer bears may be too long, one that is this much longer may be borne.
 const UNSURE: f64 = 0.08;
 
 /// The part of its aim up to which an expected first event is sure to come in time: what comes between a choice and the
@@ -15,9 +15,9 @@
     ((wait_ms / aim_ms.max(1.0) - FIRST_SURE) / (1.0 - FIRST_SURE)).clamp(0.0, 1.0)
 }
 
-/// The chance that a pause expected to last so long lasts longer than `most_ms`.
-pub(crate) fn exceeds(ms: f64, most_ms: f64) -> f64 {
-    ((ms / most_ms.max(1.0) - 1.0 + UNSURE) / (2.0 * UNSURE)).clamp(0.0, 1.0)
+/// The chance that something expected to be so much, as a pause or the memory that answers will fill, is more than `most`.
+pub(crate) fn exceeds(expected: f64, most: f64) -> f64 {
+    ((expected / most.max(1.0) - 1.0 + UNSURE) / (2.0 * UNSURE)).clamp(0.0, 1.0)
 }
 
 /// The chance that one of the stalls that come `per_second` makes an answer late that takes so long.
@@ -25,6 +25,12 @@
     1.0 - (-per_second * took_ms / 1e3).exp()
 }
 
+/// How many of those that run are put back and read again: for want of memory before they have ended, or of a place.
+pub(crate) fn put_back(load: &Load, work: &Work, memory: u64, places: u32) -> f64 {
+    let displaces = load.running >= places && load.not_displaced_by(work.urgency) < places;
+    exceeds((load.held + u64::from(work.held)) as f64, memory as f64) + if displaces { 1.0 } else { 0.0 }
+}
+
 /// How many answers running beside it become late when `work` is added to a load.
 pub(crate) fn to_others(load: &Load, work: &Work, speed: &Speed) -> f64 {
     if work.reading.tokens == 0 {
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -12,6 +12,8 @@
     pub held: u32,
     /// Tokens that it is expected to generate.
     pub out: u32,
+    /// How urgent it is, 0 first: where all places are taken, the more urgent displace others.
+    pub urgency: u8,
     /// Longest pause between events that is still in time, in milliseconds; 0 where no pause makes it late.
     pub gap_ms: u32,
 }
@@ -83,6 +85,8 @@
     pub reading: Reading,
     /// Tokens of memory that they hold.
     pub held: u64,
+    /// How many of them there are of each urgency. No entry is 0.
+    pub urgencies: BTreeMap<u8, u32>,
     /// How many of them are still in time and will be late after a pause of so many milliseconds. No entry is 0.
     pub paces: BTreeMap<u32, u32>,
 }
@@ -93,6 +97,7 @@
         self.running += 1;
         self.reading = self.reading.and(work.reading);
         self.held += u64::from(work.held);
+        *self.urgencies.entry(work.urgency).or_default() += 1;
         if work.gap_ms > 0 {
             *self.paces.entry(work.gap_ms).or_default() += 1;
         }
@@ -105,16 +110,27 @@
 
     /// A request is late already: no further pause harms it.
     pub fn late(&mut self, work: Work) {
-        let Some(count) = self.paces.get_mut(&work.gap_ms) else { return };
-        *count -= 1;
-        if *count == 0 {
-            self.paces.remove(&work.gap_ms);
-        }
+        take_one(&mut self.paces, &work.gap_ms);
+    }
+
+    /// How many run that a request of this urgency doesn't displace.
+    #[must_use]
+    pub fn not_displaced_by(&self, urgency: u8) -> u32 {
+        self.urgencies.range(..=urgency).map(|(_, count)| count).sum()
     }
 
     /// A request ended; [`Load::read`] was called before, and [`Load::late`] unless it was `late` already.
     pub fn end(&mut self, work: Work) {
         self.running = self.running.saturating_sub(1);
         self.held = self.held.saturating_sub(u64::from(work.held));
+        take_one(&mut self.urgencies, &work.urgency);
+    }
+}
+
+fn take_one<K: Ord>(counts: &mut BTreeMap<K, u32>, key: &K) {
+    let Some(count) = counts.get_mut(key) else { return };
+    *count -= 1;
+    if *count == 0 {
+        counts.remove(key);
     }
 }
--- a/crates/placement/src/weigh.rs
+++ b/crates/placement/src/weigh.rs
@@ -18,9 +18,6 @@
 /// Fewest missing tokens that are worth fetching: a transfer takes some milliseconds to set up.
 pub(crate) const FETCH_LEAST: u32 = 1_000;
 
-/// What a server without enough memory costs: another request is put back, or this one waits.
-const FULL: f64 = 0.4;
-
 /// What sending a kilobyte to another hall costs. From the sheets: 17 KB cost 0.02 to 0.15 of a request.
 const FAR_PER_KB: f64 = 0.005;
 
@@ -116,21 +113,21 @@
         let wait = WAIT * wait_ms / aim_ms.max(1.0) + harm::first_late(wait_ms, aim_ms);
         let took_ms = f64::from(work.out) * f64::from(speed.out_ms);
         let stalled = harm::stalled(f64::from(member.stalls_per_s(self.ask.now)), took_ms);
-        let others = harm::to_others(load, &work, &speed);
         let memory = self.engine.map_or(u64::MAX, |engine| engine.memory_tokens);
-        let full = if load.held + u64::from(work.held) > memory { FULL } else { 0.0 };
-        let cost = base + wait + stalled + others + plan.cost + full;
+        let others = harm::to_others(load, &work, &speed) + harm::put_back(load, &work, memory, member.server.slots);
+        let cost = base + wait + stalled + others + plan.cost;
         let expected = Expectation { cost, wait_ms, place_ms, stalled, others, speed };
         Candidate { member, expected, work, fetch: plan.fetch }
     }
 
-    /// How long a request waits for a place where all are taken.
+    /// How long a request waits for a place where all are taken by others that are as urgent.
     fn place_ms(&self, member: &Member, load: &Load) -> f64 {
-        let Some(before) = load.running.checked_sub(member.server.slots) else { return 0.0 };
+        let before = load.not_displaced_by(self.ask.urgency);
+        let ends = f64::from((before + 1).saturating_sub(member.server.slots));
         let end_ms = self.ask.opinion(&member.server.id).map_or(0.0, |opinion| opinion.end_ms);
         // Where none ended lately, none is expected to.
         let end_ms = if end_ms > 0.0 { f64::from(end_ms) } else { self.ask.aim.as_secs_f64() * 1e3 };
-        f64::from(before + 1) * end_ms
+        ends * end_ms
     }
 
     /// What a request adds to the load of a server that has `unread` of its tokens to read.
@@ -139,6 +136,7 @@
             reading: Reading::last(unread, prompt.tokens, speed.stretch()),
             held: prompt.tokens.saturating_add(prompt.out()),
             out: prompt.out(),
+            urgency: self.ask.urgency,
             gap_ms: self.ask.gap_aim.map_or(0, |gap| gap.as_millis() as u32),
         }
     }
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -302,7 +302,7 @@
 
 /// What is said of two servers of 64 places that so many requests have or wait for, of which one ends every 100 ms.
 fn places(running: u32) -> Vec<(String, Opinion)> {
-    let load = Load { running, ..Load::default() };
+    let load = Load { running, urgencies: [(0, running)].into(), ..Load::default() };
     let said = Opinion { load, end_ms: 100.0, ..Opinion::default() };
     ["s0", "s1"].map(|id| (id.to_owned(), said.clone())).into()
 }
@@ -342,6 +342,23 @@
     assert_eq!(refused(&mut placement, 78, 2, 10_000), None, "the more urgent have not come for long");
 }
 
+#[test]
+fn nothing_is_refused_for_the_places_of_the_less_urgent() {
+    let mut placement = placement(servers(2));
+    let prompt = quick_prompt(100);
+    let said = |lesser: u32, urgent: u32| {
+        let urgencies = [(1, lesser), (0, urgent)].into_iter().filter(|(_, count)| *count > 0).collect();
+        Opinion { load: Load { running: lesser + urgent, urgencies, ..Load::default() }, ..Opinion::default() }
+    };
+    let opinions = [("s0".to_owned(), said(200, 60)), ("s1".to_owned(), said(0, 90))];
+    let urgent = placement.choose(&quick_ask(&prompt, &opinions)).expect("a place of the less urgent");
+    assert_eq!(urgent.server.id, "s0");
+    let lesser = placement.choose(&Ask { urgency: 1, ..quick_ask(&prompt, &opinions) });
+    assert!(matches!(lesser, Err(Refusal::Crowded { .. })), "{lesser:?}");
+    let free = [("s0".to_owned(), said(10, 54)), ("s1".to_owned(), said(0, 63))];
+    assert_eq!(placement.choose(&quick_ask(&prompt, &free)).expect("a place").server.id, "s1", "nobody is displaced");
+}
+
 #[test]
 fn a_request_that_was_sent_already_is_not_refused_for_want_of_a_place() {
     let mut placement = placement(servers(2));
