--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -2,11 +2,11 @@
 
 use crate::channel::Channel;
 use crate::handshake::Handshake;
+use crate::liveness::notice_death;
 use bytes::Bytes;
 use http::{header, HeaderMap};
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
-use socket2::{SockRef, TcpKeepalive};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -15,12 +15,6 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-/// A peer that acknowledges nothing for this long is taken as dead.
-const SILENT_MOST: Duration = Duration::from_millis(1_500);
-
-/// When an idle peer is asked whether it lives; the shortest that the kernel allows.
-const PROBE_EVERY: Duration = Duration::from_secs(1);
-
 /// How long an unused connection is kept when its server says nothing of it.
 const IDLE_MOST: Duration = Duration::from_secs(4);
 
@@ -130,22 +124,6 @@
     Duration::from_secs(seconds).checked_sub(IDLE_MARGIN)
 }
 
-/// Sets how soon a dead peer shows.
-pub(crate) fn notice_death(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new().with_time(PROBE_EVERY).with_interval(PROBE_EVERY);
-    let set = [
-        socket.set_tcp_nodelay(true),
-        socket.set_tcp_user_timeout(Some(SILENT_MOST)),
-        socket.set_tcp_keepalive(&keepalive),
-    ];
-    for result in set {
-        if let Err(why) = result {
-            log::debug!(target: "cleatshelf", "socket option: {why}");
-        }
-    }
-}
-
 async fn connect(address: SocketAddr) -> std::io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     notice_death(&stream);
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -1,8 +1,9 @@
 //! Callers' connections.
 
 use crate::answer::{self, strip_hop};
-use crate::connections::{notice_death, Connections};
+use crate::connections::Connections;
 use crate::exchange::{Exchange, Timing};
+use crate::liveness::notice_death;
 use crate::{Body, Shared};
 use bytes::Bytes;
 use http::{header, request, HeaderValue, Request, Response, StatusCode};
--- /dev/null
+++ b/crates/relay/tests/liveness.rs
@@ -0,0 +1,17 @@
+//! Connections are set up so that a peer that falls silent shows.
+
+use socket2::SockRef;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+#[actix_rt::test]
+async fn a_connection_ends_within_three_seconds_of_silence() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("a connection");
+    relay::notice_death(&stream);
+    let socket = SockRef::from(&stream);
+    let unanswered = socket.tcp_user_timeout().expect("an option").expect("a time");
+    assert!(socket.keepalive().expect("an option"), "also while it rests");
+    let asked_after = socket.tcp_keepalive_time().expect("an option");
+    assert!(unanswered + asked_after <= Duration::from_secs(3), "{unanswered:?} after {asked_after:?}");
+}
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -3,7 +3,7 @@
 use crate::{Codec, Frame, Key, VERSION};
 use bytes::{Bytes, BytesMut};
 use h2::client::SendRequest;
-use h2::SendStream;
+use h2::{Ping, PingPong, SendStream};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use std::cell::Cell;
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
 /// Most frames that wait for a peer; more are dropped, as the network might drop them.
 const QUEUE_MOST: usize = 8_192;
@@ -24,6 +25,11 @@
 /// Longest wait for a connection and for the listener's challenge.
 const OPEN_MOST: Duration = Duration::from_secs(1);
 
+/// How long after a write the peer is asked whether it still hears, and how long its answer is waited for. A connection
+/// may fall silent for good without a reset; both together are below the shortest bound for news, 2 s.
+const PING_AFTER: Duration = Duration::from_millis(900);
+const PONG_MOST: Duration = Duration::from_millis(900);
+
 /// Most bytes gathered into one write.
 const BATCH_MOST: usize = 64 * 1024;
 
@@ -81,11 +87,13 @@
 ) {
     let mut backoff = BACKOFF_LEAST;
     loop {
-        if let Ok(Ok((mut stream, mut codec))) = tokio::time::timeout(OPEN_MOST, connect::<T>(&ends)).await {
+        if let Ok(Ok(mut opened)) = tokio::time::timeout(OPEN_MOST, connect::<T>(&ends)).await {
             backoff = BACKOFF_LEAST;
-            if carry(&mut stream, &mut codec, &mut frames, &sent).await.is_ok() {
+            if carry(&mut opened, &mut frames, &sent).await.is_ok() {
+                // What was written last is still on its way.
                 return;
             }
+            opened.task.abort();
         }
         if frames.is_closed() {
             return;
@@ -98,12 +106,22 @@
     }
 }
 
-async fn connect<T: DeserializeOwned>(ends: &Ends) -> Result<(SendStream<Bytes>, Codec<T>), h2::Error> {
+/// A connection that stands.
+struct Opened<T> {
+    stream: SendStream<Bytes>,
+    codec: Codec<T>,
+    ping: PingPong,
+    /// Drives the connection; aborted, it is closed.
+    task: JoinHandle<()>,
+}
+
+async fn connect<T: DeserializeOwned>(ends: &Ends) -> Result<Opened<T>, h2::Error> {
     let refused = || h2::Error::from(h2::Reason::REFUSED_STREAM);
     let tcp = TcpStream::connect(ends.address).await.map_err(|_| refused())?;
     tcp.set_nodelay(true).map_err(|_| refused())?;
-    let (sender, connection) = h2::client::handshake(tcp).await?;
-    actix_rt::spawn(async move {
+    let (sender, mut connection) = h2::client::handshake(tcp).await?;
+    let ping = connection.ping_pong().ok_or_else(refused)?;
+    let task = actix_rt::spawn(async move {
         // Its end shows on the stream as well, where it is dealt with.
         let _ = connection.await;
     });
@@ -117,15 +135,44 @@
     let response = response.await?;
     let challenge = response.headers().get("challenge").and_then(|c| c.to_str().ok()).ok_or_else(refused)?;
     let session = ends.key.session(challenge, &ends.from, &ends.to);
-    Ok((stream, Codec::new(session)))
+    Ok(Opened { stream, codec: Codec::new(session), ping, task })
 }
 
 /// Carries frames until the link breaks (an error) or nobody will send any more.
 async fn carry<T: DeserializeOwned>(
+    opened: &mut Opened<T>,
+    frames: &mut mpsc::Receiver<Frame>,
+    sent: &Cell<u64>,
+) -> Result<(), h2::Error> {
+    let Opened { stream, codec, ping, .. } = opened;
+    let wrote = Cell::new(false);
+    tokio::select! {
+        ended = write(stream, codec, frames, sent, &wrote) => ended,
+        silent = listen(ping, &wrote) => Err(silent),
+    }
+}
+
+/// Asks the peer now and then whether it hears, as long as something was written since. Ends when it does not.
+async fn listen(ping: &mut PingPong, wrote: &Cell<bool>) -> h2::Error {
+    loop {
+        tokio::time::sleep(PING_AFTER).await;
+        if !wrote.replace(false) {
+            continue;
+        }
+        match tokio::time::timeout(PONG_MOST, ping.ping(Ping::opaque())).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(why)) => return why,
+            Err(_) => return h2::Reason::CANCEL.into(),
+        }
+    }
+}
+
+async fn write<T: DeserializeOwned>(
     stream: &mut SendStream<Bytes>,
     codec: &mut Codec<T>,
     frames: &mut mpsc::Receiver<Frame>,
     sent: &Cell<u64>,
+    wrote: &Cell<bool>,
 ) -> Result<(), h2::Error> {
     loop {
         let first = tokio::select! {
@@ -140,6 +187,7 @@
             codec.write(&frame, &mut out);
         }
         sent.set(sent.get() + out.len() as u64);
+        wrote.set(true);
         send_all(stream, out.freeze()).await?;
     }
 }
--- /dev/null
+++ b/crates/wire/tests/silent.rs
@@ -0,0 +1,73 @@
+//! A connection that falls silent for good without a reset is noticed, and another is made.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use wire::{Key, Link, Listener};
+
+/// Longest time until a message comes through after the silence began; several times what is needed.
+const MOST: Duration = Duration::from_secs(20);
+
+/// Passes bytes on; connections that stand when `silence` rises pass nothing more, and stay open.
+async fn proxy(listener: TcpListener, to: SocketAddr, silence: Rc<Cell<u32>>) {
+    loop {
+        let (near, _) = listener.accept().await.expect("a connection");
+        let far = TcpStream::connect(to).await.expect("the listener");
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        actix_rt::spawn(copy(near_read, far_write, Rc::clone(&silence)));
+        actix_rt::spawn(copy(far_read, near_write, Rc::clone(&silence)));
+    }
+}
+
+async fn copy(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    silence: Rc<Cell<u32>>,
+) {
+    let began = silence.get();
+    let mut bytes = [0; 4_096];
+    while let Ok(count) = from.read(&mut bytes).await {
+        if count == 0 {
+            return;
+        }
+        if silence.get() == began && to.write_all(&bytes[..count]).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn a_link_whose_connection_falls_silent_is_made_anew() {
+    let bind = || async { TcpListener::bind("127.0.0.1:0").await.expect("a port") };
+    let (inner, outer) = (bind().await, bind().await);
+    let (to, address) = (inner.local_addr().expect("an address"), outer.local_addr().expect("an address"));
+    let silence = Rc::new(Cell::new(0));
+    actix_rt::spawn(proxy(outer, to, Rc::clone(&silence)));
+    let key = Key::new("the secret of both ends");
+    let got: Rc<RefCell<Vec<u32>>> = Rc::default();
+    let taken = Rc::clone(&got);
+    let listener = Listener::new(&key, "b", Rc::new(move |_: &str, message: u32| taken.borrow_mut().push(message)));
+    actix_rt::spawn(listener.run(inner));
+    let link: Link<u32> = Link::open(&key, "a", "b", address, Box::new(|| {}));
+    let send_until_heard = |first: u32| {
+        let (link, got) = (&link, Rc::clone(&got));
+        async move {
+            let began = Instant::now();
+            while began.elapsed() < MOST {
+                link.send(&first);
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+                if got.borrow().contains(&first) {
+                    return true;
+                }
+            }
+            false
+        }
+    };
+    assert!(send_until_heard(1).await, "before the silence");
+    silence.set(1);
+    assert!(send_until_heard(2).await, "after the silence");
+}
