Relay: an exchange ends with a reply, and the front passes streams on; timing has its own module

The circle between exchange and pump is cut: pump uses exchange, front uses both. No behaviour changes; relay's and platform's tests passed.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -6,8 +6,8 @@
 use crate::consult::Asked;
 use crate::dialect::{Call, Dispatch};
 use crate::outcome::Outcome;
-use crate::pump::Pump;
 use crate::shared::Shared;
+use crate::timing::Timing;
 use crate::Body;
 use bytes::Bytes;
 use http::{request, Response, StatusCode};
@@ -77,25 +77,6 @@
     pub(crate) trail: String,
 }
 
-/// When the events of a stream came.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Timing {
-    /// From the request's beginning to its first event.
-    pub(crate) first: Option<Duration>,
-    /// Longest pause between two events.
-    pub(crate) pause: Duration,
-}
-
-impl Timing {
-    /// What made a whole stream late, by the aims of its route; none when it was in time.
-    fn late(&self, route: &Route) -> Option<&'static str> {
-        if self.first.is_some_and(|first| first > route.aim) {
-            return Some("first");
-        }
-        route.gap_aim.is_some_and(|aim| self.pause > aim).then_some("pause")
-    }
-}
-
 /// What a send brought.
 enum Got {
     Stream(Box<Answer>),
@@ -110,16 +91,15 @@
 }
 
 impl Exchange {
-    /// Sends the request until there is an outcome. The answer of a stream goes on after this returns.
-    pub(crate) async fn run(mut self) -> Response<Body> {
+    /// Sends the request until there is an outcome, or the beginning of a stream.
+    pub(crate) async fn run(&mut self) -> Reply {
         let now = self.shared.now();
         self.shared.placement().first_send(&self.service, now);
         loop {
             match tokio::time::timeout_at(self.deadline, self.step()).await {
-                Ok(Some(Reply::Whole(response))) => return response,
-                Ok(Some(Reply::Stream(answer, claim))) => return Pump::start(self, *answer, claim),
+                Ok(Some(reply)) => return reply,
                 Ok(None) => {}
-                Err(_) => return self.too_late(),
+                Err(_) => return Reply::Whole(self.too_late()),
             }
         }
     }
@@ -437,8 +417,10 @@
     }
 }
 
-/// What a send brought for the caller.
+/// What the sends brought for the caller.
 pub(crate) enum Reply {
+    /// All of it.
     Whole(Response<Body>),
+    /// The beginning of a stream, which is still to be passed on.
     Stream(Box<Answer>, Claim),
 }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -2,8 +2,10 @@
 
 use crate::answer::{self, strip_hop};
 use crate::connections::Connections;
-use crate::exchange::{Exchange, Timing};
+use crate::exchange::{Exchange, Reply};
 use crate::liveness::notice_death;
+use crate::pump::Pump;
+use crate::timing::Timing;
 use crate::{Body, Shared};
 use bytes::Bytes;
 use http::{header, request, HeaderValue, Request, Response, StatusCode};
@@ -180,7 +182,10 @@
             return answer::refused("no configuration yet", START_TIME);
         };
         match self.admit(&table, parts, body, began) {
-            Ok(exchange) => exchange.run().await,
+            Ok(mut exchange) => match exchange.run().await {
+                Reply::Whole(response) => response,
+                Reply::Stream(answer, claim) => Pump::start(exchange, *answer, claim),
+            },
             Err(response) => *response,
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod pump;
 mod ready;
 mod shared;
+mod timing;
 
 pub use advisor::Advisor;
 pub use dialect::{Call, Dialect, Dispatch, Verdict};
