--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -116,7 +116,7 @@
     /// How many run that a request of this urgency doesn't displace.
     #[must_use]
     pub fn not_displaced_by(&self, urgency: u8) -> u32 {
-        self.urgencies.range(..=urgency).map(|(_, count)| count).sum()
+        self.urgencies.range(..=urgency).fold(0, |sum, (_, count)| sum.saturating_add(*count))
     }
 
     /// A request ended; [`Load::read`] was called before, and [`Load::late`] unless it was `late` already.
--- a/crates/placement/src/weigh.rs
+++ b/crates/placement/src/weigh.rs
@@ -123,7 +123,7 @@
     /// How long a request waits for a place where all are taken by others that are as urgent.
     fn place_ms(&self, member: &Member, load: &Load) -> f64 {
         let before = load.not_displaced_by(self.ask.urgency);
-        let ends = f64::from((before + 1).saturating_sub(member.server.slots));
+        let ends = f64::from(before.saturating_add(1).saturating_sub(member.server.slots));
         let end_ms = self.ask.opinion(&member.server.id).map_or(0.0, |opinion| opinion.end_ms);
         // Where none ended lately, none is expected to.
         let end_ms = if end_ms > 0.0 { f64::from(end_ms) } else { self.ask.aim.as_secs_f64() * 1e3 };
