Nothing is refused while another server that was asked has a place

Cause: admission looked at the cheapest server only. Change: the cheapest of the servers that admit the request is taken; it is refused where none does, by the shortest wait. A server that was not asked is still not looked at. Test: `nothing_is_refused_while_a_dearer_server_has_a_place`; on the code before it is refused.

--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -3,7 +3,7 @@
 //! Where all places are taken and a request would wait beyond its aim, sending it makes it late and those after it too.
 //! It is refused at once instead, the less urgent ones before the more urgent.
 
-use crate::Millis;
+use crate::{Ask, Millis};
 
 /// How long a class counts as present after its last request.
 const PRESENT: Millis = 2_000;
@@ -24,14 +24,14 @@
         self.seen[index(urgency)] = Some(now);
     }
 
-    /// True when a request may be sent that would wait for a place, by its expected wait and its aim in milliseconds.
+    /// True when a request may be sent where it would wait so many milliseconds for a place.
     ///
     /// Each more urgent class that is present halves, thirds, … what a class may wait, so that it is refused before
     /// them.
-    pub(crate) fn admits(&self, urgency: u8, wait_ms: f64, aim_ms: f64, now: Millis) -> bool {
-        let present = |seen: &&Option<Millis>| seen.is_some_and(|at| now < at + PRESENT);
-        let more_urgent = self.seen[..index(urgency)].iter().filter(present).count();
-        wait_ms <= aim_ms / (1.0 + more_urgent as f64)
+    pub(crate) fn admits(&self, ask: &Ask<'_>, wait_ms: f64) -> bool {
+        let present = |seen: &&Option<Millis>| seen.is_some_and(|at| ask.now < at + PRESENT);
+        let more_urgent = self.seen[..index(ask.urgency)].iter().filter(present).count();
+        wait_ms <= ask.aim.as_secs_f64() * 1e3 / (1.0 + more_urgent as f64)
     }
 }
 
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -3,7 +3,7 @@
 use crate::admission::Admission;
 use crate::homes::homes;
 use crate::member::Member;
-use crate::weigh::{Scale, Source, FETCH_LEAST};
+use crate::weigh::{Candidate, Scale, Source, FETCH_LEAST};
 use crate::{Ask, Choice, Ending, Millis, Opinion, Prompt, Refusal, Speed, Work};
 use routing::{Engine, Server};
 use std::collections::HashMap;
@@ -116,17 +116,12 @@
         let scale = self.scale(ask, hall, &among);
         // A server whose owner wasn't heard looks idle: where some were heard, only those are compared.
         let heard = |m: &&&Member| ask.opinions.is_empty() || ask.opinion(&m.server.id).is_some();
-        let candidates = among.iter().filter(heard).map(|member| scale.weigh(member));
-        let Some(best) = candidates.min_by(|a, b| a.cost().total_cmp(&b.cost())) else {
-            return Err(Refusal::NoServer);
+        let candidates: Vec<Candidate<'_>> = among.iter().filter(heard).map(|member| scale.weigh(member)).collect();
+        // What was sent before is not refused: it may have run.
+        let admitted = |c: &&Candidate<'_>| !ask.tried.is_empty() || self.admission.admits(ask, c.expected.place_ms);
+        let Some(best) = candidates.iter().filter(admitted).min_by(|a, b| a.cost().total_cmp(&b.cost())) else {
+            return Err(refusal(&candidates));
         };
-        let place_ms = best.expected.place_ms;
-        if place_ms > 0.0 && ask.tried.is_empty() {
-            let aim_ms = ask.aim.as_secs_f64() * 1e3;
-            if !self.admission.admits(ask.urgency, place_ms, aim_ms, ask.now) {
-                return Err(Refusal::Crowded { wait_ms: place_ms });
-            }
-        }
         let choice = Choice {
             server: Arc::clone(&best.member.server),
             fetch: if best.fetch { scale.source.map(|s| s.member.server.address) } else { None },
@@ -189,6 +184,12 @@
     }
 }
 
+/// Why none of the candidates is chosen.
+fn refusal(candidates: &[Candidate<'_>]) -> Refusal {
+    let waits = candidates.iter().map(|candidate| candidate.expected.place_ms);
+    waits.min_by(f64::total_cmp).map_or(Refusal::NoServer, |wait_ms| Refusal::Crowded { wait_ms })
+}
+
 /// Of servers that are all paused, the one whose pause ends first.
 fn soonest<'a>(paused: &[&'a Member]) -> Vec<&'a Member> {
     paused.iter().copied().min_by_key(|m| m.health.pause_until()).into_iter().collect()
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -325,6 +325,19 @@
     }
 }
 
+#[test]
+fn nothing_is_refused_while_a_dearer_server_has_a_place() {
+    let full = Load { running: 80, urgencies: [(0, 80)].into(), ..Load::default() };
+    // It keeps the prompt, so that sending it here would cost less than reading it again.
+    let full = Opinion { load: full, kept: 13_000, read: 0, end_ms: 100.0, ..Opinion::default() };
+    for urgency in [0, 3] {
+        let (mut placement, prompt) = (placement(servers(2)), prompt(7, 100));
+        let opinions = [("s0".to_owned(), full.clone()), ("s1".to_owned(), opinion(0, 0, 0, 0))];
+        let choice = placement.choose(&Ask { urgency, ..quick_ask(&prompt, &opinions) });
+        assert_eq!(choice.expect("a place").server.id, "s1");
+    }
+}
+
 #[test]
 fn what_would_wait_beyond_its_aim_for_a_place_is_refused() {
     assert_eq!(refused(&mut placement(servers(2)), 79, 0, 0), Some(1_600.0), "the aim is 1,500 ms");
