Engines are divided between long prompts and the rest, by what both take

Cause: on the large fleet every engine reads under load: long prompts have homes on all 320, and a choice hears of four or nine. Change: owners tell what part of an engine's time reading takes, for long prompts and others, and how many of each run. Each box sizes the part of the engines that is preferred for long prompts by it; the order of engines follows from their lives. Short prompts get what they need first when there is not enough for both. The other side costs 0.3 of an answer: a preference, no wall.

--- a/crates/placement/src/ask.rs
+++ b/crates/placement/src/ask.rs
@@ -50,6 +50,8 @@
     pub stalled: f64,
     /// How many others it makes late.
     pub others: f64,
+    /// The part of the engines that was preferred for long prompts.
+    pub split: f64,
     /// How fast the server was taken to be.
     pub speed: Speed,
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -17,11 +17,14 @@
 mod learner;
 mod load;
 mod member;
+mod order;
 mod owner;
 mod placement;
 mod pool;
 mod prompt;
+mod rate;
 mod speed;
+mod split;
 mod stalls;
 mod weigh;
 
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -16,6 +16,8 @@
     pub urgency: u8,
     /// Longest pause between events that is still in time, in milliseconds; 0 where no pause makes it late.
     pub gap_ms: u32,
+    /// True where its prompt takes long to read, as [`crate::Split`] tells long from short.
+    pub long: bool,
 }
 
 /// Prompt tokens that are still to be read.
@@ -81,6 +83,8 @@
 pub struct Load {
     /// Requests sent and not ended.
     pub running: u32,
+    /// How many of them have long prompts; never above `running`.
+    pub long: u32,
     /// What of their prompts is still to be read.
     pub reading: Reading,
     /// Tokens of memory that they hold.
@@ -95,6 +99,7 @@
     /// A request was sent.
     pub fn begin(&mut self, work: Work) {
         self.running += 1;
+        self.long += u32::from(work.long);
         self.reading = self.reading.and(work.reading);
         self.held += u64::from(work.held);
         *self.urgencies.entry(work.urgency).or_default() += 1;
@@ -122,6 +127,7 @@
     /// A request ended; [`Load::read`] was called before, and [`Load::late`] unless it was `late` already.
     pub fn end(&mut self, work: Work) {
         self.running = self.running.saturating_sub(1);
+        self.long = self.long.saturating_sub(u32::from(work.long));
         self.held = self.held.saturating_sub(u64::from(work.held));
         take_one(&mut self.urgencies, &work.urgency);
     }
--- a/crates/placement/src/member.rs
+++ b/crates/placement/src/member.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
     pub(crate) server: Arc<Server>,
+    /// Where it stands in the order of the pool's servers, from 0 to 1; see [`crate::order`].
+    pub(crate) position: f64,
     /// What this box has running there.
     pub(crate) own: Load,
     pub(crate) kept: Kept,
@@ -27,6 +29,7 @@
     pub(crate) fn new(server: &Arc<Server>) -> Self {
         Self {
             server: Arc::clone(server),
+            position: 0.0,
             own: Load::default(),
             kept: Kept::default(),
             health: Health::default(),
@@ -40,6 +43,11 @@
         heard.map_or(&self.own, |(opinion, _)| &opinion.load)
     }
 
+    /// What its owner said within the last so many milliseconds.
+    pub(crate) fn heard_within(&self, most: Millis, now: Millis) -> Option<&Opinion> {
+        self.heard.as_ref().filter(|(_, at)| now < at + most).map(|(opinion, _)| opinion)
+    }
+
     /// How fast its owner said that it is, whenever that was.
     pub(crate) fn speed(&self) -> Option<&Speed> {
         self.heard.as_ref().map(|(opinion, _)| &opinion.speed)
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -5,6 +5,7 @@
 //! a box that gets no answer goes by what it knows itself.
 
 use crate::ends::Ends;
+use crate::rate::Rate;
 use crate::stalls::Stalls;
 use crate::{Ending, Health, Kept, Learner, Load, Millis, Part, Reading, Speed, Work};
 use serde::{Deserialize, Serialize};
@@ -49,6 +50,9 @@
     pub stalls_per_s: f32,
     /// Milliseconds until one of the requests that run there ends, on average; 0 where none ended lately.
     pub end_ms: f32,
+    /// The part of its time that what was lately sent there takes to read, long prompts first and then the others; above
+    /// 1 where more came than it can read.
+    pub reading: [f32; 2],
 }
 
 /// Tells an owner of a request that is sent to its server.
@@ -112,6 +116,8 @@
     learner: Learner,
     stalls: Stalls,
     ends: Ends,
+    /// Milliseconds of reading that were sent there, for long prompts and for the others.
+    reading: [Rate; 2],
     /// When the last prompt was read.
     last_read: Millis,
     /// By asking box and number. The sum of their works is `load`.
@@ -138,6 +144,7 @@
             speed: owned.learner.speed(),
             stalls_per_s: owned.stalls.per_second(question.gap_ms, now),
             end_ms: owned.ends.interval_ms(now),
+            reading: owned.reading.map(|rate| (rate.per_second(now) / 1e3) as f32),
         }
     }
 
@@ -162,6 +169,7 @@
 impl Owned {
     fn begin(&mut self, key: (SocketAddr, u64), parts: Vec<Part>, work: Work, memory: u64, now: Millis) {
         let ahead = self.left(now).and(work.reading);
+        self.reading[usize::from(!work.long)].note(self.learner.speed().read(work.reading), now);
         self.load.begin(work);
         self.kept.touch(&parts, memory, now);
         self.stalls.note(self.learner.speed().stall(ahead), now);
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -41,6 +41,7 @@
             self.pools.entry((*name).to_owned()).or_default();
         }
         for (name, pool) in &mut self.pools {
+            pool.set_gap(table.shortest_gap(name).map_or(0.0, |gap| gap.as_secs_f64() * 1e3));
             pool.set_engine(table.services.get(name).and_then(|s| s.engine.clone()));
             pool.set_servers(by_service.get(name.as_str()).map_or(&[], Vec::as_slice));
         }
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -3,8 +3,10 @@
 use crate::admission::Admission;
 use crate::homes::homes;
 use crate::member::Member;
+use crate::order::positions;
+use crate::split::{self, Need, Split, Use, BACKLOG};
 use crate::weigh::{Candidate, Scale, Source, FETCH_LEAST};
-use crate::{Ask, Choice, Ending, Millis, Opinion, Prompt, Refusal, Speed, Work};
+use crate::{Ask, Choice, Ending, Millis, Opinion, Prompt, Reading, Refusal, Speed, Work};
 use routing::{Engine, Server};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -22,6 +24,43 @@
 /// How much one server's speed counts at most in the mean of all, in observations.
 const SPEED_SEEN_MOST: f32 = 20.0;
 
+/// Pause between two looks at how the engines are to be divided.
+const DIVIDE_EVERY: Millis = 200;
+
+/// How long what an owner said counts for how the engines are to be divided.
+const NEED_MOST: Millis = 4_000;
+
+/// What was heard of the engines on one side of the division.
+#[derive(Clone, Copy, Debug, Default)]
+struct Side {
+    engines: f64,
+    heard: f64,
+    /// Sums over those heard of.
+    need: Need,
+}
+
+impl Side {
+    fn hear(&mut self, opinion: &Opinion, slots: u32) {
+        let places = f64::from(slots.max(1));
+        let backlog = opinion.speed.read(opinion.load.reading) / BACKLOG;
+        let short = opinion.load.running.saturating_sub(opinion.load.long);
+        self.heard += 1.0;
+        let [long_reading, short_reading] = opinion.reading.map(f64::from);
+        self.need = self.need.and(Need {
+            long: Use { reading: long_reading + backlog, places: f64::from(opinion.load.long) / places },
+            short: Use { reading: short_reading, places: f64::from(short) / places },
+        });
+    }
+
+    /// What the work on this side takes, in parts of a pool of so many engines.
+    fn need(&self, of: f64) -> Need {
+        if self.heard == 0.0 {
+            return Need::default();
+        }
+        self.need.times(self.engines / self.heard / of)
+    }
+}
+
 /// All servers of a service that aren't draining, and their records.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Pool {
@@ -29,6 +68,10 @@
     /// By id. Draining servers stay while they are listed, since requests may still run there.
     members: HashMap<String, Member>,
     admission: Admission,
+    /// Which of them are preferred for long prompts.
+    split: Split,
+    /// Shortest pause that answers of the service's routes bear, in milliseconds; 0 where they bear any.
+    gap_ms: f64,
 }
 
 impl Pool {
@@ -37,6 +80,11 @@
         self.engine = engine;
     }
 
+    /// Takes the shortest pause that answers bear, in milliseconds; 0 where they bear any.
+    pub(crate) fn set_gap(&mut self, gap_ms: f64) {
+        self.gap_ms = gap_ms;
+    }
+
     /// Tokens of parts that one server is expected to keep at most.
     pub(crate) fn memory(&self) -> u64 {
         self.engine.as_ref().map_or(0.0, |e| e.memory_tokens as f64 * KEPT_SHARE) as u64
@@ -49,6 +97,30 @@
             let member = self.members.entry(server.id.clone()).or_insert_with(|| Member::new(server));
             member.server = Arc::clone(server);
         }
+        for (id, position) in positions(servers) {
+            if let Some(member) = self.members.get_mut(id) {
+                member.position = position;
+            }
+        }
+    }
+
+    /// Looks at what the pool's work takes, now and then, and divides the engines by it.
+    fn divide(&mut self, now: Millis) {
+        if now < self.split.at() + DIVIDE_EVERY {
+            return;
+        }
+        let mut sides = [Side::default(), Side::default()];
+        let open = self.members.values().filter(|member| !member.server.draining);
+        for member in open {
+            let side = &mut sides[usize::from(self.split.reads(member.position))];
+            side.engines += 1.0;
+            if let Some(opinion) = member.heard_within(NEED_MOST, now) {
+                side.hear(opinion, member.server.slots);
+            }
+        }
+        let need = Need::default();
+        let need = sides.iter().fold(need, |need, side| need.and(side.need(sides[0].engines + sides[1].engines)));
+        self.split.follow(need, now);
     }
 
     /// Servers whose owners are worth asking: those that are to keep the prompt's shared parts, then the cheapest.
@@ -71,13 +143,22 @@
     }
 
     fn scale<'a>(&'a self, ask: &'a Ask<'_>, hall: &'a str, among: &[&'a Member]) -> Scale<'a> {
+        let speed = Speed::mean(self.members.values().filter_map(Member::speed), SPEED_SEEN_MOST);
+        let longness = ask.prompt.map_or(0.0, |prompt| {
+            split::longness(speed.read(Reading::last(prompt.tokens, prompt.tokens, speed.stretch())), self.gap_ms)
+        });
+        let long = split::is_long(longness);
+        let side: Vec<&Member> = among.iter().copied().filter(|m| self.split.reads(m.position) == long).collect();
+        let keepers = if side.is_empty() { among } else { &side };
         Scale {
             ask,
             engine: self.engine.as_ref(),
-            speed: Speed::mean(self.members.values().filter_map(Member::speed), SPEED_SEEN_MOST),
+            speed,
+            split: self.split,
+            longness,
             hall,
             failing_least: among.iter().map(|member| member.health.failing()).fold(1.0, f64::min),
-            homes: ask.prompt.map_or_else(Vec::new, |prompt| homes(among, prompt)),
+            homes: ask.prompt.map_or_else(Vec::new, |prompt| homes(keepers, prompt)),
             source: self.source(ask),
         }
     }
@@ -112,6 +193,7 @@
     /// The server with the least cost. `hall` is this box's.
     pub(crate) fn choose(&mut self, ask: &Ask<'_>, hall: &str) -> Result<Choice, Refusal> {
         self.admission.note(ask.urgency, ask.now);
+        self.divide(ask.now);
         let among = self.among(ask);
         let scale = self.scale(ask, hall, &among);
         // A server whose owner wasn't heard looks idle: where some were heard, only those are compared.
--- /dev/null
+++ b/crates/placement/src/split.rs
@@ -0,0 +1,151 @@
+//! How the engines of a pool are divided between prompts that take long to read and those that don't.
+//!
+//! Reading holds up the answers beside it: an engine that reads without an end gives one token for each piece of a prompt.
+//! Where long prompts go to any engine, all of them read under load, and no answer that bears no long pause finds one
+//! that doesn't. So a part of the engines is preferred for long prompts, and the others for the rest. Every box derives
+//! the same order of engines from their lives, and the size of the part from what owners say, without a word between
+//! them; two boxes whose parts differ by some engines do no harm. It is a preference and not a wall: what does not fit
+//! goes to the other side.
+
+use crate::Millis;
+
+/// The part of their time that engines for long prompts are to spend reading: beyond, waits grow fast.
+const LONG_READING_MOST: f64 = 0.6;
+
+/// The same of the other engines, where answers are to meet little of it.
+const SHORT_READING_MOST: f64 = 0.2;
+
+/// The part of an engine's places that are to be taken on either side: beyond, some engines are full while others are not.
+const PLACES_MOST: f64 = 0.7;
+
+/// How fast what waits to be read is to be read, in milliseconds: within the shortest aims for first events.
+pub(crate) const BACKLOG: f64 = 1_000.0;
+
+/// A prompt is long where reading it takes this part of the shortest pause that answers of the pool bear: a few of them
+/// in a row make a pause too long.
+const LONG_PART: f64 = 0.25;
+
+/// How long the division takes to follow most of the way: parts that move between engines are read or fetched again.
+const FOLLOW: f64 = 2_000.0;
+
+/// The part of a pool that short prompts get at most before long ones are served.
+const SHORT_FIRST_MOST: f64 = 0.5;
+
+/// Work below this part of a pool says nothing of how to divide it.
+const USE_LEAST: f64 = 0.001;
+
+/// What requests take of a pool's engines, in pools of this size.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Use {
+    /// Time for reading.
+    pub(crate) reading: f64,
+    /// Places.
+    pub(crate) places: f64,
+}
+
+/// What the work of a pool takes.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Need {
+    /// By requests with long prompts.
+    pub(crate) long: Use,
+    /// By the others.
+    pub(crate) short: Use,
+}
+
+impl Use {
+    /// Both.
+    fn and(self, other: Self) -> Self {
+        Self { reading: self.reading + other.reading, places: self.places + other.places }
+    }
+
+    /// So many times this.
+    fn times(self, factor: f64) -> Self {
+        Self { reading: self.reading * factor, places: self.places * factor }
+    }
+
+    /// The part of the pool that it takes, where engines are to spend so much of their time reading.
+    fn engines(self, reading_most: f64) -> f64 {
+        (self.reading / reading_most).max(self.places / PLACES_MOST)
+    }
+}
+
+impl Need {
+    /// Both.
+    pub(crate) fn and(self, other: Self) -> Self {
+        Self { long: self.long.and(other.long), short: self.short.and(other.short) }
+    }
+
+    /// So many times this.
+    pub(crate) fn times(self, factor: f64) -> Self {
+        Self { long: self.long.times(factor), short: self.short.times(factor) }
+    }
+}
+
+/// The division of a pool's engines.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Split {
+    /// The part of the engines that is preferred for long prompts, from 0 to 1.
+    share: f64,
+    /// When it was last looked at.
+    at: Millis,
+}
+
+impl Default for Split {
+    /// Before anything is known, every engine reads.
+    fn default() -> Self {
+        Self { share: 1.0, at: 0 }
+    }
+}
+
+impl Split {
+    /// True for an engine that is preferred for long prompts, by its position in the order of engines, from 0 to 1.
+    pub(crate) fn reads(&self, position: f64) -> bool {
+        position < self.share
+    }
+
+    /// The part of the engines that is preferred for long prompts.
+    pub(crate) fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// When [`Split::follow`] was last called.
+    pub(crate) fn at(&self) -> Millis {
+        self.at
+    }
+
+    /// Moves towards what is needed now: both sides get engines in proportion to what their work takes.
+    pub(crate) fn follow(&mut self, need: Need, now: Millis) {
+        let passed = now.saturating_sub(self.at) as f64;
+        self.at = now;
+        let long = need.long.engines(LONG_READING_MOST);
+        let short = need.short.engines(SHORT_READING_MOST);
+        if long + short < USE_LEAST {
+            return;
+        }
+        let target = share(long, short);
+        self.share += (target - self.share) * (1.0 - (-passed / FOLLOW).exp());
+    }
+}
+
+/// The part of a pool that long prompts are to get, where their work takes `long` pools of its size and the rest `short`.
+///
+/// Where there is enough for both, each gets its part in proportion. Where there isn't, the short ones get what they take, up
+/// to half: reading waits in a queue, while an answer that reading holds up is late.
+fn share(long: f64, short: f64) -> f64 {
+    let even = short / (long + short);
+    1.0 - even.max(short.min(SHORT_FIRST_MOST))
+}
+
+/// How much a prompt counts as long, from 0 to 1, by what it takes to read and the shortest pause that answers of the
+/// pool bear, both in milliseconds; 0 where they bear any pause.
+pub(crate) fn longness(read_ms: f64, gap_ms: f64) -> f64 {
+    if gap_ms <= 0.0 {
+        return 0.0;
+    }
+    (read_ms / (LONG_PART * gap_ms) - 0.5).clamp(0.0, 1.0)
+}
+
+/// True for what counts as long rather than short.
+pub(crate) fn is_long(longness: f64) -> bool {
+    longness >= 0.5
+}
--- a/crates/placement/src/weigh.rs
+++ b/crates/placement/src/weigh.rs
@@ -2,6 +2,7 @@
 
 use crate::harm;
 use crate::member::Member;
+use crate::split::{self, Split};
 use crate::{Ask, Expectation, Load, Prompt, Reading, Speed, Work};
 use routing::Engine;
 
@@ -31,6 +32,10 @@
 const PLAIN_QUEUE: f64 = 0.0075;
 const PLAIN_BESIDE: f64 = 0.0005;
 
+/// What it costs to take the other side of the engines: a long prompt among short ones will make answers late that come
+/// after it, and a short one among long ones is late by what is read after it.
+const OTHER_SIDE: f64 = 0.3;
+
 /// A member that could be chosen, with its cost.
 pub(crate) struct Candidate<'a> {
     pub(crate) member: &'a Member,
@@ -69,6 +74,10 @@
     pub(crate) engine: Option<&'a Engine>,
     /// What engines of this pool take, on average.
     pub(crate) speed: Speed,
+    /// How the pool's engines are divided.
+    pub(crate) split: Split,
+    /// How much the prompt counts as long, from 0 to 1.
+    pub(crate) longness: f64,
     /// This box's hall.
     pub(crate) hall: &'a str,
     /// Least share of failures among the servers: only more than that counts against one.
@@ -115,11 +124,17 @@
         let stalled = harm::stalled(f64::from(member.stalls_per_s(self.ask.now)), took_ms);
         let memory = self.engine.map_or(u64::MAX, |engine| engine.memory_tokens);
         let others = harm::to_others(load, &work, &speed) + harm::put_back(load, &work, memory, member.server.slots);
-        let cost = base + wait + stalled + others + plan.cost;
-        let expected = Expectation { cost, wait_ms, place_ms, stalled, others, speed };
+        let cost = base + wait + stalled + others + plan.cost + self.other_side(member);
+        let expected = Expectation { cost, wait_ms, place_ms, stalled, others, split: self.split.share(), speed };
         Candidate { member, expected, work, fetch: plan.fetch }
     }
 
+    /// What it costs to be on the side of the engines that is meant for others.
+    fn other_side(&self, member: &Member) -> f64 {
+        let meant = if self.split.reads(member.position) { self.longness } else { 1.0 - self.longness };
+        OTHER_SIDE * (1.0 - meant)
+    }
+
     /// How long a request waits for a place where all are taken by others that are as urgent.
     fn place_ms(&self, member: &Member, load: &Load) -> f64 {
         let before = load.not_displaced_by(self.ask.urgency);
@@ -138,6 +153,7 @@
             out: prompt.out(),
             urgency: self.ask.urgency,
             gap_ms: self.ask.gap_aim.map_or(0, |gap| gap.as_millis() as u32),
+            long: split::is_long(self.longness),
         }
     }
 
--- a/crates/placement/tests/owner.rs
+++ b/crates/placement/tests/owner.rs
@@ -105,7 +105,7 @@
 
 /// A request of 200 tokens to generate whose answer bears pauses of so many milliseconds.
 fn work(unread: u32, gap_ms: u32) -> Work {
-    Work { reading: Reading::last(unread, unread, 6_000), held: 0, out: 200, urgency: 0, gap_ms }
+    Work { reading: Reading::last(unread, unread, 6_000), held: 0, out: 200, urgency: 0, gap_ms, long: false }
 }
 
 fn sent_with(work: Work) -> News {
--- /dev/null
+++ b/crates/placement/tests/split.rs
@@ -0,0 +1,244 @@
+//! Engines divided between long prompts and the rest, under the load that asks for it: long prompts come faster than they
+//! are read, and quick answers beside them bear no long pause.
+
+use placement::{Ask, Budget, Ending, News, Owner, Part, Placement, Prompt, Question, Report};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use routing::{Change, Directory, Engine, Kind, Route, Server, Service, Share, Table};
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const MODEL: &str = "model";
+
+/// Engines of the pool.
+const ENGINES: usize = 20;
+
+/// Pause that a quick answer bears.
+const GAP_MS: u64 = 500;
+
+/// Tokens that an engine reads in a millisecond.
+const TOKENS_PER_MS: f64 = 35.0;
+
+/// How long a quick answer and a long one run after their first event.
+const QUICK_MS: u64 = 1_400;
+const LONG_MS: u64 = 3_000;
+
+/// Length of a run, and when counting begins: engines are known by then.
+const END: u64 = 20_000;
+const COUNT_FROM: u64 = 4_000;
+
+fn me() -> SocketAddr {
+    "10.0.0.1:1".parse().expect("an address")
+}
+
+fn table(gap: Option<Duration>) -> Table {
+    let route = Route {
+        name: "quick".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/".to_owned(),
+        kind: Kind::Stream { resumable: true },
+        timeout: Duration::from_secs(12),
+        aim: Duration::from_millis(1_500),
+        gap_aim: gap,
+        priority: 0,
+        shares: vec![Share { service: MODEL.to_owned(), weight: 1 }],
+        attempts: 2,
+        open: false,
+    };
+    let engine = Engine { slots: 32, memory_tokens: 500_000, token_bytes: 18_432, link_mbps: 100_000.0, stride: 8 };
+    Table::new(1, vec![route], vec![Service { name: MODEL.to_owned(), connections: 100, engine: Some(engine) }])
+}
+
+fn servers() -> Vec<Server> {
+    let server = |index: usize| Server {
+        id: format!("s{index}"),
+        service: MODEL.to_owned(),
+        address: format!("10.0.1.{}:80", index + 1).parse().expect("an address"),
+        hall: format!("hall-{}", index % 4),
+        slots: 32,
+        draining: false,
+    };
+    (0..ENGINES).map(server).collect()
+}
+
+/// An answer that runs at an engine.
+struct Answer {
+    number: u64,
+    quick: bool,
+    first: u64,
+    end: u64,
+    read: bool,
+    /// The longest that the engine read without an end beside it.
+    held_up: u64,
+}
+
+/// An engine that reads one prompt after the other, and holds up answers while it does.
+#[derive(Default)]
+struct Model {
+    busy_since: u64,
+    free_at: u64,
+    answers: Vec<Answer>,
+}
+
+impl Model {
+    fn take(&mut self, number: u64, unread: u64, quick: bool, now: u64) {
+        if self.free_at <= now {
+            self.busy_since = now;
+        }
+        self.free_at = self.free_at.max(now) + (unread as f64 / TOKENS_PER_MS) as u64 + 1;
+        let first = self.free_at;
+        let end = first + if quick { QUICK_MS } else { LONG_MS };
+        self.answers.push(Answer { number, quick, first, end, read: false, held_up: 0 });
+        for answer in &mut self.answers {
+            let beside = self.free_at.min(answer.end).saturating_sub(self.busy_since.max(answer.first));
+            answer.held_up = answer.held_up.max(beside);
+        }
+    }
+}
+
+struct World {
+    placement: Placement,
+    owner: Owner,
+    engines: BTreeMap<String, Model>,
+    rng: ChaCha8Rng,
+    number: u64,
+    /// Quick answers that ended, and those of them that were held up for too long.
+    quick: (u32, u32),
+    /// Long prompts whose first event came, and the sum of their waits.
+    long: (u64, u64),
+    /// Engines that long prompts were sent to in the counted time.
+    readers: HashSet<String>,
+}
+
+impl World {
+    fn new(gap: Option<Duration>) -> Self {
+        let mut placement = Placement::new("hall-0", Budget::new(0.2, 50.0, 10_000));
+        let mut directory = Directory::default();
+        directory.apply(servers().into_iter().map(Change::Present).collect(), 1);
+        placement.update(&table(gap), &directory);
+        Self {
+            placement,
+            owner: Owner::default(),
+            engines: servers().into_iter().map(|server| (server.id, Model::default())).collect(),
+            rng: ChaCha8Rng::seed_from_u64(7),
+            number: 0,
+            quick: (0, 0),
+            long: (0, 0),
+            readers: HashSet::new(),
+        }
+    }
+
+    /// So many long and quick prompts come each second.
+    fn run(mut self, long_per_s: f64, quick_per_s: f64) -> Self {
+        for now in 0..END {
+            self.advance(now);
+            if self.rng.random_bool(long_per_s / 1e3) {
+                let shared = Part { id: self.rng.random_range(0..60), tokens: 13_000 };
+                let own = self.rng.random_range(1_000..8_000);
+                self.send(shared, own, now);
+            }
+            if self.rng.random_bool(quick_per_s / 1e3) {
+                self.send(Part { id: 1_000, tokens: 200 }, 1_000, now);
+            }
+        }
+        self
+    }
+
+    fn send(&mut self, shared: Part, own: u32, now: u64) {
+        self.number += 1;
+        let quick = shared.tokens < 1_000;
+        let parts = vec![shared, Part { id: 10_000 + self.number, tokens: own }];
+        let tokens = shared.tokens + own;
+        let prompt = Prompt { model: "m".to_owned(), tokens, out_most: 200, out_hint: Some(150), parts };
+        let gap_ms = if quick { GAP_MS } else { 4 * GAP_MS };
+        let ask = Ask {
+            service: MODEL,
+            prompt: Some(&prompt),
+            aim: Duration::from_millis(2_000),
+            gap_aim: Some(Duration::from_millis(gap_ms)),
+            urgency: if quick { 0 } else { 3 },
+            bytes: 1_000,
+            tried: &[],
+            opinions: &[],
+            now,
+        };
+        let mut opinions = Vec::new();
+        for server in self.placement.plan(&ask, 9) {
+            let question =
+                Question { number: 1, server: server.id.clone(), parts: prompt.parts.clone(), gap_ms: gap_ms as u32 };
+            let opinion = self.owner.ask(question, now);
+            self.placement.hear(MODEL, &server.id, opinion.clone(), now);
+            opinions.push((server.id.clone(), opinion));
+        }
+        let Ok(choice) = self.placement.choose(&Ask { opinions: &opinions, ..ask }) else { return };
+        let id = choice.server.id.clone();
+        let sent = News::Sent { parts: prompt.parts.clone(), work: choice.work, memory: 400_000 };
+        self.owner.report(me(), Report { number: self.number, server: id.clone(), news: sent }, now);
+        if !quick && now >= COUNT_FROM {
+            self.readers.insert(id.clone());
+        }
+        let engine = self.engines.get_mut(&id).expect("a listed server");
+        engine.take(self.number, choice.work.reading.tokens, quick, now);
+        if !quick && now >= COUNT_FROM {
+            self.long.0 += 1;
+            self.long.1 += engine.free_at - now;
+        }
+    }
+
+    /// Tells the owner of first events and ends.
+    fn advance(&mut self, now: u64) {
+        for (id, engine) in &mut self.engines {
+            for answer in &mut engine.answers {
+                if !answer.read && answer.first <= now {
+                    answer.read = true;
+                    self.owner.report(
+                        me(),
+                        Report { number: answer.number, server: id.clone(), news: News::Read },
+                        now,
+                    );
+                }
+                if answer.end <= now {
+                    let news = News::Ended { ending: Ending::Good, pause_ms: answer.held_up as u32 };
+                    self.owner.report(me(), Report { number: answer.number, server: id.clone(), news }, now);
+                    if answer.quick && now >= COUNT_FROM {
+                        self.quick.0 += 1;
+                        self.quick.1 += u32::from(answer.held_up > GAP_MS);
+                    }
+                }
+            }
+            engine.answers.retain(|answer| answer.end > now);
+        }
+    }
+
+    fn quick_late(&self) -> f64 {
+        f64::from(self.quick.1) / f64::from(self.quick.0)
+    }
+
+    fn long_wait_ms(&self) -> u64 {
+        self.long.1 / self.long.0.max(1)
+    }
+}
+
+/// Engines at six tenths of what they can read, and three quick answers beside each: divided, fewer than a third as many of
+/// these are held up for too long as where nobody knows that they bear no long pause.
+#[test]
+fn quick_answers_run_beside_little_reading_while_long_prompts_keep_the_engines_busy() {
+    let divided = World::new(Some(Duration::from_millis(GAP_MS))).run(90.0, 40.0);
+    let mixed = World::new(None).run(90.0, 40.0);
+    assert!(mixed.quick.0 > 500 && divided.quick.0 > 500);
+    assert!(
+        divided.quick_late() * 3.0 < mixed.quick_late(),
+        "late: {:.3} divided, {:.3} mixed",
+        divided.quick_late(),
+        mixed.quick_late()
+    );
+    assert!(divided.long_wait_ms() < 1_500, "long prompts wait {} ms, 2,000 are in time", divided.long_wait_ms());
+}
+
+/// With hardly a quick answer, long prompts get all engines.
+#[test]
+fn long_prompts_are_read_everywhere_when_nothing_else_runs() {
+    let alone = World::new(Some(Duration::from_millis(GAP_MS))).run(90.0, 0.0);
+    assert_eq!(alone.readers.len(), ENGINES);
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -194,7 +194,7 @@
         telemetry::emit(
             Event::ServerChosen,
             format_args!(
-                "id={} server={} cost={:.3} expected_ms={:.0} stalled={:.2} others={:.2} unread={} fetch={} among={} \
+                "id={} server={} cost={:.3} expected_ms={:.0} stalled={:.2} others={:.2} split={:.2} unread={} fetch={} among={} \
                  running={} ahead={} held={} prompt={} shared={} read_ms={:.1} pair_ms={:.2} stall_ms={:.0} stall_depth_ms={:.1}",
                 self.call.id,
                 choice.server.id,
@@ -202,6 +202,7 @@
                 expected.wait_ms,
                 expected.stalled,
                 expected.others,
+                expected.split,
                 work.reading.tokens,
                 choice.fetch.map_or_else(|| "-".to_owned(), |f| f.to_string()),
                 choice.candidates,
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -3,6 +3,7 @@
 use crate::{Customer, Limits, Route, Service};
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Whether a request may pass, by its key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -74,6 +75,14 @@
         self.routes.is_empty()
     }
 
+    /// The shortest pause between events that answers of a service bear, by its routes; none where they bear any.
+    #[must_use]
+    pub fn shortest_gap(&self, service: &str) -> Option<Duration> {
+        let routes = self.routes.values().flatten();
+        let its = routes.filter(|route| route.shares.iter().any(|share| share.service == service));
+        its.filter_map(|route| route.gap_aim).min()
+    }
+
     /// The route of a request: the longest prefix of its path among the routes of its host.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
