Homes, owners and the order of engines hang on a hash that doesn't change between releases

Cause: the standard library's hasher may change with the compiler, and boxes of two releases would name other homes and owners while a deployment is rolled out; the same few lines stood in four places.

--- a/crates/cleatshelf/src/router/advice.rs
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -3,10 +3,9 @@
 use peers::Profile;
 use placement::{News, Opinion, Owner, Question, Report};
 use relay::Advisor;
-use routing::{Directory, Server};
+use routing::{rank, rank_address, Directory, Server};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -110,21 +109,15 @@
         let now = Instant::now();
         let heard = |address: &SocketAddr| self.silent.get(address).is_none_or(|until| *until < now);
         let near = self.boxes.iter().filter(|(address, profile)| profile.hall == server.hall && heard(address));
-        let owner = near.map(|(address, _)| *address).max_by_key(|address| rank(&server.id, address));
+        let key = rank(0, &server.id);
+        let owner = near.map(|(address, _)| *address).max_by_key(|address| rank_address(key, address));
         owner.or_else(|| {
             let all = self.boxes.iter().map(|(address, _)| *address).filter(heard);
-            all.max_by_key(|address| rank(&server.id, address))
+            all.max_by_key(|address| rank_address(key, address))
         })
     }
 }
 
-fn rank(id: &str, address: &SocketAddr) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    id.hash(&mut hasher);
-    address.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// The advisor of the traffic threads.
 pub(super) struct Desk(pub(super) Arc<Advice>);
 
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -2,10 +2,9 @@
 
 use crate::member::Member;
 use crate::{Action, Heartbeat, Message, Millis, Profile, Subject};
-use routing::{Change, Directory};
+use routing::{rank_address, Change, Directory};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
 /// Pause between a watcher's heartbeats. Two lost ones and a read of the publisher stay within the shortest
@@ -441,11 +440,7 @@
 
     /// Equal for equal sets of boxes, whoever computes it.
     fn digest(&self) -> u32 {
-        let hash = |address: &SocketAddr| {
-            let mut hasher = DefaultHasher::new();
-            address.hash(&mut hasher);
-            hasher.finish() as u32
-        };
+        let hash = |address: &SocketAddr| rank_address(0, address) as u32;
         self.members.keys().chain([&self.me]).map(hash).fold(0, u32::wrapping_add)
     }
 }
--- a/crates/placement/src/homes.rs
+++ b/crates/placement/src/homes.rs
@@ -5,21 +5,12 @@
 use crate::member::Member;
 use crate::Prompt;
 use std::cmp::Reverse;
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// The servers in the order in which every box would have them keep a prompt's last shared part; none without one.
 pub(crate) fn homes<'a>(among: &[&'a Member], prompt: &Prompt) -> Vec<&'a Member> {
     let Some(last) = prompt.shared().last() else { return Vec::new() };
     let mut ranked: Vec<(u64, &Member)> =
-        among.iter().map(|member| (rank(last.id, &member.server.id), *member)).collect();
+        among.iter().map(|member| (routing::rank(last.id, &member.server.id), *member)).collect();
     ranked.sort_unstable_by_key(|(key, _)| Reverse(*key));
     ranked.into_iter().map(|(_, member)| member).collect()
 }
-
-/// Equal on every box: the highest ranked server keeps the part.
-fn rank(part: u64, id: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    part.hash(&mut hasher);
-    id.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/placement/src/order.rs
+++ b/crates/placement/src/order.rs
@@ -2,7 +2,6 @@
 
 use routing::Server;
 use std::collections::{BTreeMap, HashMap};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 /// Where each server that isn't draining stands, by id, from 0 to 1: by a hash of its life within its hall, the halls
@@ -10,7 +9,7 @@
 pub(crate) fn positions(servers: &[Arc<Server>]) -> HashMap<&str, f64> {
     let mut halls: BTreeMap<&str, Vec<(u64, &str)>> = BTreeMap::new();
     for server in servers.iter().filter(|server| !server.draining) {
-        halls.entry(&server.hall).or_default().push((rank(&server.id), &server.id));
+        halls.entry(&server.hall).or_default().push((routing::rank(0, &server.id), &server.id));
     }
     let count = halls.len() as f64;
     let mut positions = HashMap::new();
@@ -23,9 +22,3 @@
     }
     positions
 }
-
-fn rank(id: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    id.hash(&mut hasher);
-    hasher.finish()
-}
--- /dev/null
+++ b/crates/routing/src/rank.rs
@@ -0,0 +1,22 @@
+//! A number for a name that is the same on every box, whatever release it was built by.
+
+use std::net::{IpAddr, SocketAddr};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The rank of `name` for `key`: spread evenly, and another for each key.
+#[must_use]
+pub fn rank(key: u64, name: &str) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), key)
+}
+
+/// The rank of an address for `key`.
+#[must_use]
+pub fn rank_address(key: u64, address: &SocketAddr) -> u64 {
+    let mut bytes = [0; 18];
+    match address.ip() {
+        IpAddr::V4(ip) => bytes[..4].copy_from_slice(&ip.octets()),
+        IpAddr::V6(ip) => bytes[..16].copy_from_slice(&ip.octets()),
+    }
+    bytes[16..].copy_from_slice(&address.port().to_be_bytes());
+    xxh3_64_with_seed(&bytes, key)
+}
