An owner that answers late once keeps its servers; keepers of the other side are asked too

Cause: a box that missed one answer of 25 ms took the owner for silent for 2 s, and asked the next in rank, which knows nothing of the server, and told it of its sends. So parts were read again at the very engine that kept them, and load was hidden from the true owner. Change: `peers::Silence`: a box is silent once it has missed answers for 250 ms without a word between; any word ends it. For a long prompt two servers of the other side that rank before its first home are asked as well, since other boxes divide the engines a little otherwise.

--- a/crates/cleatshelf/src/router/advice.rs
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -1,6 +1,6 @@
 //! Which box owns a server, and the questions that are on their way there.
 
-use peers::Profile;
+use peers::{Millis, Profile, Silence};
 use placement::{News, Opinion, Owner, Question, Report};
 use relay::Advisor;
 use routing::{rank, rank_address, Directory, Server};
@@ -8,12 +8,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::sync::{mpsc, oneshot};
 
-/// How long a box that gave no answer isn't asked again.
-const SILENT_MOST: Duration = Duration::from_secs(2);
-
 /// Most messages on their way to the control thread; more are dropped, and their questions go unanswered.
 const QUEUE_MOST: usize = 4_096;
 
@@ -41,8 +38,8 @@
     owner: Owner,
     /// Boxes, this one included.
     boxes: Vec<(SocketAddr, Profile)>,
-    /// Until when a box isn't asked.
-    silent: HashMap<SocketAddr, Instant>,
+    /// Which boxes aren't asked.
+    silence: Silence,
     /// Whom to tell an answer, by the question's number. Those whose requests wait no longer are dropped now and then.
     waiting: HashMap<u64, oneshot::Sender<Opinion>>,
     /// Who hears of a lease, until it has ended.
@@ -61,7 +58,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn now(&self) -> u64 {
+    fn now(&self) -> Millis {
         self.began.elapsed().as_millis() as u64
     }
 
@@ -79,6 +76,7 @@
     pub(super) fn handle(&self, from: SocketAddr, message: Message) -> Option<Message> {
         let now = self.now();
         let mut state = self.state();
+        state.silence.heard(from);
         match message {
             Message::Question(question) => Some(Message::Opinion(state.owner.ask(question, now))),
             Message::Report(report) => {
@@ -105,9 +103,8 @@
 impl State {
     /// The box that owns a server: equal on every box that knows the same boxes. One of the server's hall, so that
     /// who reaches the one reaches the other.
-    fn owner_of(&self, server: &Server) -> Option<SocketAddr> {
-        let now = Instant::now();
-        let heard = |address: &SocketAddr| self.silent.get(address).is_none_or(|until| *until < now);
+    fn owner_of(&self, server: &Server, now: Millis) -> Option<SocketAddr> {
+        let heard = |address: &SocketAddr| !self.silence.silent(address, now);
         let near = self.boxes.iter().filter(|(address, profile)| profile.hall == server.hall && heard(address));
         let key = rank(0, &server.id);
         let owner = near.map(|(address, _)| *address).max_by_key(|address| rank_address(key, address));
@@ -126,7 +123,7 @@
         let advice = &self.0;
         let now = advice.now();
         let mut state = advice.state();
-        let owner = state.owner_of(server)?;
+        let owner = state.owner_of(server, now)?;
         let (answer, waiting) = oneshot::channel();
         if owner == advice.me {
             let opinion = state.owner.ask(question, now);
@@ -149,7 +146,7 @@
         let mut state = advice.state();
         let owner = match report.news {
             News::Sent { .. } => {
-                let owner = state.owner_of(server);
+                let owner = state.owner_of(server, now);
                 if let Some(owner) = owner {
                     state.leases.insert(report.number, owner);
                 }
@@ -168,8 +165,9 @@
     }
 
     fn silent(&self, server: &Server) {
+        let now = self.0.now();
         let mut state = self.0.state();
-        let Some(owner) = state.owner_of(server).filter(|owner| *owner != self.0.me) else { return };
-        state.silent.insert(owner, Instant::now() + SILENT_MOST);
+        let Some(owner) = state.owner_of(server, now).filter(|owner| *owner != self.0.me) else { return };
+        state.silence.missed(owner, now);
     }
 }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,10 +10,12 @@
 mod member;
 mod message;
 mod peers;
+mod silence;
 
 pub use action::Action;
 pub use message::{Heartbeat, Message, Profile, Subject};
 pub use peers::{Holding, Peers};
+pub use silence::Silence;
 
 /// Milliseconds of a clock that never goes back.
 pub type Millis = u64;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -18,6 +18,9 @@
 /// them before it came or take over when it goes.
 const HOMES_ASKED: usize = 3;
 
+/// How many servers of the other side that rank before the first home are asked for.
+const BEYOND_ASKED: usize = 2;
+
 /// How many owners are asked for a prompt with few shared tokens: any server will do, and each question is two frames.
 const SHORT_ASKED: usize = 4;
 
@@ -129,9 +132,9 @@
         let mut candidates: Vec<_> = among.iter().map(|member| scale.weigh(member)).collect();
         candidates.sort_by(|a, b| a.cost().total_cmp(&b.cost()));
         let long = ask.prompt.is_some_and(|prompt| prompt.shared_tokens() >= FETCH_LEAST);
-        let likely = &scale.homes[..if long { scale.homes.len().min(HOMES_ASKED) } else { 0 }];
+        let likely = if long { self.keepers(ask, &among, &scale) } else { Vec::new() };
         let cheap = candidates.iter().map(|candidate| candidate.member);
-        let others = cheap.filter(|member| !likely.iter().any(|home| home.server.id == member.server.id));
+        let others = cheap.filter(|member| !likely.iter().any(|keeper| keeper.server.id == member.server.id));
         likely
             .iter()
             .copied()
@@ -141,6 +144,15 @@
             .collect()
     }
 
+    /// The servers that likely keep the prompt's shared parts: its first homes, and those of the other side that are its homes
+    /// where a box divides the servers a little otherwise, or did so before.
+    fn keepers<'a>(&self, ask: &Ask<'_>, among: &[&'a Member], scale: &Scale<'a>) -> Vec<&'a Member> {
+        let Some((prompt, first)) = ask.prompt.zip(scale.homes.first()) else { return Vec::new() };
+        let ranked = homes(among, prompt);
+        let beyond = ranked.into_iter().take_while(|member| member.server.id != first.server.id).take(BEYOND_ASKED);
+        scale.homes.iter().copied().take(HOMES_ASKED).chain(beyond).collect()
+    }
+
     fn scale<'a>(&'a self, ask: &'a Ask<'_>, hall: &'a str, among: &[&'a Member]) -> Scale<'a> {
         let speed = Speed::mean(self.members.values().filter_map(Member::speed), SPEED_SEEN_MOST);
         let longness = ask.prompt.map_or(0.0, |prompt| {
