First reads may be stale; a box that begins to watch is relied upon at once; watching begins in turns after a start

Ruled out: listening longer before the first read (boxes would be ready later after a kill of all). Until its own call fails, a box that begins to watch counts as reached, and its first watch is short, so that one that hangs is noticed. A box that has just come listens 0.6 s for watchers. The setting for the first start is gone again.

--- a/crates/cleatshelf/src/router/follow.rs
+++ b/crates/cleatshelf/src/router/follow.rs
@@ -2,7 +2,7 @@
 
 use super::knowledge::{Knowledge, Origin};
 use rand::Rng;
-use routing::{Change, Publisher, Subject, Trouble};
+use routing::{Change, Freshness, Publisher, Subject, Trouble};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -13,7 +13,7 @@
 /// back; each watch is a call, and calls are paid for.
 const WAIT: Duration = Duration::from_secs(4);
 
-/// The same while the publisher is in trouble, to notice soon that it is back.
+/// The same while the publisher is in trouble, to notice soon that it is back, and of a box that begins to watch.
 const WAIT_IN_TROUBLE: Duration = Duration::from_millis(400);
 
 /// Pauses between calls that failed: the first, and the longest.
@@ -22,10 +22,7 @@
 
 /// How long a box that has just started waits for others to tell it what they know, before it reads the publisher: some
 /// ways between boxes. It is not ready before it knows a configuration.
-pub(super) const LISTEN: Duration = Duration::from_millis(150);
-
-/// The same at the first start of all boxes, when there is hardly a configuration yet and nobody calls.
-pub(super) const LISTEN_FIRST: Duration = Duration::from_millis(1_500);
+const LISTEN: Duration = Duration::from_millis(150);
 
 /// How long after its return the publisher may still tell of entries that lapsed while it was away.
 const LAPSES_FOR: Duration = Duration::from_secs(1);
@@ -54,8 +51,6 @@
     pub(super) watching: watch::Receiver<bool>,
     /// Subjects whose last call failed; shared by the followers of one publisher.
     pub(super) troubles: Rc<Troubles>,
-    /// How long to wait after the start for others to tell what they know.
-    pub(super) listen: Duration,
 }
 
 /// Which subjects can't be followed now.
@@ -70,12 +65,7 @@
 
 impl Default for Troubles {
     fn default() -> Self {
-        Self {
-            table: Cell::new(true),
-            directory: Cell::new(true),
-            away: Cell::new(false),
-            returned: Cell::new(None),
-        }
+        Self { table: Cell::new(true), directory: Cell::new(true), away: Cell::new(false), returned: Cell::new(None) }
     }
 }
 
@@ -124,6 +114,8 @@
         self.begin().await;
         // None asks for a full read.
         let mut since = self.known();
+        // A watch that hangs must not go unnoticed for long where others begin to rely on it.
+        let mut wait = WAIT_IN_TROUBLE;
         loop {
             if !*self.watching.borrow_and_update() {
                 if self.watching.changed().await.is_err() {
@@ -131,11 +123,12 @@
                 }
                 // While others watched, news came through them.
                 since = self.known();
+                wait = WAIT_IN_TROUBLE;
                 continue;
             }
             let mut watching = self.watching.clone();
             let step = tokio::select! {
-                step = self.step(since) => step,
+                step = self.step(since, wait) => step,
                 _ = watching.wait_for(|watching| !*watching) => continue,
             };
             match step {
@@ -143,11 +136,13 @@
                     self.calm();
                     pause = PAUSE_LEAST;
                     since = Some(revision);
+                    wait = WAIT;
                 }
                 Err(Trouble::Forgotten) => since = None,
                 Err(Trouble::Absent) => self.absent(ABSENT_WATCHING).await,
                 Err(why) => {
                     self.troubled(&why);
+                    wait = WAIT_IN_TROUBLE;
                     actix_rt::time::sleep(jittered(pause)).await;
                     pause = (pause * 2).min(PAUSE_MOST);
                     self.wait_for_other().await;
@@ -156,15 +151,22 @@
         }
     }
 
-    /// Waits until others have told what this box needs to begin with, and reads it once if they don't.
+    /// Waits until others have told what this box needs to begin with, and reads it once if they don't. It may be seconds
+    /// old: who watches tells this box of what is newer, and it goes on from there if it watches itself.
     async fn begin(&self) {
+        self.listen().await;
+        // As long as this box has not called the publisher itself, nothing speaks against it.
+        self.troubles.of(self.subject).set(false);
+    }
+
+    async fn listen(&self) {
         let began = Instant::now();
-        while began.elapsed() < self.listen && !self.told() && !*self.watching.borrow() {
+        while began.elapsed() < LISTEN && !self.told() && !*self.watching.borrow() {
             actix_rt::time::sleep(LOOK_EVERY).await;
         }
         let mut pause = PAUSE_LEAST;
         while !self.told() {
-            match self.read().await {
+            match self.read(Freshness::Stale).await {
                 Ok(_) => {
                     self.calm();
                     return;
@@ -215,23 +217,23 @@
         Some(revision).filter(|revision| *revision > 0)
     }
 
-    async fn step(&self, since: Option<u64>) -> Result<u64, Trouble> {
+    async fn step(&self, since: Option<u64>, wait: Duration) -> Result<u64, Trouble> {
         match since {
-            None => self.read().await,
-            Some(since) => self.watch(since).await,
+            None => self.read(Freshness::Newest).await,
+            Some(since) => self.watch(since, wait).await,
         }
     }
 
-    async fn read(&self) -> Result<u64, Trouble> {
+    async fn read(&self, freshness: Freshness) -> Result<u64, Trouble> {
         match self.subject {
             Subject::Table => {
-                let found = self.publisher.table().await?;
+                let found = self.publisher.table(freshness).await?;
                 let (revision, bytes) = found.ok_or(Trouble::Absent)?;
                 self.take_table(Some(&bytes), revision);
                 Ok(revision)
             }
             Subject::Directory => {
-                let directory = self.publisher.directory().await?;
+                let directory = self.publisher.directory(freshness).await?;
                 let revision = directory.revision;
                 self.knowledge.offer_directory(directory, Origin::Publisher, self.troubles.away_lately());
                 Ok(revision)
@@ -239,8 +241,7 @@
         }
     }
 
-    async fn watch(&self, since: u64) -> Result<u64, Trouble> {
-        let wait = if self.troubles.of(self.subject).get() { WAIT_IN_TROUBLE } else { WAIT };
+    async fn watch(&self, since: u64, wait: Duration) -> Result<u64, Trouble> {
         let update = self.publisher.watch(self.subject, since, wait).await?;
         if self.subject == Subject::Table {
             self.take_table(update.table.as_deref(), update.revision);
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -1,7 +1,7 @@
 //! Runs a router box: threads, listeners, signals, the planned stop.
 
 use super::advice::{Advice, Desk, Message};
-use super::follow::{Follower, Troubles, LISTEN, LISTEN_FIRST};
+use super::follow::{Follower, Troubles};
 use super::knowledge::Knowledge;
 use super::operators::Operators;
 use super::peering::{Parts, Peering};
@@ -125,7 +125,6 @@
             subject,
             watching: watching.subscribe(),
             troubles: Rc::clone(&troubles),
-            listen: if settings.first_start { LISTEN_FIRST } else { LISTEN },
         };
         actix_rt::spawn(follower.run());
     }
--- a/crates/cleatshelf/src/router/settings.rs
+++ b/crates/cleatshelf/src/router/settings.rs
@@ -24,8 +24,6 @@
     pub publisher: SocketAddr,
     /// Some boxes' addresses; may be out of date.
     pub seeds: Vec<SocketAddr>,
-    /// True when the whole system starts for the first time, and nobody calls yet.
-    pub first_start: bool,
     /// The secret that all boxes share, at least 16 bytes.
     pub link_key: String,
     /// Longest time that a planned stop may take.
@@ -74,7 +72,6 @@
             operators: address(&mut reader, "listen_operators"),
             publisher: address(&mut reader, "publisher"),
             seeds: seeds(&mut reader),
-            first_start: reader.flag("first_start", false),
             link_key: reader.text("link_key"),
             stop_time: Duration::from_secs_f64(reader.number("stop_seconds", &(1.0..=86_400.0))),
             files_most: reader.integer("files_most", &(256..=1_000_000)) as usize,
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -38,9 +38,10 @@
 /// other: long enough for those before to read the publisher and to say so.
 const STAGGER: Millis = 180;
 
-/// How long a box that has just come listens for watchers before it begins to be one itself: some ways between boxes,
-/// and well below the second within which it is to be ready. A box that others begin with doesn't.
-const LISTEN: Millis = 200;
+/// How long a box that has just come listens for watchers before it begins to be one itself: boxes that start together know
+/// each other by then, and take turns. It has read the publisher once, and needs no news for some seconds more. A box that
+/// others begin with doesn't listen.
+const LISTEN: Millis = 600;
 
 /// What a box must be able to do for each newcomer a second that it tells of its knowledge, since most then ask for it:
 /// thousandths of a core or tenths of Mbit/s. At 30 kB each it spends at most a quarter of its link on them.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,7 +19,7 @@
 pub use directory::{Change, Directory};
 pub use kind::Kind;
 pub use limits::Limits;
-pub use publisher::{Publisher, Subject, Trouble, Update};
+pub use publisher::{Freshness, Publisher, Subject, Trouble, Update};
 pub use rank::{rank, rank_address};
 pub use route::{Route, Share};
 pub use server::Server;
--- a/crates/routing/src/publisher.rs
+++ b/crates/routing/src/publisher.rs
@@ -13,6 +13,15 @@
     Directory,
 }
 
+/// How new what is read must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// As new as the publisher has it.
+    Newest,
+    /// May be seconds old, and costs the publisher little.
+    Stale,
+}
+
 /// What a watch brought.
 #[derive(Clone, Debug, Default)]
 pub struct Update {
@@ -57,13 +66,13 @@
     ///
     /// # Errors
     /// [`Trouble`] when nothing usable came.
-    async fn table(&self) -> Result<Option<(u64, Vec<u8>)>, Trouble>;
+    async fn table(&self, freshness: Freshness) -> Result<Option<(u64, Vec<u8>)>, Trouble>;
 
     /// All servers.
     ///
     /// # Errors
     /// [`Trouble`] when nothing usable came.
-    async fn directory(&self) -> Result<Directory, Trouble>;
+    async fn directory(&self, freshness: Freshness) -> Result<Directory, Trouble>;
 
     /// Waits up to `wait` for news of `subject` after revision `since`.
     ///
