A box that begins to watch tells its whole hall, so that not everybody takes over

Cause: heartbeats go to boxes that have spoken to the watcher lately, and to all only each eighth time. Change: the first heartbeat of a new watcher, and the one that says whether the publisher answers it, go to the whole hall.

--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -145,10 +145,17 @@
     pub fn reach(&mut self, reached: bool) {
         if self.reached != reached {
             self.reached = reached;
-            self.beat_at = 0;
+            self.tell_all();
         }
     }
 
+    /// Makes the next heartbeat due, and one that goes to the whole hall: also to those that have said nothing to this box,
+    /// and would take over too.
+    fn tell_all(&mut self) {
+        self.beat_at = 0;
+        self.beats = SILENT_BEATS - 1;
+    }
+
     /// To be called every few hundred milliseconds.
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -281,7 +288,7 @@
         if now >= since + STAGGER * Millis::from(usize::BITS - place.leading_zeros()) {
             self.watching = true;
             self.lacking = None;
-            self.beat_at = 0;
+            self.tell_all();
             actions.push(Action::Watch(true));
         }
     }
--- a/crates/peers/tests/world.rs
+++ b/crates/peers/tests/world.rs
@@ -230,6 +230,23 @@
     }
 }
 
+#[test]
+fn few_boxes_take_over_when_a_hall_loses_its_watchers() {
+    let mut world = World::new(5, 3, 40);
+    // Long enough for boxes to have said nothing for a while to all that don't watch.
+    world.run(15_000);
+    let watchers: Vec<SocketAddr> = world.boxes.iter().filter(|(_, b)| b.watching).map(|(a, _)| *a).collect();
+    for watcher in &watchers {
+        world.boxes.get_mut(watcher).expect("a box").reached = false;
+    }
+    let mut took_over = HashSet::new();
+    for _ in 0..30 {
+        world.run(100);
+        took_over.extend(world.boxes.iter().filter(|(a, b)| b.watching && !watchers.contains(a)).map(|(a, _)| *a));
+    }
+    assert!(took_over.len() <= 12, "{} boxes took over from {}", took_over.len(), watchers.len());
+}
+
 #[test]
 fn a_leaving_watcher_is_replaced_at_once() {
     let mut world = World::new(3, 3, 6);
