Servers that look alike are asked in an order that differs from request to request

Cause: of most of 320 engines a box knows nothing new, so they look alike; it then asked the same few again and again (by the order of its own table), and sent them all it had. Change: servers that cost at most 0.05 of an answer more than the cheapest are ranked by a hash of the request's own part. Test: `a_box_does_not_ask_the_same_few_of_many_servers_again_and_again`.

--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -27,6 +27,10 @@
 /// How much one server's speed counts at most in the mean of all, in observations.
 const SPEED_SEEN_MOST: f32 = 20.0;
 
+/// How much dearer than the cheapest a server may look, in answers that come late, to be as good to ask. Below what the
+/// other side or another hall costs a long prompt.
+const ALIKE: f64 = 0.05;
+
 /// Pause between two looks at how the engines are to be divided.
 const DIVIDE_EVERY: Millis = 200;
 
@@ -130,7 +134,7 @@
         let among = self.among(ask);
         let scale = self.scale(ask, hall, &among);
         let mut candidates: Vec<_> = among.iter().map(|member| scale.weigh(member)).collect();
-        candidates.sort_by(|a, b| a.cost().total_cmp(&b.cost()));
+        by_cost(&mut candidates, ask);
         let long = ask.prompt.is_some_and(|prompt| prompt.shared_tokens() >= FETCH_LEAST);
         let likely = if long { self.keepers(ask, &among, &scale) } else { Vec::new() };
         let cheap = candidates.iter().map(|candidate| candidate.member);
@@ -283,6 +287,16 @@
     waits.min_by(f64::total_cmp).map_or(Refusal::NoServer, |wait_ms| Refusal::Crowded { wait_ms })
 }
 
+/// Sorts by cost, those that cost about the least in an order that differs from request to request: what this box knows of
+/// most servers is old, and those that it asks first would get all it sends.
+fn by_cost(candidates: &mut [Candidate<'_>], ask: &Ask<'_>) {
+    let least = candidates.iter().map(Candidate::cost).fold(f64::INFINITY, f64::min);
+    let draw = ask.prompt.and_then(|prompt| prompt.parts.last()).map_or(0, |part| part.id);
+    let beyond = |candidate: &Candidate<'_>| (candidate.cost() - least - ALIKE).max(0.0);
+    let rank = |candidate: &Candidate<'_>| routing::rank(draw, &candidate.member.server.id);
+    candidates.sort_by(|a, b| beyond(a).total_cmp(&beyond(b)).then_with(|| rank(a).cmp(&rank(b))));
+}
+
 /// Of servers that are all paused, the one whose pause ends first.
 fn soonest<'a>(paused: &[&'a Member]) -> Vec<&'a Member> {
     paused.iter().copied().min_by_key(|m| m.health.pause_until()).into_iter().collect()
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -177,6 +177,17 @@
     assert_eq!(asked.len(), 4);
 }
 
+#[test]
+fn a_box_does_not_ask_the_same_few_of_many_servers_again_and_again() {
+    let placement = placement(servers(40));
+    let mut asked = std::collections::HashSet::new();
+    for own in 0..100 {
+        let prompt = quick_prompt(1_000 + own);
+        asked.extend(placement.plan(&quick_ask(&prompt, &[]), 9).iter().map(|server| server.id.clone()));
+    }
+    assert!(asked.len() >= 36, "{} of 40 are asked by 100 requests", asked.len());
+}
+
 fn quick_prompt(own: u64) -> Prompt {
     let parts = vec![Part { id: 1, tokens: 200 }, Part { id: own, tokens: 800 }];
     Prompt { model: "m".to_owned(), tokens: 1_000, out_most: 200, out_hint: None, parts }
