--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -17,6 +17,7 @@
 mod learner;
 mod load;
 mod member;
+mod need;
 mod order;
 mod owner;
 mod placement;
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -50,9 +50,11 @@
     pub stalls_per_s: f32,
     /// Milliseconds until one of the requests that run there ends, on average; 0 where none ended lately.
     pub end_ms: f32,
-    /// The part of its time that what was lately sent there takes to read, long prompts first and then the others; above
-    /// 1 where more came than it can read.
-    pub reading: [f32; 2],
+    /// The part of its time that it takes to read the long prompts that were lately sent there; above 1 where more came
+    /// than it can read.
+    pub long_reading: f32,
+    /// The same of the other prompts.
+    pub short_reading: f32,
 }
 
 /// Tells an owner of a request that is sent to its server.
@@ -116,8 +118,10 @@
     learner: Learner,
     stalls: Stalls,
     ends: Ends,
-    /// Milliseconds of reading that were sent there, for long prompts and for the others.
-    reading: [Rate; 2],
+    /// Milliseconds of reading that were sent there with long prompts.
+    long_reading: Rate,
+    /// The same with the others.
+    short_reading: Rate,
     /// When the last prompt was read.
     last_read: Millis,
     /// By asking box and number. The sum of their works is `load`.
@@ -144,7 +148,8 @@
             speed: owned.learner.speed(),
             stalls_per_s: owned.stalls.per_second(question.gap_ms, now),
             end_ms: owned.ends.interval_ms(now),
-            reading: owned.reading.map(|rate| (rate.per_second(now) / 1e3) as f32),
+            long_reading: owned.long_reading.share(now),
+            short_reading: owned.short_reading.share(now),
         }
     }
 
@@ -169,7 +174,8 @@
 impl Owned {
     fn begin(&mut self, key: (SocketAddr, u64), parts: Vec<Part>, work: Work, memory: u64, now: Millis) {
         let ahead = self.left(now).and(work.reading);
-        self.reading[usize::from(!work.long)].note(self.learner.speed().read(work.reading), now);
+        let reading = if work.long { &mut self.long_reading } else { &mut self.short_reading };
+        reading.note(self.learner.speed().read(work.reading), now);
         self.load.begin(work);
         self.kept.touch(&parts, memory, now);
         self.stalls.note(self.learner.speed().stall(ahead), now);
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -3,8 +3,9 @@
 use crate::admission::Admission;
 use crate::homes::homes;
 use crate::member::Member;
+use crate::need::{Need, Side};
 use crate::order::positions;
-use crate::split::{self, Need, Split, Use};
+use crate::split::{self, Split};
 use crate::weigh::{Candidate, Scale, Source, FETCH_LEAST};
 use crate::{Ask, Choice, Ending, Millis, Opinion, Prompt, Reading, Refusal, Speed, Work};
 use routing::{Engine, Server};
@@ -37,36 +38,6 @@
 /// How long what an owner said counts for how the engines are to be divided.
 const NEED_MOST: Millis = 4_000;
 
-/// What was heard of the engines on one side of the division.
-#[derive(Clone, Copy, Debug, Default)]
-struct Side {
-    engines: f64,
-    heard: f64,
-    /// Sums over those heard of.
-    need: Need,
-}
-
-impl Side {
-    fn hear(&mut self, opinion: &Opinion, slots: u32) {
-        let places = f64::from(slots.max(1));
-        let short = opinion.load.running.saturating_sub(opinion.load.long);
-        self.heard += 1.0;
-        let [long_reading, short_reading] = opinion.reading.map(f64::from);
-        self.need = self.need.and(Need {
-            long: Use { reading: long_reading, places: f64::from(opinion.load.long) / places },
-            short: Use { reading: short_reading, places: f64::from(short) / places },
-        });
-    }
-
-    /// What the work on this side takes, in parts of a pool of so many engines.
-    fn need(&self, of: f64) -> Need {
-        if self.heard == 0.0 {
-            return Need::default();
-        }
-        self.need.times(self.engines / self.heard / of)
-    }
-}
-
 /// All servers of a service that aren't draining, and their records.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Pool {
--- a/crates/placement/src/rate.rs
+++ b/crates/placement/src/rate.rs
@@ -1,12 +1,12 @@
-//! How much of something came a second, lately.
+//! How much work came to a server lately.
 
 use crate::Millis;
 
-/// After this long an amount counts a third: long enough to smooth over single requests, which come a few a second
+/// After so many milliseconds work counts a third: long enough to smooth over single requests, which come a few a second
 /// to one engine, and short enough to follow a burst of some seconds.
 const MEMORY: f64 = 3_000.0;
 
-/// A sum that fades.
+/// Milliseconds of work, a sum that fades.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Rate {
     /// What came, as far as it still counted at `at`.
@@ -15,15 +15,15 @@
 }
 
 impl Rate {
-    /// So much came now.
-    pub(crate) fn note(&mut self, amount: f64, now: Millis) {
-        self.sum = self.left(now) + amount;
+    /// Work of so many milliseconds came now.
+    pub(crate) fn note(&mut self, work_ms: f64, now: Millis) {
+        self.sum = self.left(now) + work_ms;
         self.at = now;
     }
 
-    /// How much came a second.
-    pub(crate) fn per_second(&self, now: Millis) -> f64 {
-        self.left(now) / MEMORY * 1e3
+    /// The part of the time that it takes; above 1 where more came than can be done.
+    pub(crate) fn share(&self, now: Millis) -> f32 {
+        (self.left(now) / MEMORY) as f32
     }
 
     fn left(&self, now: Millis) -> f64 {
--- a/crates/placement/src/split.rs
+++ b/crates/placement/src/split.rs
@@ -7,6 +7,7 @@
 //! them; two boxes whose parts differ by some engines do no harm. It is a preference and not a wall: what does not fit
 //! goes to the other side.
 
+use crate::need::Need;
 use crate::Millis;
 
 /// The part of their time that engines for long prompts are to spend reading: beyond, waits grow fast.
@@ -15,9 +16,6 @@
 /// The same of the other engines, where answers are to meet little of it.
 const SHORT_READING_MOST: f64 = 0.2;
 
-/// The part of an engine's places that are to be taken on either side: beyond, some engines are full while others are not.
-const PLACES_MOST: f64 = 0.7;
-
 /// A prompt is long where reading it takes this part of the shortest pause that answers of the pool bear: a few of them
 /// in a row make a pause too long.
 const LONG_PART: f64 = 0.25;
@@ -31,53 +29,6 @@
 /// Work below this part of a pool says nothing of how to divide it.
 const USE_LEAST: f64 = 0.001;
 
-/// What requests take of a pool's engines, in pools of this size.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Use {
-    /// Time for reading.
-    pub(crate) reading: f64,
-    /// Places.
-    pub(crate) places: f64,
-}
-
-/// What the work of a pool takes.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Need {
-    /// By requests with long prompts.
-    pub(crate) long: Use,
-    /// By the others.
-    pub(crate) short: Use,
-}
-
-impl Use {
-    /// Both.
-    fn and(self, other: Self) -> Self {
-        Self { reading: self.reading + other.reading, places: self.places + other.places }
-    }
-
-    /// So many times this.
-    fn times(self, factor: f64) -> Self {
-        Self { reading: self.reading * factor, places: self.places * factor }
-    }
-
-    /// The part of the pool that it takes, where engines are to spend so much of their time reading.
-    fn engines(self, reading_most: f64) -> f64 {
-        (self.reading / reading_most).max(self.places / PLACES_MOST)
-    }
-}
-
-impl Need {
-    /// Both.
-    pub(crate) fn and(self, other: Self) -> Self {
-        Self { long: self.long.and(other.long), short: self.short.and(other.short) }
-    }
-
-    /// So many times this.
-    pub(crate) fn times(self, factor: f64) -> Self {
-        Self { long: self.long.times(factor), short: self.short.times(factor) }
-    }
-}
-
 /// The division of a pool's engines.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Split {
