--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -265,7 +265,8 @@
     let draw = ask.prompt.and_then(|prompt| prompt.parts.last()).map_or(0, |part| part.id);
     let beyond = |candidate: &Candidate<'_>| (candidate.cost() - least - ALIKE).max(0.0);
     let rank = |candidate: &Candidate<'_>| routing::rank(draw, &candidate.member.server.id);
-    candidates.sort_by(|a, b| beyond(a).total_cmp(&beyond(b)).then_with(|| rank(a).cmp(&rank(b))));
+    // The bits of numbers that aren't negative are in the order of the numbers.
+    candidates.sort_by_cached_key(|candidate| (beyond(candidate).to_bits(), rank(candidate)));
 }
 
 /// Of servers that are all paused, the one whose pause ends first.
