--- a/crates/cleatshelf/src/router/follow.rs
+++ b/crates/cleatshelf/src/router/follow.rs
@@ -24,12 +24,12 @@
 /// ways between boxes. It is not ready before it knows a configuration.
 const LISTEN: Duration = Duration::from_millis(150);
 
-/// How long after its return the publisher may still tell of entries that lapsed while it was away.
-const LAPSES_FOR: Duration = Duration::from_secs(1);
-
 /// How often it looks whether they have.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
+/// How long after its return the publisher may still tell of entries that lapsed while it was away.
+const LAPSES_FOR: Duration = Duration::from_secs(1);
+
 /// Pause of a box that watches, and of others, before they look again for a first configuration.
 const ABSENT_WATCHING: Duration = Duration::from_millis(300);
 const ABSENT: Duration = Duration::from_millis(1_500);
@@ -159,6 +159,7 @@
         self.troubles.of(self.subject).set(false);
     }
 
+    /// Returns once this box knows something of the subject.
     async fn listen(&self) {
         let began = Instant::now();
         while began.elapsed() < LISTEN && !self.told() && !*self.watching.borrow() {
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -87,16 +87,15 @@
             return;
         }
         let mut sides = [Side::default(), Side::default()];
-        let open = self.members.values().filter(|member| !member.server.draining);
-        for member in open {
+        for member in self.members.values().filter(|member| !member.server.draining) {
             let side = &mut sides[usize::from(self.split.reads(member.position))];
             side.engines += 1.0;
             if let Some(opinion) = member.heard_within(NEED_MOST, now) {
                 side.hear(opinion, member.server.slots);
             }
         }
-        let need = Need::default();
-        let need = sides.iter().fold(need, |need, side| need.and(side.need(sides[0].engines + sides[1].engines)));
+        let engines = sides[0].engines + sides[1].engines;
+        let need = sides.iter().fold(Need::default(), |need, side| need.and(side.need(engines)));
         self.split.follow(need, now);
     }
 
@@ -106,15 +105,15 @@
         let scale = self.scale(ask, hall, &among);
         let mut candidates: Vec<_> = among.iter().map(|member| scale.weigh(member)).collect();
         by_cost(&mut candidates, ask);
-        let long = ask.prompt.is_some_and(|prompt| prompt.shared_tokens() >= FETCH_LEAST);
-        let likely = if long { self.keepers(ask, &among, &scale) } else { Vec::new() };
+        let shares = ask.prompt.is_some_and(|prompt| prompt.shared_tokens() >= FETCH_LEAST);
+        let likely = if shares { self.keepers(ask, &among, &scale) } else { Vec::new() };
         let cheap = candidates.iter().map(|candidate| candidate.member);
         let others = cheap.filter(|member| !likely.iter().any(|keeper| keeper.server.id == member.server.id));
         likely
             .iter()
             .copied()
             .chain(others)
-            .take(if long { most } else { most.min(SHORT_ASKED) })
+            .take(if shares { most } else { most.min(SHORT_ASKED) })
             .map(|member| Arc::clone(&member.server))
             .collect()
     }
