--- a/crates/placement/src/member.rs
+++ b/crates/placement/src/member.rs
@@ -39,8 +39,7 @@
 
     /// What runs there: what its owner said lately, else what this box has there.
     pub(crate) fn load(&self, now: Millis) -> &Load {
-        let heard = self.heard.as_ref().filter(|(_, at)| now < at + HEARD_MOST);
-        heard.map_or(&self.own, |(opinion, _)| &opinion.load)
+        self.heard_within(HEARD_MOST, now).map_or(&self.own, |opinion| &opinion.load)
     }
 
     /// What its owner said within the last so many milliseconds.
@@ -55,13 +54,11 @@
 
     /// How often reading lately stalled answers there, as far as its owner said not long ago.
     pub(crate) fn stalls_per_s(&self, now: Millis) -> f32 {
-        let heard = self.heard.as_ref().filter(|(_, at)| now < at + STALLS_MOST);
-        heard.map_or(0.0, |(opinion, _)| opinion.stalls_per_s)
+        self.heard_within(STALLS_MOST, now).map_or(0.0, |opinion| opinion.stalls_per_s)
     }
 
     /// True while the server is to be left alone, by what this box or its owner saw.
     pub(crate) fn paused(&self, now: Millis) -> bool {
-        let heard = self.heard.as_ref().filter(|(_, at)| now < at + HEARD_MOST);
-        self.health.paused(now) || heard.is_some_and(|(opinion, _)| opinion.paused)
+        self.health.paused(now) || self.heard_within(HEARD_MOST, now).is_some_and(|opinion| opinion.paused)
     }
 }
