--- a/crates/catalog/src/reader.rs
+++ b/crates/catalog/src/reader.rs
@@ -135,16 +135,20 @@
         default
     }
 
+    /// A number within `range`, if the key stands there.
+    pub fn number_opt(&mut self, key: &str, range: &RangeInclusive<f64>) -> Option<f64> {
+        let value = self.table.remove(key)?;
+        let number = value.as_float().or_else(|| value.as_integer().map(|n| n as f64));
+        let fits = number.filter(|n| range.contains(n));
+        if fits.is_none() {
+            self.fault(key, format!("must be a number from {} to {}", range.start(), range.end()));
+        }
+        fits
+    }
+
     /// A number within `range` that must stand there.
     pub fn number(&mut self, key: &str, range: &RangeInclusive<f64>) -> f64 {
-        let found = self.table.remove(key).map(|value| {
-            let number = value.as_float().or_else(|| value.as_integer().map(|n| n as f64));
-            let fits = number.filter(|n| range.contains(n));
-            if fits.is_none() {
-                self.fault(key, format!("must be a number from {} to {}", range.start(), range.end()));
-            }
-            fits.unwrap_or_default()
-        });
+        let found = self.number_opt(key, range);
         self.required(key, found)
     }
 
--- a/crates/cleatshelf/src/router/advice.rs
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -1,7 +1,7 @@
 //! Which box owns a server, and the questions that are on their way there.
 
 use peers::{Millis, Profile, Silence};
-use placement::{News, Opinion, Owner, Question, Report};
+use placement::{News, Opinion, Owner, Permit, Question, Report};
 use relay::Advisor;
 use routing::{rank, rank_address, Directory, Server};
 use serde::{Deserialize, Serialize};
@@ -17,12 +17,18 @@
 /// Questions from which on those are dropped that nobody waits for any more.
 const WAITING_MOST: usize = 256;
 
+/// How long after its start a box gives no leave for sends to cold servers: a former life at its address may have given
+/// some within the last second.
+const FIRST_LEAVE: Millis = 1_500;
+
 /// Between boxes, about servers that one of them owns.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) enum Message {
     Question(Question),
     Opinion(Opinion),
     Report(Report),
+    Permit { permit: Permit, hall: String },
+    Permitted { number: u64, granted: bool },
 }
 
 /// Questions to owners, answers, and what this box itself owns. Shared by all threads.
@@ -38,10 +44,14 @@
     owner: Owner,
     /// Boxes, this one included.
     boxes: Vec<(SocketAddr, Profile)>,
+    /// True once another box knew the same ones: before, this box may take itself for the owner of what others own.
+    settled: bool,
     /// Which boxes aren't asked.
     silence: Silence,
     /// Whom to tell an answer, by the question's number. Those whose requests wait no longer are dropped now and then.
     waiting: HashMap<u64, oneshot::Sender<Opinion>>,
+    /// The same for leaves.
+    leaves: HashMap<u64, oneshot::Sender<bool>>,
     /// Who hears of a lease, until it has ended.
     leases: HashMap<u64, SocketAddr>,
 }
@@ -63,13 +73,22 @@
     }
 
     /// Takes the boxes that are known.
-    pub(super) fn set_boxes(&self, boxes: Vec<(SocketAddr, Profile)>) {
-        self.state().boxes = boxes;
+    pub(super) fn set_boxes(&self, boxes: Vec<(SocketAddr, Profile)>, settled: bool) {
+        let mut state = self.state();
+        state.boxes = boxes;
+        state.settled = settled;
     }
 
     /// Forgets servers that are no longer listed.
     pub(super) fn retain(&self, directory: &Directory) {
-        self.state().owner.retain(|id| directory.servers.contains_key(id));
+        let lives = directory.lives();
+        self.state().owner.retain(|id| lives.contains(id));
+    }
+
+    /// Gives or denies leave for a send to a server of `hall`.
+    fn grant(&self, state: &mut State, permit: &Permit, hall: &str, now: Millis) -> bool {
+        let may = state.settled && now >= FIRST_LEAVE && state.granter_of(&permit.server, hall) == Some(self.me);
+        may && state.owner.permit(permit, now)
     }
 
     /// Takes a message of another box; the answer, if it is owed one.
@@ -83,6 +102,18 @@
                 state.owner.report(from, report, now);
                 None
             }
+            Message::Permit { permit, hall } => {
+                let number = permit.number;
+                let granted = self.grant(&mut state, &permit, &hall, now);
+                Some(Message::Permitted { number, granted })
+            }
+            Message::Permitted { number, granted } => {
+                if let Some(waiting) = state.leaves.remove(&number) {
+                    // An error means that the request no longer waits.
+                    let _ = waiting.send(granted);
+                }
+                None
+            }
             Message::Opinion(opinion) => {
                 if let Some(waiting) = state.waiting.remove(&opinion.number) {
                     // An error means that the request no longer waits.
@@ -113,6 +144,17 @@
             all.max_by_key(|address| rank_address(key, address))
         })
     }
+
+    /// The one box that may give leave for sends to a cold server, whether it is heard or not: two that each took the other
+    /// for silent would give twice what the server bears.
+    fn granter_of(&self, server: &str, hall: &str) -> Option<SocketAddr> {
+        let key = rank(0, server);
+        let best = |all: &mut dyn Iterator<Item = &(SocketAddr, Profile)>| {
+            all.map(|(address, _)| *address).max_by_key(|address| rank_address(key, address))
+        };
+        best(&mut self.boxes.iter().filter(|(_, profile)| profile.hall == hall))
+            .or_else(|| best(&mut self.boxes.iter()))
+    }
 }
 
 /// The advisor of the traffic threads.
@@ -140,6 +182,29 @@
         Some(waiting)
     }
 
+    fn permit(&self, server: &Server, permit: Permit) -> Option<oneshot::Receiver<bool>> {
+        let advice = &self.0;
+        let now = advice.now();
+        let mut state = advice.state();
+        let owner = state.granter_of(&server.id, &server.hall)?;
+        let (answer, waiting) = oneshot::channel();
+        if owner == advice.me {
+            // The receiver is in this function.
+            let _ = answer.send(advice.grant(&mut state, &permit, &server.hall, now));
+            return Some(waiting);
+        }
+        if state.silence.silent(&owner, now) {
+            return None;
+        }
+        if state.leaves.len() >= WAITING_MOST {
+            state.leaves.retain(|_, waiting| !waiting.is_closed());
+        }
+        state.leaves.insert(permit.number, answer);
+        drop(state);
+        advice.send(owner, Message::Permit { permit, hall: server.hall.clone() });
+        Some(waiting)
+    }
+
     fn report(&self, server: &Server, report: Report) {
         let advice = &self.0;
         let now = advice.now();
--- a/crates/cleatshelf/src/router/follow.rs
+++ b/crates/cleatshelf/src/router/follow.rs
@@ -55,7 +55,7 @@
 
 /// Which subjects can't be followed now.
 pub(super) struct Troubles {
-    table: Cell<bool>,
+    orders: Cell<bool>,
     directory: Cell<bool>,
     /// True after the list of servers could not be followed, until it can again.
     away: Cell<bool>,
@@ -65,14 +65,14 @@
 
 impl Default for Troubles {
     fn default() -> Self {
-        Self { table: Cell::new(true), directory: Cell::new(true), away: Cell::new(false), returned: Cell::new(None) }
+        Self { orders: Cell::new(true), directory: Cell::new(true), away: Cell::new(false), returned: Cell::new(None) }
     }
 }
 
 impl Troubles {
     fn of(&self, subject: Subject) -> &Cell<bool> {
         match subject {
-            Subject::Table => &self.table,
+            Subject::Orders => &self.orders,
             Subject::Directory => &self.directory,
         }
     }
@@ -91,7 +91,7 @@
 
     /// True when every subject's last call succeeded.
     pub(super) fn none(&self) -> bool {
-        !self.table.get() && !self.directory.get()
+        !self.orders.get() && !self.directory.get()
     }
 }
 
@@ -189,7 +189,7 @@
     fn told(&self) -> bool {
         let holding = self.knowledge.holding();
         match self.subject {
-            Subject::Table => holding.table > 0,
+            Subject::Orders => holding.table > 0 && holding.evacuations.revision > 0,
             Subject::Directory => holding.directory > 0,
         }
     }
@@ -203,7 +203,7 @@
     /// While the list of servers can't be followed either, the configuration waits for it.
     async fn wait_for_other(&self) {
         let began = Instant::now();
-        while self.subject == Subject::Table && self.troubles.directory.get() && began.elapsed() < OTHER_FIRST {
+        while self.subject == Subject::Orders && self.troubles.directory.get() && began.elapsed() < OTHER_FIRST {
             actix_rt::time::sleep(LOOK_EVERY).await;
         }
     }
@@ -212,7 +212,8 @@
     fn known(&self) -> Option<u64> {
         let holding = self.knowledge.holding();
         let revision = match self.subject {
-            Subject::Table => holding.table_until,
+            // What one of both lacks, the watch tells again.
+            Subject::Orders => holding.table_until.min(holding.evacuations.revision),
             Subject::Directory => holding.directory,
         };
         Some(revision).filter(|revision| *revision > 0)
@@ -227,9 +228,11 @@
 
     async fn read(&self, freshness: Freshness) -> Result<u64, Trouble> {
         match self.subject {
-            Subject::Table => {
-                let found = self.publisher.table(freshness).await?;
-                let (revision, bytes) = found.ok_or(Trouble::Absent)?;
+            Subject::Orders => {
+                let orders = self.publisher.orders(freshness).await?;
+                let revision = orders.evacuations.revision;
+                self.knowledge.offer_evacuations(orders.evacuations, Origin::Publisher);
+                let bytes = orders.table.ok_or(Trouble::Absent)?;
                 self.take_table(Some(&bytes), revision);
                 Ok(revision)
             }
@@ -244,8 +247,9 @@
 
     async fn watch(&self, since: u64, wait: Duration) -> Result<u64, Trouble> {
         let update = self.publisher.watch(self.subject, since, wait).await?;
-        if self.subject == Subject::Table {
+        if self.subject == Subject::Orders {
             self.take_table(update.table.as_deref(), update.revision);
+            self.knowledge.change_evacuations(update.evacuations, update.revision);
         }
         if !update.changes.is_empty() {
             let away = self.troubles.away_lately();
--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -5,7 +5,7 @@
 use flate2::Compression;
 use peers::Holding;
 use relay::{Shared, View};
-use routing::{Change, Directory, Publisher, Table};
+use routing::{Change, Directory, Evacuations, Publisher, Table};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::{Read, Write};
@@ -34,8 +34,14 @@
 /// What this box learned and others may not know yet.
 pub(super) enum News {
     Table,
+    /// Heartbeats carry these.
+    Evacuations,
     Directory,
-    Changes { since: u64, until: u64, changes: Vec<Change> },
+    Changes {
+        since: u64,
+        until: u64,
+        changes: Vec<Change>,
+    },
 }
 
 /// The newest configuration and servers that reached this box.
@@ -54,6 +60,7 @@
     /// Revision of the publisher at which that configuration was still the newest; 0 when this is not known.
     table_until: u64,
     directory: Directory,
+    evacuations: Evacuations,
     /// When each of the lapsed servers was noticed.
     lapsed: HashMap<String, Instant>,
     /// What others have not been told yet, in order.
@@ -119,6 +126,31 @@
         }
     }
 
+    /// Takes which halls are evacuated, unless that is known of a later revision.
+    pub(super) fn offer_evacuations(&self, evacuations: Evacuations, origin: Origin) {
+        let mut state = self.state.borrow_mut();
+        if !state.evacuations.take(evacuations) {
+            return;
+        }
+        let Evacuations { revision, halls } = &state.evacuations;
+        telemetry::emit(Event::HallsEvacuated, format_args!("revision={revision} halls={halls:?} from={origin:?}"));
+        self.put_in_force(&state);
+        self.tell(&mut state, News::Evacuations);
+    }
+
+    /// Takes which evacuations began (true) or ended up to a revision of the publisher, on top of what is known.
+    pub(super) fn change_evacuations(&self, changes: Vec<(String, bool)>, revision: u64) {
+        let mut halls = self.state.borrow().evacuations.halls.clone();
+        for (hall, lasts) in changes {
+            if lasts {
+                halls.insert(hall);
+            } else {
+                halls.remove(&hall);
+            }
+        }
+        self.offer_evacuations(Evacuations { revision, halls }, Origin::Publisher);
+    }
+
     /// Takes a whole list of servers, unless a newer one is known. Right after the publisher was away, what the list lacks
     /// may have only lapsed.
     pub(super) fn offer_directory(&self, mut directory: Directory, origin: Origin, was_away: bool) {
@@ -192,7 +224,8 @@
 
     fn put_in_force(&self, state: &State) {
         let table = state.table.as_ref().map(|(table, _)| Arc::clone(table));
-        self.shared.set_view(View { table, directory: Arc::new(state.directory.clone()) });
+        let evacuations = state.evacuations.clone();
+        self.shared.set_view(View { table, directory: Arc::new(state.directory.clone()), evacuations });
     }
 
     /// Notes that the publisher or a watcher was heard.
@@ -209,7 +242,8 @@
     pub(super) fn holding(&self) -> Holding {
         let state = self.state.borrow();
         let table = state.table.as_ref().map_or(0, |(table, _)| table.version);
-        Holding { table, table_until: state.table_until, directory: state.directory.revision }
+        let evacuations = state.evacuations.clone();
+        Holding { table, table_until: state.table_until, directory: state.directory.revision, evacuations }
     }
 
     /// The configuration in force as it was published, packed.
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -164,13 +164,15 @@
                 }
                 Action::Table(packed) => self.knowledge.offer_packed(&packed),
                 Action::TableUntil(revision) => self.knowledge.table_stands(revision),
+                Action::Evacuations(evacuations) => self.knowledge.offer_evacuations(evacuations, Origin::Peer),
                 Action::Directory(directory) => self.knowledge.offer_directory(directory, Origin::Peer, false),
                 Action::Changes(changes, until) => self.knowledge.offer_changes(changes, until, Origin::Peer),
             }
         }
         self.peers.borrow_mut().hold(self.knowledge.holding());
         self.shared.placement().set_boxes(self.boxes());
-        self.advice.set_boxes(self.peers.borrow().list());
+        let peers = self.peers.borrow();
+        self.advice.set_boxes(peers.list(), peers.settled());
     }
 
     fn send(&self, to: SocketAddr, envelope: &Envelope) {
@@ -186,6 +188,8 @@
 fn spread(peers: &Peers, news: &News) -> Vec<Action> {
     match news {
         News::Table => peers.spread_table(),
+        // The next heartbeat, which is due at once, tells of them.
+        News::Evacuations => Vec::new(),
         News::Directory => peers.spread_directory(),
         News::Changes { since, until, changes } => peers.spread_changes(*since, *until, changes),
     }
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -40,7 +40,8 @@
     let scrape = Scrape::install()?;
     let window = settings.retry_window.as_millis() as u64;
     let budget = Budget::new(settings.retry_ratio, settings.retry_slack, window);
-    let placement = Placement::new(&settings.hall, budget);
+    let placement =
+        Placement::new(&settings.hall, budget).with_allowance(settings.cold).with_regions(settings.regions.clone());
     let (advice, sent) = Advice::new(settings.boxes);
     let desk = Desk(Arc::clone(&advice));
     let shared = Shared::new(Box::new(platform::Headers), Box::new(desk), placement);
@@ -118,7 +119,7 @@
     let knowledge = Rc::new(Knowledge::new(Arc::clone(shared), Rc::clone(&publisher)));
     let troubles = Rc::new(Troubles::default());
     let (watching, _) = watch::channel(false);
-    for subject in [Subject::Table, Subject::Directory] {
+    for subject in [Subject::Orders, Subject::Directory] {
         let follower = Follower {
             publisher: Rc::clone(&publisher),
             knowledge: Rc::clone(&knowledge),
--- a/crates/cleatshelf/src/router/settings.rs
+++ b/crates/cleatshelf/src/router/settings.rs
@@ -2,6 +2,8 @@
 
 use crate::settings::{address, check_link_key};
 use catalog::{Fault, Reader};
+use placement::Allowance;
+use routing::Regions;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -39,6 +41,10 @@
     pub retry_slack: f64,
     /// Window over which second sends are counted.
     pub retry_window: Duration,
+    /// What all boxes may send to a server that has just started, or turned cold.
+    pub cold: Allowance,
+    /// The region of each hall. A request that may run in some regions only is not sent to halls that aren't named.
+    pub regions: Regions,
 }
 
 fn capacity(reader: &mut Reader<'_>) -> u32 {
@@ -47,6 +53,18 @@
     processor.min(link) as u32
 }
 
+fn cold(reader: &mut Reader<'_>) -> Allowance {
+    let base = Allowance::default();
+    Allowance {
+        ratio: reader.number_opt("cold_ratio", &(0.0..=100.0)).unwrap_or(base.ratio),
+        slack: reader.number_opt("cold_slack", &(0.0..=1_000_000.0)).unwrap_or(base.slack),
+    }
+}
+
+fn regions(reader: &mut Reader<'_>) -> Regions {
+    reader.tables("halls", |hall| (hall.name("name"), hall.name("region"))).into_iter().collect()
+}
+
 fn seeds(reader: &mut Reader<'_>) -> Vec<SocketAddr> {
     let texts = reader.texts("seeds");
     let parsed: Vec<SocketAddr> = texts.iter().filter_map(|text| text.parse().ok()).collect();
@@ -79,6 +97,8 @@
             retry_ratio: reader.number("retry_ratio", &(0.0..=10.0)),
             retry_slack: reader.number("retry_slack", &(0.0..=1_000_000.0)),
             retry_window: Duration::from_secs_f64(reader.number("retry_window_seconds", &(0.1..=3_600.0))),
+            cold: cold(&mut reader),
+            regions: regions(&mut reader),
         };
         check_link_key(&mut reader, &settings.link_key);
         let faults = reader.finish();
--- a/crates/cleatshelf/tests/route.rs
+++ b/crates/cleatshelf/tests/route.rs
@@ -164,7 +164,9 @@
 }
 
 fn entry(address: SocketAddr, state: &str) -> String {
-    format!(r#"{{"service":"svc","address":"{address}","zone":"hall","version":"v1","slots":8,"state":"{state}"}}"#)
+    format!(
+        r#"{{"service":"svc","address":"{address}","zone":"hall","version":"v1","slots":8,"state":"{state}","coldLeftMs":0,"callSeq":1}}"#
+    )
 }
 
 fn config(version: u64, prefix: &str) -> String {
--- a/crates/peers/src/action.rs
+++ b/crates/peers/src/action.rs
@@ -1,7 +1,7 @@
 //! What the state machine asks for.
 
 use crate::Message;
-use routing::{Change, Directory};
+use routing::{Change, Directory, Evacuations};
 use std::net::SocketAddr;
 
 /// Something to carry out.
@@ -19,6 +19,8 @@
     Table(Vec<u8>),
     /// A watcher says that the configuration which this box has was still the newest at this revision.
     TableUntil(u64),
+    /// A peer told which halls are evacuated.
+    Evacuations(Evacuations),
     /// A peer sent a list of servers.
     Directory(Directory),
     /// A peer told what became of servers, on top of the revision that this box has.
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -1,6 +1,6 @@
 //! What boxes say to each other.
 
-use routing::{Change, Directory};
+use routing::{Change, Directory, Evacuations};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -28,6 +28,8 @@
     pub table_until: u64,
     /// Revision of its list of servers.
     pub directory: u64,
+    /// The evacuated halls that it knows of.
+    pub evacuations: Evacuations,
     /// Digest of the boxes that it knows.
     pub members: u32,
 }
@@ -52,6 +54,8 @@
         table: u64,
         /// Revision of its list of servers.
         directory: u64,
+        /// The evacuated halls that it knows of.
+        evacuations: Evacuations,
     },
     /// A watcher's heartbeat.
     Heartbeat(Heartbeat),
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::member::Member;
 use crate::{Action, Heartbeat, Message, Millis, Profile, Subject};
-use routing::{rank_address, Change, Directory};
+use routing::{rank_address, Change, Directory, Evacuations};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -51,7 +51,7 @@
 const WANT_EVERY: Millis = 300;
 
 /// How new this box's knowledge is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Holding {
     /// Version of the configuration; 0 for none.
     pub table: u64,
@@ -59,6 +59,8 @@
     pub table_until: u64,
     /// Revision of the list of servers.
     pub directory: u64,
+    /// The evacuated halls.
+    pub evacuations: Evacuations,
 }
 
 /// What one box knows of the others, and what it does about news.
@@ -76,6 +78,8 @@
     watching: bool,
     /// True while the publisher answers this box.
     reached: bool,
+    /// True once another box said that it knows the same boxes.
+    settled: bool,
     /// When too few watchers were first heard; none while enough are.
     lacking: Option<Millis>,
     /// When it first looked at what is due; none before.
@@ -102,6 +106,7 @@
             holding: Holding::default(),
             watching: false,
             reached: false,
+            settled: false,
             lacking: None,
             began: None,
             welcomes: (0, 0),
@@ -130,6 +135,12 @@
         others.chain([(self.me, self.profile.clone())]).collect()
     }
 
+    /// True once this box knows the others: one of them knew the same, or there is none that it could ask.
+    #[must_use]
+    pub fn settled(&self) -> bool {
+        self.settled || (self.seeds.is_empty() && self.members.is_empty())
+    }
+
     /// True while this box watches the publisher, or tries to.
     #[must_use]
     pub fn watching(&self) -> bool {
@@ -138,6 +149,10 @@
 
     /// Notes how new this box's knowledge is.
     pub fn hold(&mut self, holding: Holding) {
+        if self.holding.evacuations.halls != holding.evacuations.halls {
+            // Heartbeats carry them.
+            self.tell_all();
+        }
         self.holding = holding;
     }
 
@@ -181,8 +196,11 @@
                     self.welcome(from, now, &mut actions);
                 }
             }
-            Message::Welcome { table, directory } => self.take_holdings(from, table, directory, now, &mut actions),
-            Message::Heartbeat(beat) => self.take_heartbeat(from, &beat, now, &mut actions),
+            Message::Welcome { table, directory, evacuations } => {
+                self.take_holdings(from, table, directory, now, &mut actions);
+                self.take_evacuations(evacuations, &mut actions);
+            }
+            Message::Heartbeat(beat) => self.take_heartbeat(from, beat, now, &mut actions),
             Message::Want(subject) => self.give(from, subject, &mut actions),
             Message::Members(members) => self.meet(members, now),
             Message::Table(bytes) => actions.push(Action::Table(bytes)),
@@ -302,6 +320,7 @@
             table: self.holding.table,
             table_until: self.holding.table_until,
             directory: self.holding.directory,
+            evacuations: self.holding.evacuations.clone(),
             members: self.digest(),
         });
         let all = self.beats.is_multiple_of(SILENT_BEATS);
@@ -361,7 +380,7 @@
 
     /// Tells a newcomer how new this box's knowledge is, unless many come at once.
     fn welcome(&mut self, to: SocketAddr, now: Millis, actions: &mut Vec<Action>) {
-        let Holding { table, directory, .. } = self.holding;
+        let Holding { table, directory, ref evacuations, .. } = self.holding;
         if now >= self.welcomes.0 + SECOND {
             self.welcomes = (now, 0);
         }
@@ -369,7 +388,8 @@
             return;
         }
         self.welcomes.1 += 1;
-        actions.push(Action::Send(to, Message::Welcome { table, directory }));
+        let evacuations = evacuations.clone();
+        actions.push(Action::Send(to, Message::Welcome { table, directory, evacuations }));
     }
 
     /// Asks for what another box knows and this one doesn't.
@@ -382,7 +402,7 @@
         }
     }
 
-    fn take_heartbeat(&mut self, from: SocketAddr, beat: &Heartbeat, now: Millis, actions: &mut Vec<Action>) {
+    fn take_heartbeat(&mut self, from: SocketAddr, beat: Heartbeat, now: Millis, actions: &mut Vec<Action>) {
         self.hear(from, &beat.profile, now, actions);
         if let Some(member) = self.members.get_mut(&from) {
             member.tried = Some(now);
@@ -392,11 +412,20 @@
         if beat.table == self.holding.table && beat.table_until > self.holding.table_until {
             actions.push(Action::TableUntil(beat.table_until));
         }
-        if beat.members != self.digest() {
+        self.take_evacuations(beat.evacuations, actions);
+        if beat.members == self.digest() {
+            self.settled = true;
+        } else {
             self.want(from, Subject::Members, now, actions);
         }
     }
 
+    fn take_evacuations(&self, evacuations: Evacuations, actions: &mut Vec<Action>) {
+        if evacuations.revision > self.holding.evacuations.revision {
+            actions.push(Action::Evacuations(evacuations));
+        }
+    }
+
     fn want(&mut self, from: SocketAddr, subject: Subject, now: Millis, actions: &mut Vec<Action>) {
         let last = self.wanted.get(&(subject as u8)).copied();
         if last.is_none_or(|at| now >= at + WANT_EVERY) {
--- a/crates/peers/tests/heartbeat.rs
+++ b/crates/peers/tests/heartbeat.rs
@@ -1,6 +1,7 @@
 //! What a box takes from a watcher's heartbeat.
 
 use peers::{Action, Heartbeat, Holding, Message, Peers, Profile, Subject};
+use routing::Evacuations;
 use std::net::SocketAddr;
 
 fn address(index: u8) -> SocketAddr {
@@ -11,33 +12,40 @@
     Profile { hall: "here".to_owned(), capacity: 250 }
 }
 
-fn heard(holding: Holding, table: u64, table_until: u64) -> Vec<Action> {
+fn heard(holding: &Holding, table: u64, table_until: u64) -> Vec<Action> {
     let mut peers = Peers::new(address(1), profile(), &[]);
-    peers.hold(holding);
-    let beat =
-        Heartbeat { profile: profile(), watches: true, table, table_until, directory: holding.directory, members: 0 };
+    peers.hold(holding.clone());
+    let beat = Heartbeat {
+        profile: profile(),
+        watches: true,
+        table,
+        table_until,
+        directory: holding.directory,
+        evacuations: Evacuations::default(),
+        members: 0,
+    };
     peers.handle(address(2), Message::Heartbeat(beat), 1_000)
 }
 
 #[test]
 fn a_box_learns_until_when_its_configuration_was_the_newest() {
-    let holding = Holding { table: 5, table_until: 40, directory: 60 };
-    assert!(heard(holding, 5, 55).contains(&Action::TableUntil(55)));
-    assert!(!heard(holding, 5, 40).iter().any(|action| matches!(action, Action::TableUntil(_))));
+    let holding = Holding { table: 5, table_until: 40, directory: 60, evacuations: Evacuations::default() };
+    assert!(heard(&holding, 5, 55).contains(&Action::TableUntil(55)));
+    assert!(!heard(&holding, 5, 40).iter().any(|action| matches!(action, Action::TableUntil(_))));
 }
 
 #[test]
 fn what_holds_of_another_configuration_does_not_hold_of_the_own() {
-    let holding = Holding { table: 5, table_until: 40, directory: 60 };
-    let newer = heard(holding, 6, 55);
+    let holding = Holding { table: 5, table_until: 40, directory: 60, evacuations: Evacuations::default() };
+    let newer = heard(&holding, 6, 55);
     assert!(!newer.iter().any(|action| matches!(action, Action::TableUntil(_))));
     assert!(newer.contains(&Action::Send(address(2), Message::Want(Subject::Table))));
-    assert!(!heard(holding, 4, 55).iter().any(|action| matches!(action, Action::TableUntil(_))));
+    assert!(!heard(&holding, 4, 55).iter().any(|action| matches!(action, Action::TableUntil(_))));
 }
 
 fn knowing(capacity: u32) -> Peers {
     let mut peers = Peers::new(address(1), Profile { capacity, ..profile() }, &[]);
-    peers.hold(Holding { table: 7, table_until: 7, directory: 9 });
+    peers.hold(Holding { table: 7, table_until: 7, directory: 9, evacuations: Evacuations::default() });
     peers
 }
 
@@ -48,9 +56,16 @@
 #[test]
 fn a_box_that_has_just_come_asks_another_and_not_the_publisher() {
     let told = knowing(1_000).handle(address(2), Message::Hello(profile()), 0);
-    assert!(told.contains(&Action::Send(address(2), Message::Welcome { table: 7, directory: 9 })));
+    assert!(told.contains(&Action::Send(
+        address(2),
+        Message::Welcome { table: 7, directory: 9, evacuations: Evacuations::default() }
+    )));
     let mut newcomer = Peers::new(address(2), profile(), &[address(1)]);
-    let asks = newcomer.handle(address(1), Message::Welcome { table: 7, directory: 9 }, 10);
+    let asks = newcomer.handle(
+        address(1),
+        Message::Welcome { table: 7, directory: 9, evacuations: Evacuations::default() },
+        10,
+    );
     assert!(asks.contains(&Action::Send(address(1), Message::Want(Subject::Table))), "{asks:?}");
     assert!(asks.contains(&Action::Send(address(1), Message::Want(Subject::Directory))), "{asks:?}");
 }
--- a/crates/peers/tests/world.rs
+++ b/crates/peers/tests/world.rs
@@ -3,7 +3,7 @@
 use peers::{Action, Holding, Message, Peers, Profile};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use routing::Directory;
+use routing::{Directory, Evacuations};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 
@@ -41,6 +41,11 @@
     SocketAddr::from(([10, hall as u8, 0, index as u8], 8000))
 }
 
+/// The halls that are evacuated at a revision: others at each.
+fn evacuations(revision: u64) -> Evacuations {
+    Evacuations { revision, halls: [format!("evacuated-{revision}")].into() }
+}
+
 fn hall_of(address: &SocketAddr) -> String {
     format!("hall-{}", address.to_string().split('.').nth(1).expect("a hall"))
 }
@@ -82,8 +87,14 @@
         for one in self.boxes.values_mut().filter(|b| b.watching && b.reached && !b.frozen) {
             if one.holding.directory < self.published {
                 self.calls += 1;
-                one.holding = Holding { table: self.published, table_until: self.published, directory: self.published };
-                one.peers.hold(one.holding);
+                let evacuations = evacuations(self.published);
+                one.holding = Holding {
+                    table: self.published,
+                    table_until: self.published,
+                    directory: self.published,
+                    evacuations,
+                };
+                one.peers.hold(one.holding.clone());
             }
         }
     }
@@ -147,10 +158,11 @@
                 Action::Directory(directory) => {
                     one.holding.directory = one.holding.directory.max(directory.revision);
                 }
+                Action::Evacuations(newer) => drop(one.holding.evacuations.take(newer)),
                 Action::Changes(_, until) => one.holding.directory = one.holding.directory.max(until),
             }
             let one = self.boxes.get_mut(&me).expect("a box");
-            one.peers.hold(one.holding);
+            one.peers.hold(one.holding.clone());
         }
     }
 
@@ -164,7 +176,10 @@
     }
 
     fn behind(&self) -> Vec<SocketAddr> {
-        let behind = |b: &Box| !b.frozen && (b.holding.directory < self.published || b.holding.table < self.published);
+        let behind = |b: &Box| {
+            let evacuated = b.holding.evacuations.halls == evacuations(self.published).halls;
+            !b.frozen && (b.holding.directory < self.published || b.holding.table < self.published || !evacuated)
+        };
         self.boxes.iter().filter(|(_, b)| behind(b)).map(|(a, _)| *a).collect()
     }
 }
--- a/crates/placement/examples/choose.rs
+++ b/crates/placement/examples/choose.rs
@@ -3,8 +3,8 @@
 //! On one core of an 8-core machine that was busy otherwise, planning and choosing together: 180 us for a short prompt and
 //! 189 us for a long one while ranks were computed for each comparison, 127 us and 102 us since they are computed once.
 
-use placement::{Ask, Budget, Opinion, Part, Placement, Prompt};
-use routing::{Change, Directory, Engine, Kind, Route, Server, Service, Share, Table};
+use placement::{Ask, Budget, InForce, Opinion, Part, Placement, Prompt};
+use routing::{Change, Directory, Engine, Evacuations, Kind, Route, Server, Service, Share, Table};
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
@@ -22,11 +22,13 @@
 fn server(index: usize) -> Server {
     Server {
         id: format!("i-{index:010x}"),
+        name: format!("i-{index:010x}"),
         service: MODEL.to_owned(),
         address: ([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 80).into(),
         hall: format!("hall-{}", index % 5),
         slots: 32,
         draining: false,
+        cold_ms: 0,
     }
 }
 
@@ -43,13 +45,16 @@
         shares: vec![Share { service: MODEL.to_owned(), weight: 1 }],
         attempts: 2,
         open: false,
+        homes: None,
     };
     let engine = Engine { slots: 32, memory_tokens: 500_000, token_bytes: 18_432, link_mbps: 100_000.0, stride: 8 };
-    let service = Service { name: MODEL.to_owned(), connections: 100, engine: Some(engine) };
+    let service = Service { name: MODEL.to_owned(), connections: 100, engine: Some(engine), cold: None };
     let mut directory = Directory::default();
     directory.apply((0..ENGINES).map(server).map(Change::Present).collect(), 1);
     let mut placement = Placement::new("hall-0", Budget::new(0.2, 50.0, 10_000));
-    placement.update(&Table::new(1, vec![route], vec![service]), &directory);
+    let table = Table::new(1, vec![route], vec![service]);
+    let in_force = InForce { table: &table, directory: &directory, evacuations: &Evacuations::default() };
+    placement.update(&in_force, 0);
     placement
 }
 
@@ -67,6 +72,8 @@
             urgency: 0,
             bytes: 17_000,
             tried: &[],
+            denied: &[],
+            homes: [None, None],
             opinions: &[],
             now: index * 300,
         };
--- a/crates/placement/src/ask.rs
+++ b/crates/placement/src/ask.rs
@@ -1,7 +1,7 @@
 //! Questions and answers of a placement.
 
 use crate::{Load, Millis, Opinion, Prompt, Speed, Work};
-use routing::Server;
+use routing::{Homes, Server};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +23,10 @@
     pub bytes: usize,
     /// Ids of servers that it must not be sent to again.
     pub tried: &'a [String],
+    /// Ids of cold servers for which no leave was given.
+    pub denied: &'a [String],
+    /// Regions in which it may run, by its route and by its customer; both bind.
+    pub homes: [Option<&'a Homes>; 2],
     /// What owners said for this request, by server id.
     pub opinions: &'a [(String, Opinion)],
     /// Now.
@@ -30,6 +34,12 @@
 }
 
 impl Ask<'_> {
+    /// True when it may run in this region.
+    #[must_use]
+    pub fn at_home(&self, region: Option<&str>) -> bool {
+        self.homes.iter().flatten().all(|homes| homes.hold(region))
+    }
+
     /// What the owner of this server said for this request.
     #[must_use]
     pub fn opinion(&self, id: &str) -> Option<&Opinion> {
@@ -71,6 +81,8 @@
     pub load: Load,
     /// Servers that could have been chosen, for the log.
     pub candidates: usize,
+    /// Where the server is cold and leave for the send is to be asked for: the most that it is to get in about a second.
+    pub leave: Option<u32>,
 }
 
 /// Why no server was chosen. The request has not run.
@@ -78,6 +90,8 @@
 pub enum Refusal {
     /// The service has no server that may be tried.
     NoServer,
+    /// All that may be tried are cold, and get as much as they bear.
+    Cold,
     /// All places are taken, and it would wait beyond its aim.
     Crowded {
         /// How long it would wait for a place, in milliseconds.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -27,6 +27,8 @@
 mod speed;
 mod split;
 mod stalls;
+mod standing;
+mod warmth;
 mod weigh;
 
 pub use ask::{Ask, Choice, Expectation, Refusal};
@@ -35,10 +37,12 @@
 pub use kept::Kept;
 pub use learner::Learner;
 pub use load::{Load, Reading, Work};
-pub use owner::{News, Opinion, Owner, Question, Report};
-pub use placement::Placement;
+pub use owner::{News, Opinion, Owner, Permit, Question, Report};
+pub use placement::{InForce, Placement};
 pub use prompt::{Part, Prompt};
 pub use speed::Speed;
+pub use standing::Standing;
+pub use warmth::{Allowance, Break};
 
 /// Milliseconds of a clock that never goes back.
 pub type Millis = u64;
--- a/crates/placement/src/member.rs
+++ b/crates/placement/src/member.rs
@@ -1,7 +1,8 @@
 //! One server of a pool, and what is known of it.
 
-use crate::{Health, Kept, Load, Millis, Opinion, Speed};
-use routing::Server;
+use crate::warmth::Breaks;
+use crate::{Ending, Health, Kept, Load, Millis, Opinion, Speed};
+use routing::{Cold, Server};
 use std::sync::Arc;
 
 /// How long what an owner said of a server's load is better than what this box has there itself.
@@ -22,11 +23,21 @@
     pub(crate) health: Health,
     /// What its owner said last, and when.
     pub(crate) heard: Option<(Opinion, Millis)>,
+    /// True while its hall is evacuated.
+    pub(crate) evacuated: bool,
+    /// Region of its hall, where that is known.
+    pub(crate) region: Option<String>,
+    /// What its service says of cold servers.
+    pub(crate) cold: Option<Cold>,
+    /// Until when it is cold by its entry, or by what its hall went through; 0 where it isn't.
+    pub(crate) cold_until: Millis,
+    /// What this box's sends show of starts.
+    pub(crate) breaks: Breaks,
 }
 
 impl Member {
-    /// A server of which nothing is known yet.
-    pub(crate) fn new(server: &Arc<Server>) -> Self {
+    /// A server of which nothing but its entry is known yet.
+    pub(crate) fn new(server: &Arc<Server>, now: Millis) -> Self {
         Self {
             server: Arc::clone(server),
             position: 0.0,
@@ -34,9 +45,44 @@
             kept: Kept::default(),
             health: Health::default(),
             heard: None,
+            evacuated: false,
+            region: None,
+            cold: None,
+            cold_until: if server.cold_ms > 0 { now + Millis::from(server.cold_ms) } else { 0 },
+            breaks: Breaks::default(),
         }
     }
 
+    /// Takes how a send there ended.
+    pub(crate) fn ended(&mut self, ending: Ending, now: Millis) {
+        self.health.note(ending, now);
+        self.breaks.note(ending, now);
+    }
+
+    /// Takes its entry as it is now.
+    pub(crate) fn take_entry(&mut self, server: &Arc<Server>, now: Millis) {
+        if *self.server != **server {
+            self.server = Arc::clone(server);
+            self.cold_until = self.cold_until.max(now + Millis::from(server.cold_ms));
+        }
+    }
+
+    /// Takes whether its hall is evacuated. Servers may have turned cold meanwhile, and nobody may have heard yet.
+    pub(crate) fn evacuate(&mut self, evacuated: bool, now: Millis) {
+        let over = std::mem::replace(&mut self.evacuated, evacuated) && !evacuated;
+        if let Some(cold) = self.cold.as_ref().filter(|_| over) {
+            self.cold_until = self.cold_until.max(now + cold.time.as_millis() as Millis);
+        }
+    }
+
+    /// True while it is to be taken for cold: by its entry, or by what this box or its owner saw.
+    pub(crate) fn cold(&self, now: Millis) -> bool {
+        let Some(cold) = &self.cold else { return false };
+        let own = self.breaks.told(now).cold_until(cold, now);
+        let heard = self.heard.as_ref().map_or(0, |(opinion, at)| opinion.broke.cold_until(cold, *at));
+        now < self.cold_until.max(own).max(heard)
+    }
+
     /// What runs there: what its owner said lately, else what this box has there.
     pub(crate) fn load(&self, now: Millis) -> &Load {
         self.heard_within(HEARD_MOST, now).map_or(&self.own, |opinion| &opinion.load)
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -7,9 +7,10 @@
 use crate::ends::Ends;
 use crate::rate::Rate;
 use crate::stalls::Stalls;
-use crate::{Ending, Health, Kept, Learner, Load, Millis, Part, Reading, Speed, Work};
+use crate::warmth::{Breaks, WINDOW};
+use crate::{Break, Ending, Health, Kept, Learner, Load, Millis, Part, Reading, Speed, Work};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
 /// A lease whose end is never told is dropped after this long: its box has died, or no request takes longer.
@@ -55,6 +56,21 @@
     pub long_reading: f32,
     /// The same of the other prompts.
     pub short_reading: f32,
+    /// Requests that were sent there within about the last second, by all boxes together.
+    pub arrivals: u32,
+    /// Whether it may have started again.
+    pub broke: Break,
+}
+
+/// Asks the owner of a cold server for leave to send one request there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Permit {
+    /// Names the question, unique for the asking box.
+    pub number: u64,
+    /// Id of the server.
+    pub server: String,
+    /// Most requests that the server is to get in about a second; by its service's configuration.
+    pub most: u32,
 }
 
 /// Tells an owner of a request that is sent to its server.
@@ -79,6 +95,8 @@
         work: Work,
         /// Tokens of parts that this server's memory can keep.
         memory: u64,
+        /// True when the owner gave leave for it, and so has counted it.
+        permitted: bool,
     },
     /// Its prompt has been read.
     Read,
@@ -124,6 +142,9 @@
     short_reading: Rate,
     /// When the last prompt was read.
     last_read: Millis,
+    /// When requests were sent there within about the last second, in order.
+    arrivals: VecDeque<Millis>,
+    breaks: Breaks,
     /// By asking box and number. The sum of their works is `load`.
     leases: HashMap<(SocketAddr, u64), Lease>,
 }
@@ -150,15 +171,34 @@
             end_ms: owned.ends.interval_ms(now),
             long_reading: owned.long_reading.share(now),
             short_reading: owned.short_reading.share(now),
+            arrivals: owned.arrivals(now),
+            broke: owned.breaks.told(now),
         }
     }
 
+    /// True when a request may be sent to a cold server, which it then counts as. The bound is over all boxes, and so is
+    /// this count.
+    pub fn permit(&mut self, permit: &Permit, now: Millis) -> bool {
+        let owned = self.servers.entry(permit.server.clone()).or_default();
+        let allowed = owned.arrivals(now) < permit.most;
+        if allowed {
+            owned.arrivals.push_back(now);
+        }
+        allowed
+    }
+
     /// Takes what the box `from` reports.
     pub fn report(&mut self, from: SocketAddr, report: Report, now: Millis) {
         let owned = self.servers.entry(report.server).or_default();
         let key = (from, report.number);
         match report.news {
-            News::Sent { parts, work, memory } => owned.begin(key, parts, work, memory, now),
+            News::Sent { parts, work, memory, permitted } => {
+                if !permitted {
+                    owned.arrivals(now);
+                    owned.arrivals.push_back(now);
+                }
+                owned.begin(key, parts, work, memory, now);
+            }
             News::Read => owned.read(&key, now),
             News::Late => owned.late(&key),
             News::Ended { ending, pause_ms } => owned.end(&key, ending, pause_ms, now),
@@ -172,6 +212,14 @@
 }
 
 impl Owned {
+    /// Requests that were sent there within about the last second.
+    fn arrivals(&mut self, now: Millis) -> u32 {
+        while self.arrivals.front().is_some_and(|at| at + WINDOW <= now) {
+            self.arrivals.pop_front();
+        }
+        u32::try_from(self.arrivals.len()).unwrap_or(u32::MAX)
+    }
+
     fn begin(&mut self, key: (SocketAddr, u64), parts: Vec<Part>, work: Work, memory: u64, now: Millis) {
         let ahead = self.left(now).and(work.reading);
         let reading = if work.long { &mut self.long_reading } else { &mut self.short_reading };
@@ -216,6 +264,7 @@
 
     fn end(&mut self, key: &(SocketAddr, u64), ending: Ending, pause_ms: u32, now: Millis) {
         self.health.note(ending, now);
+        self.breaks.note(ending, now);
         let Some(lease) = self.leases.remove(key) else { return };
         if lease.read.is_none() {
             self.load.read(lease.work);
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,8 +1,8 @@
 //! All services of a box.
 
 use crate::pool::Pool;
-use crate::{Ask, Budget, Choice, Ending, Millis, Opinion, Prompt, Refusal, Work};
-use routing::{Directory, Server, Table};
+use crate::{Allowance, Ask, Budget, Choice, Ending, Millis, Opinion, Prompt, Refusal, Work};
+use routing::{Directory, Evacuations, Regions, Server, Table};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -10,6 +10,17 @@
 /// that has just started takes no more than its part of the budget.
 const BOXES_AT_START: usize = 8;
 
+/// What is published and in force on this box.
+#[derive(Clone, Copy, Debug)]
+pub struct InForce<'a> {
+    /// The configuration.
+    pub table: &'a Table,
+    /// The servers.
+    pub directory: &'a Directory,
+    /// The evacuated halls.
+    pub evacuations: &'a Evacuations,
+}
+
 /// Chooses servers and keeps the records behind the choices.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -22,17 +33,42 @@
     pools: HashMap<String, Pool>,
     /// Boxes that share the budget, this one included.
     boxes: usize,
+    /// What all boxes may send to a cold server.
+    allowance: Allowance,
+    /// Regions of halls.
+    regions: Regions,
 }
 
 impl Placement {
     /// A placement for a box of `hall`, whose services may get second sends by `budget`.
     #[must_use]
     pub fn new(hall: &str, budget: Budget) -> Self {
-        Self { hall: hall.to_owned(), budget, budgets: HashMap::new(), pools: HashMap::new(), boxes: BOXES_AT_START }
+        Self {
+            hall: hall.to_owned(),
+            budget,
+            budgets: HashMap::new(),
+            pools: HashMap::new(),
+            boxes: BOXES_AT_START,
+            allowance: Allowance::default(),
+            regions: Regions::new(),
+        }
+    }
+
+    /// The same with this allowance for cold servers.
+    #[must_use]
+    pub fn with_allowance(self, allowance: Allowance) -> Self {
+        Self { allowance, ..self }
+    }
+
+    /// The same with these regions of halls.
+    #[must_use]
+    pub fn with_regions(self, regions: Regions) -> Self {
+        Self { regions, ..self }
     }
 
-    /// Takes the servers and services in force.
-    pub fn update(&mut self, table: &Table, directory: &Directory) {
+    /// Takes what is in force from now on.
+    pub fn update(&mut self, in_force: &InForce<'_>, now: Millis) {
+        let InForce { table, directory, evacuations } = in_force;
         let mut by_service: HashMap<&str, Vec<_>> = HashMap::new();
         for server in directory.servers.values() {
             by_service.entry(&server.service).or_default().push(server.clone());
@@ -43,7 +79,9 @@
         for (name, pool) in &mut self.pools {
             pool.set_gap(table.shortest_gap(name).map_or(0.0, |gap| gap.as_secs_f64() * 1e3));
             pool.set_engine(table.services.get(name).and_then(|s| s.engine.clone()));
-            pool.set_servers(by_service.get(name.as_str()).map_or(&[], Vec::as_slice));
+            pool.set_cold(table.services.get(name).and_then(|s| s.cold), &self.allowance);
+            pool.set_servers(by_service.get(name.as_str()).map_or(&[], Vec::as_slice), now);
+            pool.set_halls(evacuations, &self.regions, now);
         }
     }
 
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -7,9 +7,9 @@
 use crate::order::positions;
 use crate::split::{self, Split};
 use crate::weigh::{Candidate, Scale, Source, FETCH_LEAST};
-use crate::{Ask, Choice, Ending, Millis, Opinion, Prompt, Reading, Refusal, Speed, Work};
-use routing::{Engine, Server};
-use std::collections::HashMap;
+use crate::{Allowance, Ask, Choice, Ending, Millis, Opinion, Prompt, Reading, Refusal, Speed, Standing, Work};
+use routing::{Cold, Engine, Evacuations, Regions, Server};
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 /// Part of a server's memory that kept parts are expected to fill at most.
@@ -38,6 +38,10 @@
 /// How long what an owner said counts for how the engines are to be divided.
 const NEED_MOST: Millis = 4_000;
 
+/// Cold servers whose owners may deny leave for one request before only others are chosen from: each asks takes the way to
+/// an owner and back.
+const DENIALS_MOST: usize = 3;
+
 /// All servers of a service that aren't draining, and their records.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Pool {
@@ -47,6 +51,11 @@
     admission: Admission,
     /// Which of them are preferred for long prompts.
     split: Split,
+    /// What its servers bear while they are cold.
+    cold: Option<Cold>,
+    /// Most requests that a server of it is to get within about a second while it is cold, and while another can have them
+    /// at other times too: it may have turned cold, and news of that are seconds old.
+    burst_most: u32,
     /// Shortest pause that answers of the service's routes bear, in milliseconds; 0 where they bear any.
     gap_ms: f64,
 }
@@ -67,12 +76,20 @@
         self.engine.as_ref().map_or(0.0, |e| e.memory_tokens as f64 * KEPT_SHARE) as u64
     }
 
+    /// Takes what its servers bear while they are cold.
+    pub(crate) fn set_cold(&mut self, cold: Option<Cold>, allowance: &Allowance) {
+        self.cold = cold;
+        self.burst_most = cold.map_or(u32::MAX, |cold| allowance.most(&cold));
+    }
+
     /// Takes the listed servers; records of others are dropped.
-    pub(crate) fn set_servers(&mut self, servers: &[Arc<Server>]) {
-        self.members.retain(|id, _| servers.iter().any(|s| s.id == *id));
+    pub(crate) fn set_servers(&mut self, servers: &[Arc<Server>], now: Millis) {
+        let listed: HashSet<&str> = servers.iter().map(|server| server.id.as_str()).collect();
+        self.members.retain(|id, _| listed.contains(id.as_str()));
         for server in servers {
-            let member = self.members.entry(server.id.clone()).or_insert_with(|| Member::new(server));
-            member.server = Arc::clone(server);
+            let member = self.members.entry(server.id.clone()).or_insert_with(|| Member::new(server, now));
+            member.cold = self.cold;
+            member.take_entry(server, now);
         }
         for (id, position) in positions(servers) {
             if let Some(member) = self.members.get_mut(id) {
@@ -81,13 +98,21 @@
         }
     }
 
+    /// Takes which halls are evacuated, and the regions of halls.
+    pub(crate) fn set_halls(&mut self, evacuations: &Evacuations, regions: &Regions, now: Millis) {
+        for member in self.members.values_mut() {
+            member.evacuate(evacuations.halls.contains(&member.server.hall), now);
+            member.region = regions.get(&member.server.hall).cloned();
+        }
+    }
+
     /// Looks at what the pool's work takes, now and then, and divides the engines by it.
     fn divide(&mut self, now: Millis) {
         if now < self.split.at() + DIVIDE_EVERY {
             return;
         }
         let mut sides = [Side::default(), Side::default()];
-        for member in self.members.values().filter(|member| !member.server.draining) {
+        for member in self.members.values().filter(|member| !member.standing(now).closed()) {
             let side = &mut sides[usize::from(self.split.reads(member.position))];
             side.engines += 1.0;
             if let Some(opinion) = member.heard_within(NEED_MOST, now) {
@@ -152,7 +177,8 @@
     fn source(&self, ask: &Ask<'_>) -> Option<Source<'_>> {
         let shared = ask.prompt?.shared();
         let read = |m: &Member| m.kept.read_prefix(shared).max(ask.opinion(&m.server.id).map_or(0, |o| o.read));
-        let best = self.members.values().filter(|m| !m.paused(ask.now)).max_by_key(|m| read(m))?;
+        let members = self.members.values().filter(|m| !m.paused(ask.now) && ask.at_home(m.region.as_deref()));
+        let best = members.max_by_key(|m| read(m))?;
         let tokens = read(best).min(ask.prompt?.shared_tokens());
         (tokens > 0).then_some(Source { member: best, tokens })
     }
@@ -165,9 +191,8 @@
     }
 
     fn among(&self, ask: &Ask<'_>) -> Vec<&Member> {
-        let open: Vec<&Member> =
-            self.members.values().filter(|m| !m.server.draining && !ask.tried.contains(&m.server.id)).collect();
-        let sound: Vec<&Member> = open.iter().copied().filter(|m| !m.paused(ask.now)).collect();
+        let open: Vec<&Member> = self.members.values().filter(|member| self.may_have(member, ask)).collect();
+        let sound: Vec<&Member> = open.iter().copied().filter(|m| m.standing(ask.now) != Standing::Paused).collect();
         if sound.is_empty() {
             soonest(&open)
         } else {
@@ -175,18 +200,47 @@
         }
     }
 
+    /// True when a request may go to this server at all.
+    fn may_have(&self, member: &Member, ask: &Ask<'_>) -> bool {
+        let id = &member.server.id;
+        let full = |member: &Member| {
+            let arrivals = ask.opinion(id).map_or(0, |opinion| opinion.arrivals);
+            member.cold(ask.now) && (arrivals >= self.burst_most || ask.denied.len() >= DENIALS_MOST)
+        };
+        !member.standing(ask.now).closed()
+            && ask.at_home(member.region.as_deref())
+            && !ask.tried.contains(id)
+            && !ask.denied.contains(id)
+            && !full(member)
+    }
+
+    /// True when so many were sent to the server within a second that it would fall over if it had just turned cold.
+    fn crowded(&self, member: &Member, ask: &Ask<'_>) -> bool {
+        ask.opinion(&member.server.id).is_some_and(|opinion| opinion.arrivals >= self.burst_most)
+    }
+
     /// The server with the least cost. `hall` is this box's.
     pub(crate) fn choose(&mut self, ask: &Ask<'_>, hall: &str) -> Result<Choice, Refusal> {
         self.admission.note(ask.urgency, ask.now);
         self.divide(ask.now);
         let among = self.among(ask);
+        if among.is_empty() && self.members.values().any(|m| !m.standing(ask.now).closed() && m.cold(ask.now)) {
+            return Err(Refusal::Cold);
+        }
         let scale = self.scale(ask, hall, &among);
-        // A server whose owner wasn't heard looks idle: where some were heard, only those are compared.
-        let heard = |m: &&&Member| ask.opinions.is_empty() || ask.opinion(&m.server.id).is_some();
-        let candidates: Vec<Candidate<'_>> = among.iter().filter(heard).map(|member| scale.weigh(member)).collect();
+        // A server whose owner wasn't heard looks idle: where some were heard that can have it, only those are compared.
+        let heard = |m: &&Member| ask.opinion(&m.server.id).is_some() && !self.crowded(m, ask);
+        let any_heard = among.iter().any(heard);
+        let compared = among.iter().filter(|member| !any_heard || heard(member));
+        let candidates: Vec<Candidate<'_>> = compared.map(|member| scale.weigh(member)).collect();
         // What was sent before is not refused: it may have run.
         let admitted = |c: &&Candidate<'_>| !ask.tried.is_empty() || self.admission.admits(ask, c.expected.place_ms);
-        let Some(best) = candidates.iter().filter(admitted).min_by(|a, b| a.cost().total_cmp(&b.cost())) else {
+        let rank = |c: &Candidate<'_>| (self.crowded(c.member, ask), c.cost());
+        let cheaper = |a: &&Candidate<'_>, b: &&Candidate<'_>| {
+            let (a, b) = (rank(a), rank(b));
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        };
+        let Some(best) = candidates.iter().filter(admitted).min_by(cheaper) else {
             return Err(refusal(&candidates));
         };
         let choice = Choice {
@@ -196,6 +250,7 @@
             expected: best.expected,
             load: best.member.load(ask.now).clone(),
             candidates: among.len(),
+            leave: best.member.cold(ask.now).then_some(self.burst_most),
         };
         self.chosen(&choice, ask);
         Ok(choice)
@@ -239,14 +294,14 @@
 
     pub(crate) fn note(&mut self, id: &str, ending: Ending, now: Millis) {
         if let Some(member) = self.members.get_mut(id) {
-            member.health.note(ending, now);
+            member.ended(ending, now);
         }
     }
 
     pub(crate) fn end(&mut self, id: &str, work: Work, ending: Ending, now: Millis) {
         if let Some(member) = self.members.get_mut(id) {
             member.own.end(work);
-            member.health.note(ending, now);
+            member.ended(ending, now);
         }
     }
 }
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -1,7 +1,9 @@
 //! Which server is chosen.
 
-use placement::{Ask, Budget, Choice, Ending, Load, Opinion, Part, Placement, Prompt, Reading, Refusal, Speed, Work};
-use routing::{Change, Directory, Engine, Kind, Route, Server, Service, Share, Table};
+use placement::{
+    Ask, Budget, Choice, Ending, InForce, Load, Opinion, Part, Placement, Prompt, Reading, Refusal, Speed, Work,
+};
+use routing::{Change, Directory, Engine, Evacuations, Kind, Route, Server, Service, Share, Table};
 use std::time::Duration;
 
 const MODEL: &str = "model";
@@ -15,11 +17,13 @@
 fn server(index: usize, hall: &str, draining: bool) -> Server {
     Server {
         id: format!("s{index}"),
+        name: format!("s{index}"),
         service: MODEL.to_owned(),
         address: format!("10.0.0.{}:80", index + 1).parse().expect("an address"),
         hall: hall.to_owned(),
         slots: 64,
         draining,
+        cold_ms: 0,
     }
 }
 
@@ -41,16 +45,21 @@
         shares: vec![Share { service: MODEL.to_owned(), weight: 1 }],
         attempts: 2,
         open: false,
+        homes: None,
     };
     let engine = Engine { slots: 64, memory_tokens: 500_000, token_bytes: 18_432, link_mbps: 100_000.0, stride: 4 };
-    Table::new(1, vec![route], vec![Service { name: MODEL.to_owned(), connections: 100, engine: Some(engine) }])
+    Table::new(
+        1,
+        vec![route],
+        vec![Service { name: MODEL.to_owned(), connections: 100, engine: Some(engine), cold: None }],
+    )
 }
 
 fn placement(servers: Vec<Server>) -> Placement {
     let mut placement = Placement::new("here", Budget::new(0.2, 50.0, 10_000));
     let mut directory = Directory::default();
     directory.apply(servers.into_iter().map(Change::Present).collect(), 1);
-    placement.update(&table(), &directory);
+    placement.update(&InForce { table: &table(), directory: &directory, evacuations: &Evacuations::default() }, 0);
     placement
 }
 
@@ -74,6 +83,8 @@
         urgency: 0,
         bytes: 17_000,
         tried,
+        denied: &[],
+        homes: [None, None],
         opinions,
         now,
     };
@@ -169,6 +180,8 @@
         urgency: 0,
         bytes: 0,
         tried: &[],
+        denied: &[],
+        homes: [None, None],
         opinions: &[],
         now: 0,
     };
@@ -208,6 +221,8 @@
         urgency: 0,
         bytes: 1_500,
         tried: &[],
+        denied: &[],
+        homes: [None, None],
         opinions,
         now: 1_000,
     }
@@ -325,7 +340,7 @@
     match placement.choose(&ask) {
         Ok(_) => None,
         Err(Refusal::Crowded { wait_ms }) => Some(wait_ms),
-        Err(Refusal::NoServer) => panic!("there are servers"),
+        Err(Refusal::NoServer | Refusal::Cold) => panic!("there are servers"),
     }
 }
 
@@ -423,6 +438,8 @@
         urgency: 0,
         bytes: 600,
         tried: &[],
+        denied: &[],
+        homes: [None, None],
         opinions: &[],
         now: 0,
     };
--- /dev/null
+++ b/crates/placement/tests/cold.rs
@@ -0,0 +1,283 @@
+//! Cold servers under the load that breaks them: all boxes of a fleet send at once what they held back, to servers that have
+//! just started. Summed over all boxes, no second brings one of them more than the platform allows.
+
+use placement::{
+    Allowance, Ask, Budget, Ending, InForce, News, Opinion, Owner, Part, Permit, Placement, Prompt, Question, Refusal,
+    Report, Work,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use routing::{Change, Cold, Directory, Engine, Evacuations, Server, Service, Table};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const MODEL: &str = "model";
+const BOXES: usize = 40;
+const SERVERS: usize = 12;
+
+/// What a cold server bears in a second, and what all boxes may send there in one.
+const PER_S: f64 = 5.2;
+const ALLOWED: f64 = PER_S * 1.5 + 5.0;
+
+/// Longest way of a message between boxes, and of a request to its server.
+const WAY_MOST: u64 = 60;
+
+fn server(index: usize, born: u64, cold_ms: u32) -> Server {
+    Server {
+        id: format!("s{index}@{born}"),
+        name: format!("s{index}"),
+        service: MODEL.to_owned(),
+        address: format!("10.0.0.{}:80", index + 1).parse().expect("an address"),
+        hall: format!("hall-{}", index % 2),
+        slots: 64,
+        draining: false,
+        cold_ms,
+    }
+}
+
+fn table() -> Table {
+    let engine = Engine { slots: 64, memory_tokens: 500_000, token_bytes: 18_432, link_mbps: 100_000.0, stride: 6 };
+    let cold = Some(Cold { time: Duration::from_secs(3), per_s: PER_S });
+    Table::new(1, Vec::new(), vec![Service { name: MODEL.to_owned(), connections: 800, engine: Some(engine), cold }])
+}
+
+fn directory(servers: Vec<Server>) -> Directory {
+    let mut directory = Directory::default();
+    directory.apply(servers.into_iter().map(Change::Present).collect(), 1);
+    directory
+}
+
+fn update(placement: &mut Placement, servers: Vec<Server>, evacuated: &[&str], now: u64) {
+    let halls = evacuated.iter().map(|hall| (*hall).to_owned()).collect();
+    let in_force =
+        InForce { table: &table(), directory: &directory(servers), evacuations: &Evacuations { revision: 1, halls } };
+    placement.update(&in_force, now);
+}
+
+fn placement() -> Placement {
+    Placement::new("hall-0", Budget::new(0.2, 50.0, 10_000)).with_allowance(Allowance { ratio: 1.5, slack: 5.0 })
+}
+
+fn prompt(shared: u64, own: u64) -> Prompt {
+    let parts = vec![Part { id: shared, tokens: 6_000 }, Part { id: own, tokens: 1_000 }];
+    Prompt { model: "m".to_owned(), tokens: 7_000, out_most: 60, out_hint: None, parts }
+}
+
+fn ask<'a>(prompt: &'a Prompt, opinions: &'a [(String, Opinion)], denied: &'a [String], now: u64) -> Ask<'a> {
+    Ask {
+        service: MODEL,
+        prompt: Some(prompt),
+        aim: Duration::from_millis(2_000),
+        gap_aim: None,
+        urgency: 0,
+        bytes: 10_000,
+        tried: &[],
+        denied,
+        homes: [None, None],
+        opinions,
+        now,
+    }
+}
+
+/// Boxes with one owner for each server, whose word some of them don't get.
+struct Fleet {
+    boxes: Vec<Placement>,
+    owner: Owner,
+    /// Boxes that no owner hears.
+    cut_off: usize,
+    rng: ChaCha8Rng,
+    numbers: u64,
+    /// When requests arrived at each server, by id.
+    arrived: BTreeMap<String, Vec<u64>>,
+    refused: usize,
+}
+
+impl Fleet {
+    fn new(seed: u64, cut_off: usize) -> Self {
+        let servers = || (0..SERVERS).map(|index| server(index, 1, 0)).collect();
+        let mut boxes = vec![placement(); BOXES];
+        boxes.iter_mut().for_each(|one| update(one, servers(), &[], 0));
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        Self { boxes, owner: Owner::default(), cut_off, rng, numbers: 0, arrived: BTreeMap::new(), refused: 0 }
+    }
+
+    fn number(&mut self) -> u64 {
+        self.numbers += 1;
+        self.numbers
+    }
+
+    fn opinions(&mut self, index: usize, prompt: &Prompt, now: u64) -> Vec<(String, Opinion)> {
+        let planned = self.boxes[index].plan(&ask(prompt, &[], &[], now), 9);
+        let mut opinions = Vec::new();
+        for server in planned {
+            let question =
+                Question { number: self.number(), server: server.id.clone(), parts: prompt.parts.clone(), gap_ms: 0 };
+            let opinion = self.owner.ask(question, now);
+            self.boxes[index].hear(MODEL, &server.id, opinion.clone(), now);
+            opinions.push((server.id.clone(), opinion));
+        }
+        opinions
+    }
+
+    /// One request at one box, as the program sends it.
+    fn request(&mut self, index: usize, now: u64) {
+        let (shared, own) = (self.rng.random_range(0..6), self.rng.random());
+        let prompt = prompt(shared, own);
+        let heard = index >= self.cut_off;
+        let opinions = if heard { self.opinions(index, &prompt, now) } else { Vec::new() };
+        let mut denied = Vec::new();
+        let choice = loop {
+            match self.boxes[index].choose(&ask(&prompt, &opinions, &denied, now)) {
+                Ok(choice) => {
+                    let Some(most) = choice.leave else { break choice };
+                    let permit = Permit { number: self.number(), server: choice.server.id.clone(), most };
+                    if heard && self.owner.permit(&permit, now) {
+                        break choice;
+                    }
+                    denied.push(choice.server.id.clone());
+                }
+                Err(Refusal::Cold) => {
+                    self.refused += 1;
+                    return;
+                }
+                Err(other) => panic!("{other:?}"),
+            }
+        };
+        let id = choice.server.id.clone();
+        let arrives = now + self.rng.random_range(0..=WAY_MOST);
+        self.arrived.entry(id.clone()).or_default().push(arrives);
+        if heard {
+            let permitted = choice.leave.is_some();
+            let news = News::Sent { parts: prompt.parts, work: Work::default(), memory: 300_000, permitted };
+            let from = SocketAddr::from(([10, 1, 0, index as u8], 80));
+            let number = self.number();
+            self.owner.report(from, Report { number, server: id.clone(), news }, now);
+            let over = News::Ended { ending: Ending::Good, pause_ms: 0 };
+            self.owner.report(from, Report { number, server: id, news: over }, now);
+        }
+    }
+
+    /// `rate` requests a second over all boxes.
+    fn run(&mut self, from: u64, until: u64, rate: f64) {
+        for now in from..until {
+            let mut due = rate / 1e3;
+            while due > 0.0 && self.rng.random_bool(due.min(1.0)) {
+                let index = self.rng.random_range(0..BOXES);
+                self.request(index, now);
+                due -= 1.0;
+            }
+        }
+    }
+
+    /// The most requests that any server got within one second.
+    fn most_in_a_second(&mut self) -> usize {
+        let mut most = 0;
+        for times in self.arrived.values_mut() {
+            times.sort_unstable();
+            for (first, at) in times.iter().enumerate() {
+                most = most.max(times[first..].iter().take_while(|later| **later < at + 1_000).count());
+            }
+        }
+        most
+    }
+}
+
+#[test]
+fn a_rush_onto_servers_that_all_have_just_started_stays_within_the_bound_for_cold_ones() {
+    for seed in 0..8 {
+        let mut fleet = Fleet::new(seed, 0);
+        for one in &mut fleet.boxes {
+            update(one, (0..SERVERS).map(|index| server(index, 2, 3_000)).collect(), &[], 1_000);
+        }
+        fleet.run(1_000, 3_900, 300.0);
+        let most = fleet.most_in_a_second();
+        assert!(most as f64 <= ALLOWED, "seed {seed}: {most} of {ALLOWED}");
+        let got: usize = fleet.arrived.values().map(Vec::len).sum();
+        assert!(got as f64 >= PER_S * 2.9 * SERVERS as f64, "seed {seed}: what they bear is used, {got}");
+        assert!(fleet.refused > 0, "what they don't bear is turned away");
+    }
+}
+
+#[test]
+fn boxes_that_hear_no_owner_send_nothing_to_cold_servers() {
+    for seed in 0..8 {
+        let mut fleet = Fleet::new(seed, BOXES / 2);
+        for one in &mut fleet.boxes {
+            update(one, (0..SERVERS).map(|index| server(index, 2, 3_000)).collect(), &[], 1_000);
+        }
+        fleet.run(1_000, 3_900, 400.0);
+        let most = fleet.most_in_a_second();
+        assert!(most as f64 <= ALLOWED, "seed {seed}: {most} of {ALLOWED}");
+    }
+}
+
+#[test]
+fn a_server_that_nobody_knows_to_be_cold_gets_no_burst_while_others_can_have_it() {
+    for seed in 0..8 {
+        // All are warm as far as the boxes know: 45 a second are four for each, though six shared parts are all there is.
+        let mut fleet = Fleet::new(seed, 0);
+        fleet.run(1_000, 5_000, 45.0);
+        let most = fleet.most_in_a_second();
+        assert!(most as f64 <= ALLOWED, "seed {seed}: {most} of {ALLOWED}");
+        assert_eq!(fleet.refused, 0, "warm servers turn nothing away");
+    }
+}
+
+#[test]
+fn servers_of_a_hall_that_is_given_back_are_taken_for_cold() {
+    let mut placement = placement();
+    let servers = || (0..2).map(|index| server(index, 1, 0)).collect();
+    update(&mut placement, servers(), &["hall-0"], 1_000);
+    let prompt = prompt(1, 2);
+    let during = placement.choose(&ask(&prompt, &[], &[], 1_500)).expect("the other hall's server");
+    assert_eq!((during.server.name.as_str(), during.leave), ("s1", None));
+    update(&mut placement, servers(), &[], 9_000);
+    let tried = ["s1@1".to_owned()];
+    let given_back = placement.choose(&Ask { tried: &tried, ..ask(&prompt, &[], &[], 9_100) }).expect("a server");
+    assert!(given_back.leave.is_some());
+    let warm = placement.choose(&Ask { tried: &tried, ..ask(&prompt, &[], &[], 12_100) }).expect("a server");
+    assert_eq!(warm.leave, None);
+    update(&mut placement, servers(), &["hall-0", "hall-1"], 20_000);
+    assert_eq!(placement.choose(&ask(&prompt, &[], &[], 20_001)).expect_err("no hall"), Refusal::NoServer);
+}
+
+#[test]
+fn a_server_that_broke_off_is_cold_until_some_time_after_its_next_answer() {
+    let mut placement = placement();
+    update(&mut placement, vec![server(0, 1, 0)], &[], 0);
+    let leave = |placement: &mut Placement, now: u64| {
+        placement.choose(&ask(&prompt(1, 2), &[], &[], now)).expect("a server").leave.is_some()
+    };
+    assert!(!leave(&mut placement, 10));
+    placement.note(MODEL, "s0@1", Ending::Broken, 20);
+    assert!(leave(&mut placement, 30) && leave(&mut placement, 60_000), "it may start again at any time");
+    placement.note(MODEL, "s0@1", Ending::Good, 60_000);
+    assert!(leave(&mut placement, 62_900));
+    assert!(!leave(&mut placement, 63_100));
+}
+
+#[test]
+fn what_a_former_life_did_says_nothing_of_the_next() {
+    let mut placement = placement();
+    update(&mut placement, vec![server(0, 1, 0)], &[], 0);
+    let known = prompt(1, 2);
+    placement.choose(&ask(&known, &[], &[], 10)).expect("a server");
+    placement.confirm(MODEL, "s0@1", &known);
+    placement.note(MODEL, "s0@1", Ending::Unreached, 20);
+    update(&mut placement, vec![server(0, 2, 0)], &[], 30);
+    let chosen = placement.choose(&ask(&prompt(1, 3), &[], &[], 40)).expect("it isn't paused");
+    assert_eq!((chosen.server.id.as_str(), chosen.leave), ("s0@2", None));
+    assert_eq!(chosen.load.running, 0);
+    // Late news of the former life change nothing.
+    placement.note(MODEL, "s0@1", Ending::Broken, 50);
+    assert_eq!(placement.choose(&ask(&prompt(1, 4), &[], &[], 60)).expect("a server").leave, None);
+    let mut owner = Owner::default();
+    let from = SocketAddr::from(([10, 1, 0, 1], 80));
+    let sent = News::Sent { parts: known.parts.clone(), work: Work::default(), memory: 100_000, permitted: false };
+    owner.report(from, Report { number: 1, server: "s0@1".to_owned(), news: sent }, 10);
+    owner.report(from, Report { number: 1, server: "s0@1".to_owned(), news: News::Read }, 40);
+    let asked = Question { number: 2, server: "s0@2".to_owned(), parts: known.parts, gap_ms: 0 };
+    let opinion = owner.ask(asked, 50);
+    assert_eq!((opinion.load.running, opinion.kept, opinion.read, opinion.arrivals), (0, 0, 0, 0));
+}
--- a/crates/placement/tests/owner.rs
+++ b/crates/placement/tests/owner.rs
@@ -27,7 +27,12 @@
 
 fn sent() -> News {
     let reading = Reading::last(10_500, 10_500, 6_000);
-    News::Sent { parts: parts(), work: Work { reading, held: 11_000, ..Work::default() }, memory: MEMORY }
+    News::Sent {
+        parts: parts(),
+        work: Work { reading, held: 11_000, ..Work::default() },
+        memory: MEMORY,
+        permitted: false,
+    }
 }
 
 #[test]
@@ -109,7 +114,7 @@
 }
 
 fn sent_with(work: Work) -> News {
-    News::Sent { parts: parts(), work, memory: MEMORY }
+    News::Sent { parts: parts(), work, memory: MEMORY, permitted: false }
 }
 
 #[test]
--- a/crates/placement/tests/split.rs
+++ b/crates/placement/tests/split.rs
@@ -1,10 +1,10 @@
 //! Engines divided between long prompts and the rest, under the load that asks for it: long prompts come faster than they
 //! are read, and quick answers beside them bear no long pause.
 
-use placement::{Ask, Budget, Ending, News, Owner, Part, Placement, Prompt, Question, Report};
+use placement::{Ask, Budget, Ending, InForce, News, Owner, Part, Placement, Prompt, Question, Report};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use routing::{Change, Directory, Engine, Kind, Route, Server, Service, Share, Table};
+use routing::{Change, Directory, Engine, Evacuations, Kind, Route, Server, Service, Share, Table};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -45,19 +45,26 @@
         shares: vec![Share { service: MODEL.to_owned(), weight: 1 }],
         attempts: 2,
         open: false,
+        homes: None,
     };
     let engine = Engine { slots: 32, memory_tokens: 500_000, token_bytes: 18_432, link_mbps: 100_000.0, stride: 8 };
-    Table::new(1, vec![route], vec![Service { name: MODEL.to_owned(), connections: 100, engine: Some(engine) }])
+    Table::new(
+        1,
+        vec![route],
+        vec![Service { name: MODEL.to_owned(), connections: 100, engine: Some(engine), cold: None }],
+    )
 }
 
 fn servers() -> Vec<Server> {
     let server = |index: usize| Server {
         id: format!("s{index}"),
+        name: format!("s{index}"),
         service: MODEL.to_owned(),
         address: format!("10.0.1.{}:80", index + 1).parse().expect("an address"),
         hall: format!("hall-{}", index % 4),
         slots: 32,
         draining: false,
+        cold_ms: 0,
     };
     (0..ENGINES).map(server).collect()
 }
@@ -116,7 +123,8 @@
         let mut placement = Placement::new("hall-0", Budget::new(0.2, 50.0, 10_000));
         let mut directory = Directory::default();
         directory.apply(servers().into_iter().map(Change::Present).collect(), 1);
-        placement.update(&table(gap), &directory);
+        let in_force = InForce { table: &table(gap), directory: &directory, evacuations: &Evacuations::default() };
+        placement.update(&in_force, 0);
         Self {
             placement,
             owner: Owner::default(),
@@ -160,6 +168,8 @@
             urgency: if quick { 0 } else { 3 },
             bytes: 1_000,
             tried: &[],
+            denied: &[],
+            homes: [None, None],
             opinions: &[],
             now,
         };
@@ -173,7 +183,7 @@
         }
         let Ok(choice) = self.placement.choose(&Ask { opinions: &opinions, ..ask }) else { return };
         let id = choice.server.id.clone();
-        let sent = News::Sent { parts: prompt.parts.clone(), work: choice.work, memory: 400_000 };
+        let sent = News::Sent { parts: prompt.parts.clone(), work: choice.work, memory: 400_000, permitted: false };
         self.owner.report(me(), Report { number: self.number, server: id.clone(), news: sent }, now);
         if !quick && now >= COUNT_FROM {
             self.readers.insert(id.clone());
--- a/crates/relay/src/advisor.rs
+++ b/crates/relay/src/advisor.rs
@@ -1,6 +1,6 @@
 //! The border towards the boxes that own servers.
 
-use placement::{Opinion, Question, Report};
+use placement::{Opinion, Permit, Question, Report};
 use routing::Server;
 use tokio::sync::oneshot;
 
@@ -9,6 +9,10 @@
     /// Asks the owner of `server`; none when nobody can be asked.
     fn ask(&self, server: &Server, question: Question) -> Option<oneshot::Receiver<Opinion>>;
 
+    /// Asks the owner of `server`, which is cold, for leave to send one request there; none when there is no box that may
+    /// give it. No other box's word counts.
+    fn permit(&self, server: &Server, permit: Permit) -> Option<oneshot::Receiver<bool>>;
+
     /// Reports a request to the owner of `server`. All reports of one lease go to the same box.
     fn report(&self, server: &Server, report: Report);
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -13,6 +13,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Largest answer that isn't a stream, in bytes: held whole, so that a broken one is never passed on.
 const ANSWER_MOST: usize = 32 << 20;
@@ -26,6 +27,8 @@
     Unreached(String),
     /// The server says that it did not run the request.
     NotRun(String),
+    /// Nothing left this box, since the leave for it was too old by the time of a connection.
+    Expired,
     /// Sent, and no usable answer: it may have run.
     Broken(String),
     /// The head of the answer.
@@ -74,7 +77,8 @@
         };
         if let Some(prompt) = prompt {
             let memory = shared.placement().memory(service);
-            claim.report(News::Sent { parts: prompt.parts.clone(), work, memory });
+            let permitted = choice.leave.is_some();
+            claim.report(News::Sent { parts: prompt.parts.clone(), work, memory, permitted });
         }
         claim
     }
@@ -131,6 +135,8 @@
     pub(crate) id: &'a str,
     pub(crate) parts: &'a request::Parts,
     pub(crate) body: &'a Bytes,
+    /// Until when it may leave this box, where a cold server's owner gave leave.
+    pub(crate) leave_until: Option<Instant>,
 }
 
 /// Sends a request and waits for the head of its answer. `under_way` becomes true before its first byte may leave this
@@ -149,6 +155,9 @@
             Ok(connection) => connection,
             Err(why) => return Sent::Unreached(why.to_string()),
         };
+        if message.leave_until.is_some_and(|until| Instant::now() > until) {
+            return Sent::Expired;
+        }
         under_way.set(true);
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
--- a/crates/relay/src/consult.rs
+++ b/crates/relay/src/consult.rs
@@ -1,7 +1,7 @@
 //! One question to the owner of a server.
 
 use crate::Shared;
-use placement::{Opinion, Prompt, Question};
+use placement::{Opinion, Permit, Prompt, Question};
 use routing::Server;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -33,3 +33,12 @@
         Some((self.server.id.clone(), opinion))
     }
 }
+
+/// Asks the owner of a cold server for leave to send one request there. Without the owner's word there is none.
+pub(crate) async fn leave(shared: &Shared, server: &Server, most: u32, until: Instant) -> bool {
+    let number = shared.numbers.fetch_add(1, Ordering::Relaxed);
+    let Some(answer) = shared.advisor.permit(server, Permit { number, server: server.id.clone(), most }) else {
+        return false;
+    };
+    matches!(tokio::time::timeout_at(until, answer).await, Ok(Ok(true)))
+}
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -23,8 +23,8 @@
 /// What this box tells a server with a request.
 #[derive(Clone, Debug)]
 pub struct Dispatch<'a> {
-    /// The server's life; another one at its address does not run the request.
-    pub life: &'a str,
+    /// What the server is called; another one at its address does not run the request.
+    pub name: &'a str,
     /// Name of the customer.
     pub customer: Option<&'a str>,
     /// How long the server may take.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -3,7 +3,7 @@
 use crate::answer::{self, strip_hop};
 use crate::attempt::{self, Answer, Claim, Message, Sent};
 use crate::connections::Connections;
-use crate::consult::Asked;
+use crate::consult::{self, Asked};
 use crate::dialect::{Call, Dispatch};
 use crate::outcome::Outcome;
 use crate::shared::Shared;
@@ -31,6 +31,9 @@
 /// that others have ended. Up to twice the time, by chance, so that those who were refused don't come back together.
 const CROWD_LEAST: Duration = Duration::from_secs(1);
 
+/// The same where all servers are cold: some of them are warm again within that, or their owners give leave.
+const COLD_LEAST: Duration = Duration::from_millis(600);
+
 /// Less time than this is not worth a send: the way to a server and back, and its shortest work.
 const TIME_LEAST: Duration = Duration::from_millis(8);
 
@@ -41,6 +44,10 @@
 /// Longest wait for owners. They are a few milliseconds away; a slow one must not make requests late.
 const OPINION_MOST: Duration = Duration::from_millis(25);
 
+/// Longest time from a cold server's owner's leave to the send: the span in which the owner counts arrivals is longer than
+/// a second by twice this, the rest being for the way.
+const LEAVE_MOST: Duration = Duration::from_millis(100);
+
 /// How many aims long a server of repeatable requests may be silent before another is asked: the longest work on the
 /// users' sheets takes one and a half.
 const SILENT_AIMS: u32 = 3;
@@ -64,6 +71,8 @@
     pub(crate) sends: u32,
     /// Sends that found no server.
     pub(crate) unreached: usize,
+    /// Until when the send that was last claimed may leave this box; none where the server isn't cold.
+    pub(crate) leave_until: Option<Instant>,
     /// True when a send that has ended may have run.
     pub(crate) may_have_run: bool,
     /// True while the last send may run or have run. Stands beside `may_have_run`, since a send that is dropped when the
@@ -152,14 +161,29 @@
     /// Chooses a server, and claims a place there.
     pub(crate) async fn choose(&mut self) -> Result<(Choice, Claim), Refusal> {
         let opinions = self.consult().await;
-        let ask = self.ask(&opinions);
-        let choice = self.shared.placement().choose(&ask)?;
+        let mut denied = Vec::new();
+        loop {
+            let choice = self.shared.placement().choose(&self.ask(&opinions, &denied))?;
+            let leave_until = Instant::now() + LEAVE_MOST;
+            let Some(most) = choice.leave else {
+                return Ok(self.claim(choice, None));
+            };
+            if consult::leave(&self.shared, &choice.server, most, Instant::now() + OPINION_MOST).await {
+                return Ok(self.claim(choice, Some(leave_until)));
+            }
+            denied.push(choice.server.id.clone());
+        }
+    }
+
+    /// Takes a place at the chosen server.
+    fn claim(&mut self, choice: Choice, leave_until: Option<Instant>) -> (Choice, Claim) {
+        self.leave_until = leave_until;
         self.log_choice(&choice);
         let claim = Claim::new(&self.shared, &self.service, &choice, self.call.prompt.as_ref());
-        Ok((choice, claim))
+        (choice, claim)
     }
 
-    fn ask<'a>(&'a self, opinions: &'a [(String, Opinion)]) -> Ask<'a> {
+    fn ask<'a>(&'a self, opinions: &'a [(String, Opinion)], denied: &'a [String]) -> Ask<'a> {
         Ask {
             service: &self.service,
             prompt: self.call.prompt.as_ref(),
@@ -168,6 +192,8 @@
             urgency: self.urgency(),
             bytes: self.body.len(),
             tried: &self.tried,
+            denied,
+            homes: [self.route.homes.as_ref(), self.customer.as_ref().and_then(|customer| customer.homes.as_ref())],
             opinions,
             now: self.shared.now(),
         }
@@ -176,7 +202,7 @@
     /// Asks the owners of the likeliest servers; nobody for requests that are no prompts.
     async fn consult(&self) -> Vec<(String, Opinion)> {
         let Some(prompt) = &self.call.prompt else { return Vec::new() };
-        let planned = self.shared.placement().plan(&self.ask(&[]), OWNERS_ASKED);
+        let planned = self.shared.placement().plan(&self.ask(&[], &[]), OWNERS_ASKED);
         let gap_ms = self.route.gap_aim.map_or(0, |gap| gap.as_millis() as u32);
         let asked: Vec<Asked> =
             planned.iter().filter_map(|server| Asked::new(&self.shared, server, prompt, gap_ms)).collect();
@@ -230,14 +256,15 @@
         let _ = write!(self.trail, " +{at}:{}@{}", server.id, server.address);
         self.tried.push(server.id.clone());
         let dispatch = Dispatch {
-            life: &server.id,
+            name: &server.name,
             customer: self.customer.as_ref().map(|c| c.name.as_str()),
             time: self.deadline.saturating_duration_since(Instant::now()),
             urgency: self.call.prompt.as_ref().map(|_| self.urgency()),
             fetch: choice.fetch,
             last_event,
         };
-        let message = Message { id: &self.call.id, parts: &self.parts, body: &self.body };
+        let leave_until = self.leave_until;
+        let message = Message { id: &self.call.id, parts: &self.parts, body: &self.body, leave_until };
         attempt::send(&self.shared, &self.connections, &server, &message, &dispatch, &self.under_way).await
     }
 
@@ -288,11 +315,12 @@
             Sent::Unreached(why) => (Ending::Unreached, why),
             Sent::NotRun(why) => (Ending::NotRun, why),
             Sent::Broken(why) => (Ending::Broken, why),
+            Sent::Expired => (Ending::Left, "no connection within the leave".to_owned()),
             Sent::Answer(_) => (Ending::Broken, "an answer out of place".to_owned()),
         };
         let _ = write!(self.trail, "={ending:?}({why})");
         claim.ended(ending);
-        if ending == Ending::Unreached {
+        if matches!(ending, Ending::Unreached | Ending::Left) {
             self.unreached += 1;
             return if self.unreached <= UNREACHED_MOST && self.time_left() { Next::Again } else { Next::GiveUp };
         }
@@ -344,6 +372,10 @@
         }
         match refusal {
             Refusal::NoServer => self.refuse("no server"),
+            Refusal::Cold => {
+                let after = COLD_LEAST.mul_f64(rand::rng().random_range(1.0..2.0));
+                self.refuse_until("all servers are cold", after)
+            }
             Refusal::Crowded { wait_ms } => {
                 let _ = write!(self.trail, "crowded, {wait_ms:.0} ms to a place");
                 let wait = Duration::from_secs_f64(wait_ms / 1e3) + CROWD_LEAST;
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -112,7 +112,8 @@
         loop {
             tokio::time::sleep(PRUNE_EVERY).await;
             let view = self.shared.view();
-            self.connections.prune(|life| view.directory.servers.contains_key(life));
+            let lives = view.directory.lives();
+            self.connections.prune(|life| lives.contains(life));
         }
     }
 
@@ -238,6 +239,7 @@
             tried: Vec::new(),
             sends: 0,
             unreached: 0,
+            leave_until: None,
             may_have_run: false,
             under_way: Cell::default(),
             concluded: false,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -1,8 +1,8 @@
 //! What the traffic threads and the control thread share.
 
 use crate::{Advisor, Dialect};
-use placement::{Millis, Placement};
-use routing::{Directory, Table};
+use placement::{InForce, Millis, Placement};
+use routing::{Directory, Evacuations, Table};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Instant;
@@ -14,6 +14,8 @@
     pub table: Option<Arc<Table>>,
     /// The servers.
     pub directory: Arc<Directory>,
+    /// The halls whose servers are to get nothing.
+    pub evacuations: Evacuations,
 }
 
 /// State of one box that all its threads see.
@@ -63,7 +65,8 @@
     /// Puts a configuration and servers in force.
     pub fn set_view(&self, view: View) {
         if let Some(table) = &view.table {
-            self.placement().update(table, &view.directory);
+            let in_force = InForce { table, directory: &view.directory, evacuations: &view.evacuations };
+            self.placement().update(&in_force, self.now());
         }
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
     }
--- a/crates/routing/src/customer.rs
+++ b/crates/routing/src/customer.rs
@@ -1,5 +1,7 @@
 //! Who sends requests.
 
+use crate::Homes;
+
 /// A customer, found by one of its keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Customer {
@@ -7,4 +9,6 @@
     pub name: String,
     /// Rank of its requests, 0 first; none when only the route's counts.
     pub priority: Option<u8>,
+    /// Regions in which its requests may run; none where any will do. A route's own bind as well.
+    pub homes: Option<Homes>,
 }
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -2,7 +2,7 @@
 
 use crate::Server;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
 
 /// One difference between two revisions of a directory.
@@ -10,9 +10,11 @@
 pub enum Change {
     /// The server is there, as given.
     Present(Server),
-    /// The server with this id has left.
+    /// The server with this name has left.
     Gone(String),
-    /// The entry of the server with this id went while the publisher was away: it may have lapsed only because the server
+    /// The entry with this name is none of a server's that may be used, whatever it was before.
+    Foreign(String),
+    /// The entry of the server with this name went while the publisher was away: it may have lapsed only because the server
     /// could not renew it, and then comes back soon.
     Lapsed(String),
 }
@@ -22,9 +24,11 @@
 pub struct Directory {
     /// The publisher's revision; never falls within a life of the process.
     pub revision: u64,
-    /// Servers by id.
+    /// Servers by name: one life of each.
     pub servers: BTreeMap<String, Arc<Server>>,
-    /// Ids of those whose entries lapsed while the publisher was away. Each is in `servers`, and not draining.
+    /// Names of entries that say of no server that it may be used. None of them is in `servers`.
+    pub foreign: BTreeSet<String>,
+    /// Names of those whose entries lapsed while the publisher was away. Each is in `servers`, and not draining.
     pub lapsed: BTreeSet<String>,
 }
 
@@ -35,8 +39,9 @@
         for change in changes {
             changed |= match change {
                 Change::Present(server) => self.put(server),
-                Change::Gone(id) => self.remove(&id),
-                Change::Lapsed(id) => self.lapse(id),
+                Change::Gone(name) => self.remove(&name),
+                Change::Foreign(name) => self.reject(name),
+                Change::Lapsed(name) => self.lapse(name),
             };
         }
         self.revision = self.revision.max(revision);
@@ -45,40 +50,68 @@
 
     /// Keeps what `former` has and this, read after the publisher was away, lacks.
     pub fn lapse_missing(&mut self, former: &Self) {
-        for (id, server) in &former.servers {
-            if !server.draining && !self.servers.contains_key(id) {
-                self.servers.insert(id.clone(), Arc::clone(server));
-                self.lapsed.insert(id.clone());
+        for (name, server) in &former.servers {
+            let listed = self.servers.contains_key(name) || self.foreign.contains(name);
+            if !server.draining && !listed {
+                self.servers.insert(name.clone(), Arc::clone(server));
+                self.lapsed.insert(name.clone());
             }
         }
     }
 
+    /// The changes that make this list of `former`.
+    #[must_use]
+    pub fn since(&self, former: &Self) -> Vec<Change> {
+        let old = |name: &String| former.servers.get(name);
+        let present = self.servers.iter().filter(|(name, server)| old(name) != Some(server));
+        let put = present.map(|(_, server)| Change::Present(Server::clone(server)));
+        let lapsed = self.lapsed.difference(&former.lapsed).map(|name| Change::Lapsed(name.clone()));
+        let foreign = self.foreign.difference(&former.foreign).map(|name| Change::Foreign(name.clone()));
+        let listed = |name: &&String| !self.servers.contains_key(*name) && !self.foreign.contains(*name);
+        let gone = former.servers.keys().chain(&former.foreign).filter(listed);
+        put.chain(lapsed).chain(foreign).chain(gone.map(|name| Change::Gone(name.clone()))).collect()
+    }
+
+    /// The ids of all lives that are listed.
+    #[must_use]
+    pub fn lives(&self) -> HashSet<&str> {
+        self.servers.values().map(|server| server.id.as_str()).collect()
+    }
+
     /// Takes a lapsed server for gone. False when it isn't lapsed.
-    pub fn expire(&mut self, id: &str) -> bool {
-        self.lapsed.contains(id) && self.remove(id)
+    pub fn expire(&mut self, name: &str) -> bool {
+        self.lapsed.contains(name) && self.remove(name)
     }
 
-    fn remove(&mut self, id: &str) -> bool {
-        self.lapsed.remove(id);
-        self.servers.remove(id).is_some()
+    fn remove(&mut self, name: &str) -> bool {
+        self.lapsed.remove(name);
+        self.foreign.remove(name);
+        self.servers.remove(name).is_some()
+    }
+
+    fn reject(&mut self, name: String) -> bool {
+        let changed = self.remove(&name);
+        self.foreign.insert(name);
+        changed
     }
 
-    fn lapse(&mut self, id: String) -> bool {
-        match self.servers.get(&id) {
+    fn lapse(&mut self, name: String) -> bool {
+        match self.servers.get(&name) {
             Some(server) if !server.draining => {
-                self.lapsed.insert(id);
+                self.lapsed.insert(name);
                 false
             }
-            _ => self.remove(&id),
+            _ => self.remove(&name),
         }
     }
 
     fn put(&mut self, server: Server) -> bool {
-        self.lapsed.remove(&server.id);
-        if self.servers.get(&server.id).is_some_and(|old| **old == server) {
+        self.lapsed.remove(&server.name);
+        self.foreign.remove(&server.name);
+        if self.servers.get(&server.name).is_some_and(|old| **old == server) {
             return false;
         }
-        self.servers.insert(server.id.clone(), Arc::new(server));
+        self.servers.insert(server.name.clone(), Arc::new(server));
         true
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod customer;
 mod directory;
+mod evacuations;
+mod homes;
 mod kind;
 mod limits;
 mod publisher;
@@ -17,11 +19,13 @@
 
 pub use customer::Customer;
 pub use directory::{Change, Directory};
+pub use evacuations::Evacuations;
+pub use homes::{Homes, Regions};
 pub use kind::Kind;
 pub use limits::Limits;
-pub use publisher::{Freshness, Publisher, Subject, Trouble, Update};
+pub use publisher::{Freshness, Orders, Publisher, Subject, Trouble, Update};
 pub use rank::{rank, rank_address};
 pub use route::{Route, Share};
 pub use server::Server;
-pub use service::{Engine, Service};
+pub use service::{Cold, Engine, Service};
 pub use table::{Access, Table};
--- a/crates/routing/src/publisher.rs
+++ b/crates/routing/src/publisher.rs
@@ -1,14 +1,14 @@
 //! The border towards whatever publishes the configuration and the servers.
 
-use crate::{Change, Directory, Table};
+use crate::{Change, Directory, Evacuations, Table};
 use async_trait::async_trait;
 use std::time::Duration;
 
 /// What is read and watched.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Subject {
-    /// The configuration.
-    Table,
+    /// What operators order: the configuration, and which halls are evacuated.
+    Orders,
     /// The servers.
     Directory,
 }
@@ -22,6 +22,15 @@
     Stale,
 }
 
+/// What operators have ordered.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Orders {
+    /// The configuration as published; none while there is none.
+    pub table: Option<Vec<u8>>,
+    /// The evacuated halls, and the publisher's revision at which all this was the newest.
+    pub evacuations: Evacuations,
+}
+
 /// What a watch brought.
 #[derive(Clone, Debug, Default)]
 pub struct Update {
@@ -29,6 +38,8 @@
     pub revision: u64,
     /// The newest configuration as published, if it changed.
     pub table: Option<Vec<u8>>,
+    /// Halls that are evacuated from now on (true) or no more, in order.
+    pub evacuations: Vec<(String, bool)>,
     /// What became of servers, in order.
     pub changes: Vec<Change>,
 }
@@ -62,11 +73,11 @@
 /// Publishes the configuration and the servers; can only be read.
 #[async_trait(?Send)]
 pub trait Publisher {
-    /// The configuration as published and its revision; none while there is none.
+    /// What operators have ordered.
     ///
     /// # Errors
     /// [`Trouble`] when nothing usable came.
-    async fn table(&self, freshness: Freshness) -> Result<Option<(u64, Vec<u8>)>, Trouble>;
+    async fn orders(&self, freshness: Freshness) -> Result<Orders, Trouble>;
 
     /// All servers.
     ///
--- a/crates/routing/src/route.rs
+++ b/crates/routing/src/route.rs
@@ -1,6 +1,6 @@
 //! One route.
 
-use crate::{Customer, Kind};
+use crate::{Customer, Homes, Kind};
 use std::time::Duration;
 
 /// Lowest urgency that an engine knows.
@@ -43,6 +43,8 @@
     pub attempts: u32,
     /// True when no key is asked for.
     pub open: bool,
+    /// Regions in which its requests may run; none where any will do. A customer's own bind as well.
+    pub homes: Option<Homes>,
 }
 
 impl Route {
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -8,6 +8,8 @@
 pub struct Server {
     /// Names this life; never used again.
     pub id: String,
+    /// What the server itself and its entry are called. A later life may have the same name.
+    pub name: String,
     /// The service it belongs to.
     pub service: String,
     /// Where it listens. After its end another service's server may listen there.
@@ -18,4 +20,6 @@
     pub slots: u32,
     /// True when it takes no new work.
     pub draining: bool,
+    /// How much longer it was slow when its entry was written, in milliseconds; 0 when it wasn't.
+    pub cold_ms: u32,
 }
--- a/crates/routing/src/service.rs
+++ b/crates/routing/src/service.rs
@@ -1,5 +1,7 @@
 //! One service.
 
+use std::time::Duration;
+
 /// What is known of a model server pool's engines. From the published configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
@@ -15,6 +17,15 @@
     pub stride: u32,
 }
 
+/// What a server bears that has just started, or has turned cold again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// How long it stays cold.
+    pub time: Duration,
+    /// Requests a second that it bears meanwhile; above 0.
+    pub per_s: f64,
+}
+
 /// A group of servers of which each can answer the same requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -24,4 +35,6 @@
     pub connections: u32,
     /// Present when its servers are model engines.
     pub engine: Option<Engine>,
+    /// What its servers bear while they are cold; none where a cold server bears what others do.
+    pub cold: Option<Cold>,
 }
--- a/crates/routing/tests/directory.rs
+++ b/crates/routing/tests/directory.rs
@@ -1,15 +1,17 @@
 //! What becomes of the list of servers.
 
-use routing::{Change, Directory, Server};
+use routing::{Change, Directory, Evacuations, Server};
 
 fn server(id: &str, draining: bool) -> Change {
     Change::Present(Server {
         id: id.to_owned(),
+        name: id.to_owned(),
         service: "api".to_owned(),
         address: "10.0.0.1:80".parse().expect("an address"),
         hall: "hall".to_owned(),
         slots: 4,
         draining,
+        cold_ms: 0,
     })
 }
 
@@ -51,3 +53,60 @@
     read.apply(vec![Change::Gone("a".to_owned())], 10);
     assert_eq!((read.servers.len(), read.lapsed.len()), (1, 0));
 }
+
+#[test]
+fn a_foreign_entry_ends_what_had_its_name_and_does_not_lapse() {
+    let mut directory = Directory::default();
+    directory.apply(vec![server("a", false), server("b", false)], 5);
+    assert!(directory.apply(vec![Change::Foreign("a".to_owned())], 6));
+    assert_eq!(directory.servers.keys().collect::<Vec<_>>(), ["b"]);
+    let mut read = Directory::default();
+    read.apply(vec![Change::Foreign("b".to_owned())], 7);
+    read.lapse_missing(&directory);
+    assert!(read.servers.is_empty(), "what is there in another's hand has not lapsed");
+    assert!(read.apply(vec![server("b", false)], 8));
+    assert!(read.foreign.is_empty());
+}
+
+#[test]
+fn the_changes_since_a_former_list_make_the_new_one_of_it() {
+    let mut former = Directory::default();
+    former.apply(vec![server("a", false), server("b", false), server("c", false), server("d", false)], 5);
+    former.apply(vec![Change::Foreign("x".to_owned()), Change::Foreign("y".to_owned())], 5);
+    let mut newer = Directory::default();
+    newer.apply(vec![server("a", false), server("b", true), server("y", false)], 9);
+    newer.apply(vec![Change::Foreign("c".to_owned())], 9);
+    newer.lapse_missing(&former);
+    assert_eq!(newer.lapsed.iter().collect::<Vec<_>>(), ["d"]);
+    let changes = newer.since(&former);
+    assert_eq!(changes.len(), 5, "what is the same isn't told: {changes:?}");
+    former.apply(changes, newer.revision);
+    assert_eq!(former, newer);
+}
+
+#[test]
+fn another_life_replaces_the_one_that_had_its_name() {
+    let life = |id: &str| {
+        let Change::Present(server) = server("a", false) else { unreachable!() };
+        Change::Present(Server { id: id.to_owned(), ..server })
+    };
+    let mut directory = Directory::default();
+    directory.apply(vec![life("a@1")], 5);
+    assert!(directory.apply(vec![life("a@2")], 6));
+    assert_eq!(directory.lives().into_iter().collect::<Vec<_>>(), ["a@2"]);
+}
+
+#[test]
+fn evacuations_of_an_older_revision_change_nothing() {
+    let halls = |revision: u64, halls: &[&str]| Evacuations {
+        revision,
+        halls: halls.iter().map(|hall| (*hall).to_owned()).collect(),
+    };
+    let mut known = Evacuations::default();
+    assert!(known.take(halls(5, &["a", "b"])));
+    assert!(!known.take(halls(4, &[])));
+    assert!(!known.take(halls(7, &["a", "b"])), "the same halls");
+    assert!(known.take(halls(8, &["b"])));
+    assert!(!known.take(halls(7, &["a", "b"])));
+    assert_eq!(known, halls(8, &["b"]));
+}
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -16,6 +16,7 @@
         shares: vec![Share { service: "api".to_owned(), weight: 1 }],
         attempts: 1,
         open: false,
+        homes: None,
     }
 }
 
@@ -59,7 +60,7 @@
     let open = Route { open: true, ..route("open", "a.example", "/o/") };
     let without = Table::new(1, vec![closed.clone()], Vec::new());
     assert_eq!(without.access(&closed, None), Access::Granted(None));
-    let customer = Customer { name: "lender".to_owned(), priority: Some(1) };
+    let customer = Customer { name: "lender".to_owned(), priority: Some(1), homes: None };
     let with = without.with_customers(vec![(customer.clone(), vec!["k1".to_owned(), "k2".to_owned()])]);
     assert_eq!(with.access(&closed, None), Access::Denied);
     assert_eq!(with.access(&closed, Some("k3")), Access::Denied);
@@ -70,7 +71,7 @@
 #[test]
 fn no_customer_makes_a_routes_requests_less_urgent_than_those_of_a_lower_rank() {
     let of_rank = |priority| Route { priority, ..route("r", "a.example", "/") };
-    let customer = |priority| Customer { name: "c".to_owned(), priority };
+    let customer = |priority| Customer { name: "c".to_owned(), priority, homes: None };
     for rank in 0..=2 {
         let urgencies = |rank| {
             let route = of_rank(rank);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -70,6 +70,8 @@
     SettingsReloaded = 207, Info;
     /// Settings that were read again have faults; the former ones stay.
     SettingsRefused = 208, Error;
+    /// Other halls are evacuated than before.
+    HallsEvacuated = 209, Info;
     /// A peer is reachable.
     PeerAlive = 300, Info;
     /// A peer does not answer probes.
