Lists of servers are told by what differs

Cause: a watcher sent its whole list, some hundred bytes a server, to every box of its hall, and any box whose list was older asked for all of it each 300 ms: 100 boxes times 300 KB fill a link of 10 Mbit/s for 25 s, and a configuration waits behind it. Ruled out: a history of changes at each box (a box that has just started has none to answer from). Change: both lists are cut in 64 parts by a hash of names; who asks tells a digest of each, and gets the parts that differ, deflated. A list that was read anew spreads as the changes it brings.

--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -5,7 +5,7 @@
 use flate2::Compression;
 use peers::Holding;
 use relay::{Shared, View};
-use routing::{Change, Directory, Evacuations, Publisher, Table};
+use routing::{Change, Digests, Directory, Evacuations, Excerpt, Publisher, Table};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::{Read, Write};
@@ -36,6 +36,7 @@
     Table,
     /// Heartbeats carry these.
     Evacuations,
+    /// A first list of servers: heartbeats say that it is there.
     Directory,
     Changes {
         since: u64,
@@ -167,11 +168,43 @@
             directory.lapse_missing(&state.directory);
         }
         let changed = directory.servers != state.directory.servers;
-        state.directory = directory;
+        let former = std::mem::replace(&mut state.directory, directory);
         state.note_lapses();
-        if changed {
-            self.servers_changed(&state, origin);
-            self.tell(&mut state, News::Directory);
+        if !changed {
+            return;
+        }
+        self.servers_changed(&state, origin);
+        let news = if former.revision == 0 {
+            News::Directory
+        } else {
+            let (since, until) = (former.revision, state.directory.revision);
+            News::Changes { since, until, changes: state.directory.since(&former) }
+        };
+        self.tell(&mut state, news);
+    }
+
+    /// What the list of servers with these digests lacks of this box's, packed; none where this box's isn't newer.
+    pub(super) fn excerpt(&self, theirs: &Digests) -> Option<Vec<u8>> {
+        let excerpt = self.state.borrow().directory.excerpt(theirs)?;
+        let bytes = bincode::serde::encode_to_vec(&excerpt, bincode::config::standard());
+        // Plain values can be encoded.
+        Some(pack(&bytes.ok()?))
+    }
+
+    /// Takes what this box's list of servers lacked, as another box packed it.
+    pub(super) fn offer_excerpt(&self, packed: &[u8]) {
+        let excerpt = unpack(packed).map_err(|why| why.to_string()).and_then(|bytes| {
+            let read = bincode::serde::decode_from_slice(&bytes, bincode::config::standard());
+            read.map(|(excerpt, _): (Excerpt, usize)| excerpt).map_err(|why| why.to_string())
+        });
+        match excerpt {
+            Ok(excerpt) => {
+                let list = self.state.borrow().directory.with(excerpt);
+                // Made for what this box has no more: the next heartbeat leads to another question.
+                let Some(list) = list else { return };
+                self.offer_directory(list, Origin::Peer, false);
+            }
+            Err(why) => telemetry::emit(Event::ReleaseRefused, format_args!("from=Peer why=\"{why}\"")),
         }
     }
 
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -155,8 +155,14 @@
                         self.send(to, &Envelope::Peers(Message::Table(bytes.to_vec())));
                     }
                 }
-                Action::SendDirectory(to) => {
-                    self.send(to, &Envelope::Peers(Message::Directory(self.knowledge.directory())));
+                Action::AskDirectory(to) => {
+                    let digests = self.knowledge.directory().digests();
+                    self.send(to, &Envelope::Peers(Message::Lacking(digests)));
+                }
+                Action::SendDirectory(to, digests) => {
+                    if let Some(packed) = self.knowledge.excerpt(&digests) {
+                        self.send(to, &Envelope::Peers(Message::Excerpt(packed)));
+                    }
                 }
                 Action::Watch(watching) => {
                     telemetry::emit(Event::WatchRole, format_args!("watching={watching}"));
@@ -165,7 +171,7 @@
                 Action::Table(packed) => self.knowledge.offer_packed(&packed),
                 Action::TableUntil(revision) => self.knowledge.table_stands(revision),
                 Action::Evacuations(evacuations) => self.knowledge.offer_evacuations(evacuations, Origin::Peer),
-                Action::Directory(directory) => self.knowledge.offer_directory(directory, Origin::Peer, false),
+                Action::Excerpt(packed) => self.knowledge.offer_excerpt(&packed),
                 Action::Changes(changes, until) => self.knowledge.offer_changes(changes, until, Origin::Peer),
             }
         }
@@ -188,9 +194,8 @@
 fn spread(peers: &Peers, news: &News) -> Vec<Action> {
     match news {
         News::Table => peers.spread_table(),
-        // The next heartbeat, which is due at once, tells of them.
-        News::Evacuations => Vec::new(),
-        News::Directory => peers.spread_directory(),
+        // The next heartbeat tells of them; it is due at once where other halls are evacuated.
+        News::Evacuations | News::Directory => Vec::new(),
         News::Changes { since, until, changes } => peers.spread_changes(*since, *until, changes),
     }
 }
--- a/crates/peers/src/action.rs
+++ b/crates/peers/src/action.rs
@@ -1,7 +1,7 @@
 //! What the state machine asks for.
 
 use crate::Message;
-use routing::{Change, Directory, Evacuations};
+use routing::{Change, Digests, Evacuations};
 use std::net::SocketAddr;
 
 /// Something to carry out.
@@ -11,8 +11,10 @@
     Send(SocketAddr, Message),
     /// Send the configuration as published.
     SendTable(SocketAddr),
-    /// Send the list of servers.
-    SendDirectory(SocketAddr),
+    /// Ask for what this box's list of servers lacks.
+    AskDirectory(SocketAddr),
+    /// Send what a list of servers lacks.
+    SendDirectory(SocketAddr, Digests),
     /// Begin or end to watch the publisher.
     Watch(bool),
     /// A peer sent a configuration.
@@ -21,8 +23,8 @@
     TableUntil(u64),
     /// A peer told which halls are evacuated.
     Evacuations(Evacuations),
-    /// A peer sent a list of servers.
-    Directory(Directory),
+    /// A peer sent what this box's list of servers lacked, packed.
+    Excerpt(Vec<u8>),
     /// A peer told what became of servers, on top of the revision that this box has.
     Changes(Vec<Change>, u64),
 }
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -1,6 +1,6 @@
 //! What boxes say to each other.
 
-use routing::{Change, Directory, Evacuations};
+use routing::{Change, Digests, Evacuations};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -65,8 +65,10 @@
     Members(Vec<(SocketAddr, Profile)>),
     /// A configuration as published.
     Table(Vec<u8>),
-    /// A whole list of servers.
-    Directory(Directory),
+    /// Asks for what the sender's list of servers lacks.
+    Lacking(Digests),
+    /// The answer, packed: parts of a list of servers.
+    Excerpt(Vec<u8>),
     /// What became of servers after revision `since`, up to `until`.
     Changes {
         /// Revision that these changes build upon.
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::member::Member;
 use crate::{Action, Heartbeat, Message, Millis, Profile, Subject};
-use routing::{rank_address, Change, Directory, Evacuations};
+use routing::{rank_address, Change, Evacuations};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -204,7 +204,8 @@
             Message::Want(subject) => self.give(from, subject, &mut actions),
             Message::Members(members) => self.meet(members, now),
             Message::Table(bytes) => actions.push(Action::Table(bytes)),
-            Message::Directory(directory) => self.take_directory(directory, &mut actions),
+            Message::Lacking(digests) => actions.push(Action::SendDirectory(from, digests)),
+            Message::Excerpt(packed) => actions.push(Action::Excerpt(packed)),
             Message::Changes { since, until, changes } => {
                 self.take_changes(from, since, until, changes, now, &mut actions);
             }
@@ -232,12 +233,6 @@
         self.hall_members().map(|to| Action::Send(to, message.clone())).collect()
     }
 
-    /// A whole new list of servers came.
-    #[must_use]
-    pub fn spread_directory(&self) -> Vec<Action> {
-        self.hall_members().map(Action::SendDirectory).collect()
-    }
-
     /// This box stops by plan: others no longer rely on it.
     #[must_use]
     pub fn leave(&self) -> Vec<Action> {
@@ -430,14 +425,18 @@
         let last = self.wanted.get(&(subject as u8)).copied();
         if last.is_none_or(|at| now >= at + WANT_EVERY) {
             self.wanted.insert(subject as u8, now);
-            actions.push(Action::Send(from, Message::Want(subject)));
+            actions.push(match subject {
+                Subject::Directory => Action::AskDirectory(from),
+                Subject::Table | Subject::Members => Action::Send(from, Message::Want(subject)),
+            });
         }
     }
 
     fn give(&self, to: SocketAddr, subject: Subject, actions: &mut Vec<Action>) {
         actions.push(match subject {
             Subject::Table => Action::SendTable(to),
-            Subject::Directory => Action::SendDirectory(to),
+            // Asked for with digests, in a message of its own.
+            Subject::Directory => return,
             Subject::Members => Action::Send(to, Message::Members(self.list())),
         });
     }
@@ -450,12 +449,6 @@
         }
     }
 
-    fn take_directory(&mut self, directory: Directory, actions: &mut Vec<Action>) {
-        if directory.revision > self.holding.directory {
-            actions.push(Action::Directory(directory));
-        }
-    }
-
     fn take_changes(
         &mut self,
         from: SocketAddr,
--- a/crates/peers/tests/heartbeat.rs
+++ b/crates/peers/tests/heartbeat.rs
@@ -67,7 +67,7 @@
         10,
     );
     assert!(asks.contains(&Action::Send(address(1), Message::Want(Subject::Table))), "{asks:?}");
-    assert!(asks.contains(&Action::Send(address(1), Message::Want(Subject::Directory))), "{asks:?}");
+    assert!(asks.contains(&Action::AskDirectory(address(1))), "{asks:?}");
 }
 
 #[test]
--- a/crates/peers/tests/world.rs
+++ b/crates/peers/tests/world.rs
@@ -146,17 +146,24 @@
                     let version = one.holding.table.to_string().into_bytes();
                     self.post(me, to, Message::Table(version));
                 }
-                Action::SendDirectory(to) => {
-                    let directory = Directory { revision: one.holding.directory, ..Directory::default() };
-                    self.post(me, to, Message::Directory(directory));
+                Action::AskDirectory(to) => {
+                    let list = Directory { revision: one.holding.directory, ..Directory::default() };
+                    self.post(me, to, Message::Lacking(list.digests()));
+                }
+                Action::SendDirectory(to, digests) => {
+                    let revision = one.holding.directory;
+                    if revision > digests.revision {
+                        self.post(me, to, Message::Excerpt(revision.to_string().into_bytes()));
+                    }
                 }
                 Action::Watch(watching) => one.watching = watching,
                 Action::Table(bytes) => {
                     let version: u64 = String::from_utf8(bytes).expect("text").parse().expect("a version");
                     one.holding.table = one.holding.table.max(version);
                 }
-                Action::Directory(directory) => {
-                    one.holding.directory = one.holding.directory.max(directory.revision);
+                Action::Excerpt(bytes) => {
+                    let revision: u64 = String::from_utf8(bytes).expect("text").parse().expect("a revision");
+                    one.holding.directory = one.holding.directory.max(revision);
                 }
                 Action::Evacuations(newer) => drop(one.holding.evacuations.take(newer)),
                 Action::Changes(_, until) => one.holding.directory = one.holding.directory.max(until),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod customer;
 mod directory;
 mod evacuations;
+mod excerpt;
 mod homes;
 mod kind;
 mod limits;
@@ -20,6 +21,7 @@
 pub use customer::Customer;
 pub use directory::{Change, Directory};
 pub use evacuations::Evacuations;
+pub use excerpt::{Digests, Excerpt};
 pub use homes::{Homes, Regions};
 pub use kind::Kind;
 pub use limits::Limits;
--- a/crates/routing/tests/directory.rs
+++ b/crates/routing/tests/directory.rs
@@ -110,3 +110,25 @@
     assert!(!known.take(halls(7, &["a", "b"])));
     assert_eq!(known, halls(8, &["b"]));
 }
+
+/// A list of so many servers at a revision; those below `changed` are draining.
+fn list(count: usize, changed: usize, revision: u64) -> Directory {
+    let mut list = Directory::default();
+    list.apply((0..count).map(|index| server(&format!("i-{index:010x}"), index < changed)).collect(), revision);
+    list
+}
+
+#[test]
+fn an_excerpt_makes_an_older_list_the_newer_one() {
+    for (known, changed) in [(0, 0), (3_000, 1), (2_900, 30), (3_000, 3_000), (3_100, 5)] {
+        let older = list(known, 0, 5);
+        let mut newer = list(3_000, changed, 9);
+        newer.apply(vec![Change::Foreign("odd".to_owned()), Change::Lapsed(format!("i-{:010x}", 2_999))], 9);
+        let excerpt = newer.excerpt(&older.digests()).expect("it is newer");
+        assert_eq!(older.with(excerpt.clone()).expect("made for it"), newer);
+        let mut moved_on = older.clone();
+        moved_on.apply(Vec::new(), 6);
+        assert_eq!(moved_on.with(excerpt), None, "made for what it was before");
+        assert_eq!(older.excerpt(&newer.digests()), None);
+    }
+}
