Each shared part has a register of who read it, so that it is fetched and not read again

Change: the server that ranks first for a part, however a box divides the engines, has an owner that is asked anyway; it is told by who reads the part elsewhere and tells up to three of them.

--- a/crates/cleatshelf/src/router/advice.rs
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -217,6 +217,7 @@
                 }
                 owner
             }
+            News::Elsewhere { .. } => state.owner_of(server, now),
             News::Read | News::Late => state.leases.get(&report.number).copied(),
             News::Ended { .. } => state.leases.remove(&report.number),
         };
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod ask;
 mod budget;
+mod elsewhere;
 mod ends;
 mod fit;
 mod harm;
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -4,6 +4,7 @@
 //! sent, which parts of prompts were read, and how sends ended. It answers at once and holds nothing back;
 //! a box that gets no answer goes by what it knows itself.
 
+use crate::elsewhere::Elsewhere;
 use crate::ends::Ends;
 use crate::rate::Rate;
 use crate::stalls::Stalls;
@@ -60,6 +61,9 @@
     pub arrivals: u32,
     /// Whether it may have started again.
     pub broke: Break,
+    /// Other servers that read the prompt's last shared part, the last one first; for parts whose register is kept with
+    /// this server.
+    pub elsewhere: Vec<String>,
 }
 
 /// Asks the owner of a cold server for leave to send one request there.
@@ -100,6 +104,13 @@
     },
     /// Its prompt has been read.
     Read,
+    /// Another server has read a part whose register is kept with this server. Belongs to no lease.
+    Elsewhere {
+        /// Id of the part.
+        part: u64,
+        /// Id of the server that has read it.
+        by: String,
+    },
     /// A pause between its events has made it late.
     Late,
     /// The send has ended.
@@ -145,6 +156,7 @@
     /// When requests were sent there within about the last second, in order.
     arrivals: VecDeque<Millis>,
     breaks: Breaks,
+    elsewhere: Elsewhere,
     /// By asking box and number. The sum of their works is `load`.
     leases: HashMap<(SocketAddr, u64), Lease>,
 }
@@ -173,6 +185,7 @@
             short_reading: owned.short_reading.share(now),
             arrivals: owned.arrivals(now),
             broke: owned.breaks.told(now),
+            elsewhere: shared_last(&question.parts).map_or_else(Vec::new, |part| owned.elsewhere.servers(part)),
         }
     }
 
@@ -200,6 +213,7 @@
                 owned.begin(key, parts, work, memory, now);
             }
             News::Read => owned.read(&key, now),
+            News::Elsewhere { part, by } => owned.elsewhere.note(part, by),
             News::Late => owned.late(&key),
             News::Ended { ending, pause_ms } => owned.end(&key, ending, pause_ms, now),
         }
@@ -211,6 +225,11 @@
     }
 }
 
+/// Id of the last part that requests may share: the last of all is a request's own.
+fn shared_last(parts: &[Part]) -> Option<u64> {
+    parts.iter().rev().nth(1).map(|part| part.id)
+}
+
 impl Owned {
     /// Requests that were sent there within about the last second.
     fn arrivals(&mut self, now: Millis) -> u32 {
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -179,10 +179,40 @@
         let read = |m: &Member| m.kept.read_prefix(shared).max(ask.opinion(&m.server.id).map_or(0, |o| o.read));
         let members = self.members.values().filter(|m| !m.paused(ask.now) && ask.at_home(m.region.as_deref()));
         let best = members.max_by_key(|m| read(m))?;
-        let tokens = read(best).min(ask.prompt?.shared_tokens());
+        let all = ask.prompt?.shared_tokens();
+        let tokens = read(best).min(all);
+        if tokens < all {
+            if let Some(member) = self.registered(ask) {
+                return Some(Source { member, tokens: all });
+            }
+        }
         (tokens > 0).then_some(Source { member: best, tokens })
     }
 
+    /// A server that read the prompt's last shared part, by the part's register.
+    fn registered(&self, ask: &Ask<'_>) -> Option<&Member> {
+        let ids = ask.opinions.iter().flat_map(|(_, opinion)| &opinion.elsewhere);
+        let usable = |m: &&Member| !m.paused(ask.now) && ask.at_home(m.region.as_deref());
+        ids.filter_map(|id| self.members.get(id)).find(usable)
+    }
+
+    /// The server whose owner keeps the register of the prompt's last shared part: the same for every box, however it divides
+    /// the engines.
+    fn register(&self, prompt: &Prompt, now: Millis) -> Option<(&Member, u64)> {
+        let part = prompt.shared().last()?.id;
+        let open = self.members.values().filter(|member| !member.standing(now).closed());
+        open.max_by_key(|member| routing::rank(part, &member.server.id)).map(|member| (member, part))
+    }
+
+    /// The register to be told of a choice: of one that reads or fetches shared parts away from there.
+    fn told(&self, best: &Candidate<'_>, ask: &Ask<'_>) -> Option<(Arc<Server>, u64)> {
+        let prompt = ask.prompt.filter(|prompt| prompt.shared_tokens() >= FETCH_LEAST)?;
+        let own = u64::from(prompt.tokens.saturating_sub(prompt.shared_tokens()));
+        let (register, part) = self.register(prompt, ask.now)?;
+        let brings = best.fetch || best.work.reading.tokens > own;
+        (brings && register.server.id != best.member.server.id).then(|| (Arc::clone(&register.server), part))
+    }
+
     /// Takes what the owner of a server said.
     pub(crate) fn hear(&mut self, id: &str, opinion: Opinion, now: Millis) {
         if let Some(member) = self.members.get_mut(id) {
@@ -250,6 +280,7 @@
             expected: best.expected,
             load: best.member.load(ask.now).clone(),
             candidates: among.len(),
+            register: self.told(best, ask),
             leave: best.member.cold(ask.now).then_some(self.burst_most),
         };
         self.chosen(&choice, ask);
--- /dev/null
+++ b/crates/placement/tests/register.rs
@@ -0,0 +1,115 @@
+//! Shared parts that were read away from their home, as happens when a burst of long prompts finds the home full: the next
+//! box that needs them fetches them and does not have them read again.
+
+use placement::{
+    Ask, Budget, Choice, InForce, Load, News, Opinion, Owner, Part, Placement, Prompt, Question, Reading, Report,
+};
+use routing::{Change, Directory, Engine, Evacuations, Server, Service, Table};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const MODEL: &str = "model";
+const SERVERS: usize = 40;
+
+fn placement() -> Placement {
+    let mut placement = Placement::new("hall-0", Budget::new(0.2, 50.0, 10_000));
+    let mut directory = Directory::default();
+    let server = |index: usize| Server {
+        id: format!("s{index}"),
+        name: format!("s{index}"),
+        service: MODEL.to_owned(),
+        address: format!("10.0.0.{}:80", index + 1).parse().expect("an address"),
+        hall: format!("hall-{}", index % 2),
+        slots: 64,
+        draining: false,
+        cold_ms: 0,
+    };
+    directory.apply((0..SERVERS).map(|index| Change::Present(server(index))).collect(), 1);
+    let engine = Engine { slots: 64, memory_tokens: 500_000, token_bytes: 18_432, link_mbps: 100_000.0, stride: 6 };
+    let service = Service { name: MODEL.to_owned(), connections: 800, engine: Some(engine), cold: None };
+    let table = Table::new(1, Vec::new(), vec![service]);
+    placement.update(&InForce { table: &table, directory: &directory, evacuations: &Evacuations::default() }, 0);
+    placement
+}
+
+fn prompt(shared: u64, own: u64) -> Prompt {
+    let parts = vec![Part { id: shared, tokens: 13_000 }, Part { id: own, tokens: 3_000 }];
+    Prompt { model: "m".to_owned(), tokens: 16_000, out_most: 100, out_hint: None, parts }
+}
+
+/// A box's question to the owners of nine servers, of which the first five, that are asked for the prompt's parts, have their hands full, and its choice.
+fn choose(one: &mut Placement, owner: &mut Owner, prompt: &Prompt, now: u64) -> Choice {
+    let ask = |opinions| Ask {
+        service: MODEL,
+        prompt: Some(prompt),
+        aim: Duration::from_millis(2_500),
+        gap_aim: None,
+        urgency: 2,
+        bytes: 17_000,
+        tried: &[],
+        denied: &[],
+        homes: [None, None],
+        opinions,
+        now,
+    };
+    let planned = one.plan(&ask(&[]), 9);
+    let mut opinions = Vec::new();
+    for (place, server) in planned.iter().enumerate() {
+        let question = Question { number: 1, server: server.id.clone(), parts: prompt.parts.clone(), gap_ms: 0 };
+        let mut opinion = owner.ask(question, now);
+        if place < 5 {
+            let reading = Reading { tokens: 4_000_000, ..Reading::default() };
+            opinion.load = Load { running: 60, reading, ..Load::default() };
+        }
+        one.hear(MODEL, &server.id, opinion.clone(), now);
+        opinions.push((server.id.clone(), opinion));
+    }
+    one.choose(&ask(&opinions)).expect("a server")
+}
+
+#[test]
+fn a_part_read_away_from_its_home_is_fetched_by_the_next_box() {
+    let mut again = 0;
+    for shared in 0..50 {
+        let (mut owner, mut first_box, mut other_box) = (Owner::default(), placement(), placement());
+        let first = choose(&mut first_box, &mut owner, &prompt(shared, 1_000), 0);
+        let from = SocketAddr::from(([10, 1, 0, 1], 80));
+        let tell = |owner: &mut Owner, number: u64, server: &str, news: News| {
+            owner.report(from, Report { number, server: server.to_owned(), news }, 100);
+        };
+        let prompt_sent = prompt(shared, 1_000);
+        let sent = News::Sent { parts: prompt_sent.parts, work: first.work, memory: 400_000, permitted: false };
+        tell(&mut owner, 1, &first.server.id, sent);
+        tell(&mut owner, 1, &first.server.id, News::Read);
+        if let Some((register, part)) = &first.register {
+            assert_eq!(*part, shared);
+            tell(&mut owner, 2, &register.id, News::Elsewhere { part: *part, by: first.server.id.clone() });
+        }
+        let next = choose(&mut other_box, &mut owner, &prompt(shared, 2_000), 200);
+        let reads = next.work.reading.tokens > 3_000;
+        again += usize::from(reads);
+        if next.fetch.is_some() {
+            assert_eq!(next.fetch, Some(first.server.address));
+        }
+    }
+    assert_eq!(again, 0, "of 50 parts are read again");
+}
+
+#[test]
+fn a_register_remembers_the_last_readers_of_a_part_and_no_others() {
+    let mut owner = Owner::default();
+    let from = SocketAddr::from(([10, 1, 0, 1], 80));
+    for reader in ["a", "b", "c", "a", "d"] {
+        let news = News::Elsewhere { part: 7, by: reader.to_owned() };
+        owner.report(from, Report { number: 0, server: "s".to_owned(), news }, 0);
+    }
+    let mut elsewhere = |parts: &[u64]| {
+        let parts = parts.iter().map(|id| Part { id: *id, tokens: 5_000 }).collect();
+        let question = Question { number: 1, server: "s".to_owned(), parts, gap_ms: 0 };
+        let Opinion { elsewhere, .. } = owner.ask(question, 1);
+        elsewhere
+    };
+    assert_eq!(elsewhere(&[7, 100]), ["d", "a", "c"]);
+    assert!(elsewhere(&[8, 100]).is_empty(), "another part");
+    assert!(elsewhere(&[7]).is_empty(), "a request's own part is nobody else's");
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -55,6 +55,8 @@
     /// Longest pause between two events, in milliseconds.
     pause_ms: u32,
     ending: Ending,
+    /// Whose owner is told once the prompt has been read, and of which part.
+    register: Option<(Arc<Server>, u64)>,
     /// Names the request to the server's owner; none for requests that are no prompts.
     lease: Option<u64>,
 }
@@ -73,6 +75,7 @@
             late: false,
             pause_ms: 0,
             ending: Ending::Left,
+            register: choice.register.clone(),
             lease: prompt.map(|_| shared.numbers.fetch_add(1, Ordering::Relaxed)),
         };
         if let Some(prompt) = prompt {
@@ -89,6 +92,7 @@
         if first {
             self.shared.placement().read(&self.service, &self.server.id, self.work);
             self.report(News::Read);
+            self.tell_register();
         }
         first
     }
@@ -103,6 +107,15 @@
         }
     }
 
+    /// Tells where a part was read that others may look for.
+    fn tell_register(&mut self) {
+        if let Some((register, part)) = self.register.take() {
+            let news = News::Elsewhere { part, by: self.server.id.clone() };
+            let report = Report { number: 0, server: register.id.clone(), news };
+            self.shared.advisor.report(&register, report);
+        }
+    }
+
     fn report(&self, news: News) {
         if let Some(number) = self.lease {
             let report = Report { number, server: self.server.id.clone(), news };
