After a start of all boxes few watch, and lists of boxes are short

Each message between boxes copied the list of all boxes, each list of boxes told every hall's name again, and was asked for each 300 ms until it agreed; each change copied the list of servers two or three times. Ruled out: the store (without processor time all boxes serve within 0.5 s of the kill). Change: a box that says that it has no list yet counts as a watcher for 2 s; boxes are told by hall, and asked for each 1.5 s at most; placement and owners hear of boxes when they changed; the list of servers is shared, not copied, between control and traffic. Test: peers/tests/heartbeat.rs, a box that reads its first list is waited for, one that is turned away is not.

--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -60,7 +60,7 @@
     table: Option<(Arc<Table>, Rc<Vec<u8>>)>,
     /// Revision of the publisher at which that configuration was still the newest; 0 when this is not known.
     table_until: u64,
-    directory: Directory,
+    directory: Arc<Directory>,
     evacuations: Evacuations,
     /// When each of the lapsed servers was noticed.
     lapsed: HashMap<String, Instant>,
@@ -168,7 +168,7 @@
             directory.lapse_missing(&state.directory);
         }
         let changed = directory.servers != state.directory.servers;
-        let former = std::mem::replace(&mut state.directory, directory);
+        let former = std::mem::replace(&mut state.directory, Arc::new(directory));
         state.note_lapses();
         if !changed {
             return;
@@ -212,7 +212,7 @@
     pub(super) fn offer_changes(&self, changes: Vec<Change>, until: u64, origin: Origin) {
         let mut state = self.state.borrow_mut();
         let since = state.directory.revision;
-        let changed = state.directory.apply(changes.clone(), until);
+        let changed = Arc::make_mut(&mut state.directory).apply(changes.clone(), until);
         state.note_lapses();
         if changed {
             self.servers_changed(&state, origin);
@@ -229,7 +229,7 @@
             return;
         }
         for id in &over {
-            state.directory.expire(id);
+            Arc::make_mut(&mut state.directory).expire(id);
         }
         state.note_lapses();
         self.servers_changed(&state, Origin::Lapse);
@@ -258,7 +258,7 @@
     fn put_in_force(&self, state: &State) {
         let table = state.table.as_ref().map(|(table, _)| Arc::clone(table));
         let evacuations = state.evacuations.clone();
-        self.shared.set_view(View { table, directory: Arc::new(state.directory.clone()), evacuations });
+        self.shared.set_view(View { table, directory: Arc::clone(&state.directory), evacuations });
     }
 
     /// Notes that the publisher or a watcher was heard.
@@ -285,8 +285,8 @@
     }
 
     /// The servers known.
-    pub(super) fn directory(&self) -> Directory {
-        self.state.borrow().directory.clone()
+    pub(super) fn directory(&self) -> Arc<Directory> {
+        Arc::clone(&self.state.borrow().directory)
     }
 }
 
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -6,7 +6,7 @@
 use peers::{Action, Message, Peers};
 use relay::Shared;
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -37,6 +37,8 @@
     links: RefCell<HashMap<SocketAddr, Link<Envelope>>>,
     watching: watch::Sender<bool>,
     advice: Arc<Advice>,
+    /// Which boxes, and whether they were settled, placement and advice were told of last.
+    taken: Cell<Option<(u64, bool)>>,
 }
 
 /// What a peering is made of.
@@ -65,6 +67,7 @@
             links: RefCell::default(),
             watching: parts.watching,
             advice: parts.advice,
+            taken: Cell::default(),
         })
     }
 
@@ -137,11 +140,6 @@
         self.carry_out(actions);
     }
 
-    /// Boxes known, this one included.
-    pub(super) fn boxes(&self) -> usize {
-        self.peers.borrow().boxes()
-    }
-
     pub(super) fn set_seeds(&self, seeds: &[SocketAddr]) {
         self.peers.borrow_mut().set_seeds(seeds);
     }
@@ -176,8 +174,17 @@
             }
         }
         self.peers.borrow_mut().hold(self.knowledge.holding());
-        self.shared.placement().set_boxes(self.boxes());
+        self.take_boxes();
+    }
+
+    /// Tells placement and advice of the boxes known, where others are known than before.
+    fn take_boxes(&self) {
         let peers = self.peers.borrow();
+        let now = (peers.generation(), peers.settled());
+        if self.taken.replace(Some(now)) == Some(now) {
+            return;
+        }
+        self.shared.placement().set_boxes(peers.boxes());
         self.advice.set_boxes(peers.list(), peers.settled());
     }
 
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,11 +10,13 @@
 mod member;
 mod message;
 mod peers;
+mod roster;
 mod silence;
 
 pub use action::Action;
 pub use message::{Heartbeat, Message, Profile, Subject};
 pub use peers::{Holding, Peers};
+pub use roster::Roster;
 pub use silence::Silence;
 
 /// Milliseconds of a clock that never goes back.
--- a/crates/peers/src/member.rs
+++ b/crates/peers/src/member.rs
@@ -11,12 +11,14 @@
     pub(crate) heard: Millis,
     /// When its last heartbeat came: it watches or tries to.
     pub(crate) tried: Option<Millis>,
+    /// When its first heartbeat came that told of no list of servers, until one does: it reads its first list.
+    pub(crate) begins: Option<Millis>,
     /// When it last said that it watches; none when it doesn't, or hasn't said so.
     pub(crate) watched: Option<Millis>,
 }
 
 impl Member {
     pub(crate) fn new(profile: &Profile, now: Millis) -> Self {
-        Self { profile: profile.clone(), heard: now, tried: None, watched: None }
+        Self { profile: profile.clone(), heard: now, tried: None, begins: None, watched: None }
     }
 }
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -1,8 +1,8 @@
 //! What boxes say to each other.
 
+use crate::Roster;
 use routing::{Change, Digests, Evacuations};
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
 
 /// What may be asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -61,8 +61,8 @@
     Heartbeat(Heartbeat),
     /// Asks for what the receiver has.
     Want(Subject),
-    /// Boxes by address.
-    Members(Vec<(SocketAddr, Profile)>),
+    /// Boxes that the sender knows.
+    Members(Roster),
     /// A configuration as published.
     Table(Vec<u8>),
     /// Asks for what the sender's list of servers lacks.
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -1,7 +1,7 @@
 //! The state machine.
 
 use crate::member::Member;
-use crate::{Action, Heartbeat, Message, Millis, Profile, Subject};
+use crate::{Action, Heartbeat, Message, Millis, Profile, Roster, Subject};
 use routing::{rank_address, Change, Evacuations};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -43,6 +43,10 @@
 /// others begin with doesn't listen.
 const LISTEN: Millis = 600;
 
+/// How long a box counts as a watcher that has not read its first list yet: 3,000 servers take half a core 1.5 s. Without this
+/// all of a hall's boxes begin to watch while the first of them reads.
+const FIRST_LIST_MOST: Millis = 2_000;
+
 /// What a box must be able to do for each newcomer a second that it tells of its knowledge, since most then ask for it:
 /// thousandths of a core or tenths of Mbit/s. At 30 kB each it spends at most a quarter of its link on them.
 const CAPACITY_PER_WELCOME: u32 = 10;
@@ -50,6 +54,10 @@
 /// Pause between two questions for the same thing.
 const WANT_EVERY: Millis = 300;
 
+/// The same for the boxes known: a list for each of some hundred boxes fills a small link while all start, and nothing waits
+/// for it.
+const MEMBERS_EVERY: Millis = 1_500;
+
 /// How new this box's knowledge is.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Holding {
@@ -73,6 +81,10 @@
     first: bool,
     /// Other boxes by the address where they listen for boxes. Never holds this box.
     members: BTreeMap<SocketAddr, Member>,
+    /// Rises whenever `members` may have changed.
+    generation: u64,
+    /// Digest of `members` and this box.
+    digest: u32,
     holding: Holding,
     /// True while this box watches the publisher, or tries to.
     watching: bool,
@@ -103,6 +115,8 @@
             seeds: seeds.iter().copied().filter(|seed| *seed != me).collect(),
             first: seeds.iter().all(|seed| *seed == me) || seeds.contains(&me),
             members: BTreeMap::new(),
+            generation: 0,
+            digest: rank_address(0, &me) as u32,
             holding: Holding::default(),
             watching: false,
             reached: false,
@@ -141,6 +155,12 @@
         self.settled || (self.seeds.is_empty() && self.members.is_empty())
     }
 
+    /// Rises whenever the boxes known may have changed.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// True while this box watches the publisher, or tries to.
     #[must_use]
     pub fn watching(&self) -> bool {
@@ -202,7 +222,7 @@
             }
             Message::Heartbeat(beat) => self.take_heartbeat(from, beat, now, &mut actions),
             Message::Want(subject) => self.give(from, subject, &mut actions),
-            Message::Members(members) => self.meet(members, now),
+            Message::Members(roster) => self.meet(roster, now),
             Message::Table(bytes) => actions.push(Action::Table(bytes)),
             Message::Lacking(digests) => actions.push(Action::SendDirectory(from, digests)),
             Message::Excerpt(packed) => actions.push(Action::Excerpt(packed)),
@@ -213,6 +233,7 @@
                 if let Some(member) = self.members.get_mut(&from) {
                     member.watched = None;
                     member.tried = None;
+                    member.begins = None;
                     member.heard = 0;
                 }
             }
@@ -257,6 +278,11 @@
         self.lately(member.watched, now)
     }
 
+    /// True for a box that is about to watch: it reads its first list.
+    fn heard_beginning(&self, member: &Member, now: Millis) -> bool {
+        member.begins.is_some_and(|at| now <= at + FIRST_LIST_MOST) && self.lately(member.tried, now)
+    }
+
     /// True when no more heartbeats are missing since then than may be lost.
     fn lately(&self, at: Option<Millis>, now: Millis) -> bool {
         let longest = self.beat_every() * (BEATS_LOST + 1);
@@ -281,7 +307,8 @@
 
     fn decide(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let mine = self.members.iter().filter(|(_, m)| m.profile.hall == self.profile.hall);
-        let heard = mine.clone().filter(|(_, m)| self.heard_watching(m, now)).count();
+        let relied = |m: &Member| self.heard_watching(m, now) || self.heard_beginning(m, now);
+        let heard = mine.clone().filter(|(_, m)| relied(m)).count();
         let before = mine.clone().filter(|(a, m)| self.goes_before(a, m) && self.heard_watching(m, now)).count();
         let place = mine.filter(|(a, m)| self.goes_before(a, m)).count();
         if self.watching {
@@ -316,7 +343,7 @@
             table_until: self.holding.table_until,
             directory: self.holding.directory,
             evacuations: self.holding.evacuations.clone(),
-            members: self.digest(),
+            members: self.digest,
         });
         let all = self.beats.is_multiple_of(SILENT_BEATS);
         for (address, member) in &self.members {
@@ -368,7 +395,8 @@
         if !known {
             member.profile = profile.clone();
             self.beat_at = 0;
-            actions.push(Action::Send(from, Message::Members(self.list())));
+            self.roster_changed();
+            actions.push(Action::Send(from, Message::Members(Roster::of(self.list()))));
         }
         !known
     }
@@ -402,13 +430,14 @@
         if let Some(member) = self.members.get_mut(&from) {
             member.tried = Some(now);
             member.watched = beat.watches.then_some(now);
+            member.begins = if beat.directory == 0 { member.begins.or(Some(now)) } else { None };
         }
         self.take_holdings(from, beat.table, beat.directory, now, actions);
         if beat.table == self.holding.table && beat.table_until > self.holding.table_until {
             actions.push(Action::TableUntil(beat.table_until));
         }
         self.take_evacuations(beat.evacuations, actions);
-        if beat.members == self.digest() {
+        if beat.members == self.digest {
             self.settled = true;
         } else {
             self.want(from, Subject::Members, now, actions);
@@ -423,7 +452,8 @@
 
     fn want(&mut self, from: SocketAddr, subject: Subject, now: Millis, actions: &mut Vec<Action>) {
         let last = self.wanted.get(&(subject as u8)).copied();
-        if last.is_none_or(|at| now >= at + WANT_EVERY) {
+        let pause = if subject == Subject::Members { MEMBERS_EVERY } else { WANT_EVERY };
+        if last.is_none_or(|at| now >= at + pause) {
             self.wanted.insert(subject as u8, now);
             actions.push(match subject {
                 Subject::Directory => Action::AskDirectory(from),
@@ -437,16 +467,15 @@
             Subject::Table => Action::SendTable(to),
             // Asked for with digests, in a message of its own.
             Subject::Directory => return,
-            Subject::Members => Action::Send(to, Message::Members(self.list())),
+            Subject::Members => Action::Send(to, Message::Members(Roster::of(self.list()))),
         });
     }
 
-    fn meet(&mut self, members: Vec<(SocketAddr, Profile)>, now: Millis) {
-        for (address, profile) in members {
-            if address != self.me {
-                self.members.entry(address).or_insert_with(|| Member::new(&profile, now));
-            }
+    fn meet(&mut self, roster: Roster, now: Millis) {
+        for (address, profile) in roster.boxes().filter(|(address, _)| *address != self.me) {
+            self.members.entry(address).or_insert_with(|| Member::new(&profile, now));
         }
+        self.roster_changed();
     }
 
     fn take_changes(
@@ -468,9 +497,11 @@
         }
     }
 
-    /// Equal for equal sets of boxes, whoever computes it.
-    fn digest(&self) -> u32 {
+    /// Notes that other boxes are known, or that they said other things of themselves.
+    fn roster_changed(&mut self) {
+        self.generation += 1;
+        // Equal for equal sets of boxes, whoever computes it.
         let hash = |address: &SocketAddr| rank_address(0, address) as u32;
-        self.members.keys().chain([&self.me]).map(hash).fold(0, u32::wrapping_add)
+        self.digest = self.members.keys().chain([&self.me]).map(hash).fold(0, u32::wrapping_add);
     }
 }
--- /dev/null
+++ b/crates/peers/src/roster.rs
@@ -0,0 +1,30 @@
+//! The boxes that one box knows, as they are told.
+
+use crate::Profile;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Boxes by hall. A hall's name is told once: with 300 boxes a list takes 3 KB and not 8, and each box that starts gets one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster(BTreeMap<String, Vec<(SocketAddr, u32)>>);
+
+impl Roster {
+    /// The roster of these boxes.
+    #[must_use]
+    pub fn of(boxes: impl IntoIterator<Item = (SocketAddr, Profile)>) -> Self {
+        let mut halls: BTreeMap<String, Vec<(SocketAddr, u32)>> = BTreeMap::new();
+        for (address, profile) in boxes {
+            halls.entry(profile.hall).or_default().push((address, profile.capacity));
+        }
+        Self(halls)
+    }
+
+    /// The boxes.
+    pub fn boxes(self) -> impl Iterator<Item = (SocketAddr, Profile)> {
+        self.0.into_iter().flat_map(|(hall, boxes)| {
+            let profile = move |(address, capacity)| (address, Profile { hall: hall.clone(), capacity });
+            boxes.into_iter().map(profile)
+        })
+    }
+}
--- a/crates/peers/tests/heartbeat.rs
+++ b/crates/peers/tests/heartbeat.rs
@@ -92,3 +92,31 @@
         assert_eq!(watches(&later), !first, "after a while without a word it watches by itself");
     }
 }
+
+#[test]
+fn a_box_that_reads_its_first_list_is_waited_for_and_one_that_is_turned_away_is_not() {
+    // With a list, and without one.
+    for (directory, waits) in [(9, false), (0, true)] {
+        let mut peers = Peers::new(address(1), profile(), &[address(2)]);
+        let mut watches = |now: u64, beat: bool| {
+            let holding = Holding { directory, ..Holding::default() };
+            if beat {
+                let beat = Heartbeat {
+                    profile: profile(),
+                    watches: false,
+                    table: 0,
+                    table_until: 0,
+                    directory: holding.directory,
+                    evacuations: Evacuations::default(),
+                    members: 0,
+                };
+                peers.handle(address(2), Message::Heartbeat(beat), now);
+            }
+            peers.tick(now).contains(&Action::Watch(true))
+        };
+        let early = (0..20).any(|step| watches(step * 100, step % 4 == 0));
+        assert_eq!(early, !waits, "within two seconds");
+        let later = (20..40).any(|step| watches(step * 100, step % 4 == 0));
+        assert!(early || later, "not for ever");
+    }
+}
