A first list of servers is asked for once while it may be on its way

Change: the next question for a first list comes after 2.5 s; for differences it stays at 300 ms. Test: peers/tests/heartbeat.rs.

--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -54,6 +54,10 @@
 /// Pause between two questions for the same thing.
 const WANT_EVERY: Millis = 300;
 
+/// The same for a first list of servers: some tens of kilobytes for each of a hundred boxes take a small link seconds, and
+/// whoever asks again meanwhile gets all of it twice.
+const FIRST_LIST_EVERY: Millis = 2_500;
+
 /// The same for the boxes known: a list for each of some hundred boxes fills a small link while all start, and nothing waits
 /// for it.
 const MEMBERS_EVERY: Millis = 1_500;
@@ -452,7 +456,11 @@
 
     fn want(&mut self, from: SocketAddr, subject: Subject, now: Millis, actions: &mut Vec<Action>) {
         let last = self.wanted.get(&(subject as u8)).copied();
-        let pause = if subject == Subject::Members { MEMBERS_EVERY } else { WANT_EVERY };
+        let pause = match subject {
+            Subject::Members => MEMBERS_EVERY,
+            Subject::Directory if self.holding.directory == 0 => FIRST_LIST_EVERY,
+            Subject::Directory | Subject::Table => WANT_EVERY,
+        };
         if last.is_none_or(|at| now >= at + pause) {
             self.wanted.insert(subject as u8, now);
             actions.push(match subject {
--- a/crates/peers/tests/heartbeat.rs
+++ b/crates/peers/tests/heartbeat.rs
@@ -120,3 +120,18 @@
         assert!(early || later, "not for ever");
     }
 }
+
+#[test]
+fn a_first_list_is_asked_for_once_while_it_may_be_on_its_way_and_differences_soon_again() {
+    for (directory, most) in [(0, 1), (5, 7)] {
+        let mut peers = Peers::new(address(1), profile(), &[address(2)]);
+        peers.hold(Holding { directory, ..Holding::default() });
+        let mut asked = 0;
+        for now in (0..2_000).step_by(100) {
+            let welcome = Message::Welcome { table: 0, directory: 9, evacuations: Evacuations::default() };
+            let actions = peers.handle(address(2), welcome, now);
+            asked += actions.iter().filter(|action| matches!(action, Action::AskDirectory(_))).count();
+        }
+        assert_eq!(asked, most, "in two seconds, from revision {directory}");
+    }
+}
