What is in force for a server is derived once for a choice

Cause: placement looked for a server's opinion and its standing twice for each of all servers of a choice. Change: one look at what is in force; arrivals are looked up for cold servers only.

--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -236,27 +236,32 @@
     }
 
     fn among(&self, ask: &Ask<'_>) -> Vec<&Member> {
-        let open: Vec<&Member> = self.members.values().filter(|member| self.may_have(member, ask)).collect();
-        let sound: Vec<&Member> = open.iter().copied().filter(|m| m.standing(ask.now) != Standing::Paused).collect();
+        let mut sound = Vec::with_capacity(self.members.len());
+        let mut paused = Vec::new();
+        for member in self.members.values().filter(|member| self.may_have(member, ask)) {
+            match member.standing(ask.now) {
+                Standing::Open => sound.push(member),
+                Standing::Cold if !self.full(member, ask) => sound.push(member),
+                Standing::Paused if !member.cold(ask.now) || !self.full(member, ask) => paused.push(member),
+                Standing::Cold | Standing::Paused | Standing::Evacuated | Standing::Leaving => {}
+            }
+        }
         if sound.is_empty() {
-            soonest(&open)
+            soonest(&paused)
         } else {
             sound
         }
     }
 
-    /// True when a request may go to this server at all.
+    /// True when a request may go to this server, whatever is in force for it.
     fn may_have(&self, member: &Member, ask: &Ask<'_>) -> bool {
         let id = &member.server.id;
-        let full = |member: &Member| {
-            let arrivals = ask.opinion(id).map_or(0, |opinion| opinion.arrivals);
-            member.cold(ask.now) && (arrivals >= self.burst_most || ask.denied.len() >= DENIALS_MOST)
-        };
-        !member.standing(ask.now).closed()
-            && ask.at_home(member.region.as_deref())
-            && !ask.tried.contains(id)
-            && !ask.denied.contains(id)
-            && !full(member)
+        ask.at_home(member.region.as_deref()) && !ask.tried.contains(id) && !ask.denied.contains(id)
+    }
+
+    /// True when a cold server gets no more, as far as is known without asking for leave.
+    fn full(&self, member: &Member, ask: &Ask<'_>) -> bool {
+        ask.denied.len() >= DENIALS_MOST || self.crowded(member, ask)
     }
 
     /// True when so many were sent to the server within a second that it would fall over if it had just turned cold.
