--- a/crates/cleatshelf/tests/route.rs
+++ b/crates/cleatshelf/tests/route.rs
@@ -351,3 +351,35 @@
     }
     assert_eq!(one.get("/x/1"), (200, "first".to_owned()));
 }
+
+/// A configuration whose service's cold servers bear so many requests a second.
+fn config_with_cold(version: u64, per_s: u32) -> String {
+    config(version, "/x/").replace(r#""maxConns":100"#, &format!(r#""maxConns":100,"coldS":60.0,"coldPerS":{per_s}"#))
+}
+
+#[test]
+fn boxes_together_send_a_cold_server_no_more_than_it_bears_and_nothing_to_an_evacuated_hall() {
+    let store = Store::start();
+    store.put("op/config", &config_with_cold(3, 20));
+    store.put("servers/i-1", &entry(server("first", 0), "ready").replace("\"coldLeftMs\":0", "\"coldLeftMs\":600000"));
+    let addresses = [free(), free()];
+    let boxes = addresses.map(|address| Box::start(&store, address, &addresses));
+    soon("ready", || boxes.iter().all(Box::is_ready));
+    for one in &boxes {
+        soon("leave is given once boxes know each other", || one.get("/x/1").0 == 200);
+    }
+    let began = Instant::now();
+    let served: usize = (0..40).map(|round| usize::from(boxes[round % 2].get("/x/1").0 == 200)).sum();
+    // 18 within 1.2 s: what it bears without an allowance in the settings, less two. The span before may add some.
+    let spans = began.elapsed().as_millis() as usize / 1_200 + 1;
+    assert!(served <= 18 * spans, "{served} in {spans} spans");
+    store.put("op/evacuate/hall", "{}");
+    for one in &boxes {
+        soon("known to all", || call(one.operators, "/metrics").1.contains("HallsEvacuated"));
+        // Longer than leaves were used up for.
+        for _ in 0..6 {
+            assert_eq!(one.get("/x/1").0, 503, "its only server's hall is evacuated");
+            std::thread::sleep(Duration::from_millis(300));
+        }
+    }
+}
