--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -18,7 +18,7 @@
 
 /// How many of the servers that are to keep a prompt's shared parts are always asked for: the first, those that had them
 /// before it came or take over when it goes, and those that get them while these are full. What is read there is kept where
-/// the next box looks for it: worth 0.767 to 0.771 against three (mean of six days under bursts of long prompts).
+/// the next box looks for it: worth is 0.771, with three it is 0.767 (mean of six runs of days with bursts of long prompts).
 const HOMES_ASKED: usize = 6;
 
 /// How many servers of the other side that rank before the first home are asked for.
