What becomes of servers is packed for other boxes, and less cold time is no news

Cause: a watcher told each box of its hall every change as it is, some 120 bytes a server, and an entry of a cold server changes with each heartbeat: a hall's loss with 1,000 servers is some 36 MB for a hundred boxes (worked out). Ruled out: the lists themselves, which are told by differences since: the busiest box still had 2.3 MB/s. Change: changes are encoded and deflated once for all boxes; an entry that only has less cold time left is dropped. Test: routing/tests/directory.rs, which entries are news.

--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -6,6 +6,8 @@
 use peers::Holding;
 use relay::{Shared, View};
 use routing::{Change, Digests, Directory, Evacuations, Excerpt, Publisher, Table};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::{Read, Write};
@@ -185,19 +187,20 @@
 
     /// What the list of servers with these digests lacks of this box's, packed; none where this box's isn't newer.
     pub(super) fn excerpt(&self, theirs: &Digests) -> Option<Vec<u8>> {
-        let excerpt = self.state.borrow().directory.excerpt(theirs)?;
-        let bytes = bincode::serde::encode_to_vec(&excerpt, bincode::config::standard());
-        // Plain values can be encoded.
-        Some(pack(&bytes.ok()?))
+        self.state.borrow().directory.excerpt(theirs).map(|excerpt| encode(&excerpt))
+    }
+
+    /// Takes what became of servers, as another box packed it.
+    pub(super) fn offer_packed_changes(&self, packed: &[u8], until: u64) {
+        match decode(packed) {
+            Ok(changes) => self.offer_changes(changes, until, Origin::Peer),
+            Err(why) => telemetry::emit(Event::ReleaseRefused, format_args!("from=Peer why=\"{why}\"")),
+        }
     }
 
     /// Takes what this box's list of servers lacked, as another box packed it.
     pub(super) fn offer_excerpt(&self, packed: &[u8]) {
-        let excerpt = unpack(packed).map_err(|why| why.to_string()).and_then(|bytes| {
-            let read = bincode::serde::decode_from_slice(&bytes, bincode::config::standard());
-            read.map(|(excerpt, _): (Excerpt, usize)| excerpt).map_err(|why| why.to_string())
-        });
-        match excerpt {
+        match decode::<Excerpt>(packed) {
             Ok(excerpt) => {
                 let list = self.state.borrow().directory.with(excerpt);
                 // Made for what this box has no more: the next heartbeat leads to another question.
@@ -212,6 +215,7 @@
     pub(super) fn offer_changes(&self, changes: Vec<Change>, until: u64, origin: Origin) {
         let mut state = self.state.borrow_mut();
         let since = state.directory.revision;
+        let changes = state.directory.news_of(changes);
         let changed = Arc::make_mut(&mut state.directory).apply(changes.clone(), until);
         state.note_lapses();
         if changed {
@@ -290,6 +294,19 @@
     }
 }
 
+/// A value as bytes for other boxes, packed: what becomes of a thousand servers is 120 KB as it is, for each of a hundred boxes.
+pub(super) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    // Plain values can be encoded.
+    let bytes = bincode::serde::encode_to_vec(value, bincode::config::standard()).unwrap_or_default();
+    pack(&bytes)
+}
+
+fn decode<T: DeserializeOwned>(packed: &[u8]) -> Result<T, String> {
+    let bytes = unpack(packed).map_err(|why| why.to_string())?;
+    let read = bincode::serde::decode_from_slice(&bytes, bincode::config::standard());
+    read.map(|(value, _)| value).map_err(|why| why.to_string())
+}
+
 /// Packs a published configuration: some hundred routes are 100 kB of text, and a box with a slow link sends it to
 /// all others of its hall.
 fn pack(bytes: &[u8]) -> Vec<u8> {
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -2,7 +2,7 @@
 
 use super::advice::{self, Advice};
 use super::follow::Troubles;
-use super::knowledge::{Knowledge, News, Origin};
+use super::knowledge::{encode, Knowledge, News, Origin};
 use peers::{Action, Message, Peers};
 use relay::Shared;
 use serde::{Deserialize, Serialize};
@@ -170,7 +170,7 @@
                 Action::TableUntil(revision) => self.knowledge.table_stands(revision),
                 Action::Evacuations(evacuations) => self.knowledge.offer_evacuations(evacuations, Origin::Peer),
                 Action::Excerpt(packed) => self.knowledge.offer_excerpt(&packed),
-                Action::Changes(changes, until) => self.knowledge.offer_changes(changes, until, Origin::Peer),
+                Action::Changes(packed, until) => self.knowledge.offer_packed_changes(&packed, until),
             }
         }
         self.peers.borrow_mut().hold(self.knowledge.holding());
@@ -203,6 +203,6 @@
         News::Table => peers.spread_table(),
         // The next heartbeat tells of them; it is due at once where other halls are evacuated.
         News::Evacuations | News::Directory => Vec::new(),
-        News::Changes { since, until, changes } => peers.spread_changes(*since, *until, changes),
+        News::Changes { since, until, changes } => peers.spread_changes(*since, *until, &encode(changes)),
     }
 }
--- a/crates/peers/src/action.rs
+++ b/crates/peers/src/action.rs
@@ -1,7 +1,7 @@
 //! What the state machine asks for.
 
 use crate::Message;
-use routing::{Change, Digests, Evacuations};
+use routing::{Digests, Evacuations};
 use std::net::SocketAddr;
 
 /// Something to carry out.
@@ -25,6 +25,6 @@
     Evacuations(Evacuations),
     /// A peer sent what this box's list of servers lacked, packed.
     Excerpt(Vec<u8>),
-    /// A peer told what became of servers, on top of the revision that this box has.
-    Changes(Vec<Change>, u64),
+    /// A peer told what became of servers, packed, on top of the revision that this box has.
+    Changes(Vec<u8>, u64),
 }
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -1,7 +1,7 @@
 //! What boxes say to each other.
 
 use crate::Roster;
-use routing::{Change, Digests, Evacuations};
+use routing::{Digests, Evacuations};
 use serde::{Deserialize, Serialize};
 
 /// What may be asked for.
@@ -75,8 +75,8 @@
         since: u64,
         /// Revision of the list with these changes.
         until: u64,
-        /// The changes in order.
-        changes: Vec<Change>,
+        /// The changes in order, packed.
+        packed: Vec<u8>,
     },
     /// The sender stops by plan.
     Leave,
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::member::Member;
 use crate::{Action, Heartbeat, Message, Millis, Profile, Roster, Subject};
-use routing::{rank_address, Change, Evacuations};
+use routing::{rank_address, Evacuations};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -230,8 +230,8 @@
             Message::Table(bytes) => actions.push(Action::Table(bytes)),
             Message::Lacking(digests) => actions.push(Action::SendDirectory(from, digests)),
             Message::Excerpt(packed) => actions.push(Action::Excerpt(packed)),
-            Message::Changes { since, until, changes } => {
-                self.take_changes(from, since, until, changes, now, &mut actions);
+            Message::Changes { since, until, packed } => {
+                self.take_changes(from, since, until, packed, now, &mut actions);
             }
             Message::Leave => {
                 if let Some(member) = self.members.get_mut(&from) {
@@ -253,8 +253,8 @@
 
     /// Servers changed: the hall's others are told if this box watches for them.
     #[must_use]
-    pub fn spread_changes(&self, since: u64, until: u64, changes: &[Change]) -> Vec<Action> {
-        let message = Message::Changes { since, until, changes: changes.to_vec() };
+    pub fn spread_changes(&self, since: u64, until: u64, packed: &[u8]) -> Vec<Action> {
+        let message = Message::Changes { since, until, packed: packed.to_vec() };
         self.hall_members().map(|to| Action::Send(to, message.clone())).collect()
     }
 
@@ -491,7 +491,7 @@
         from: SocketAddr,
         since: u64,
         until: u64,
-        changes: Vec<Change>,
+        packed: Vec<u8>,
         now: Millis,
         actions: &mut Vec<Action>,
     ) {
@@ -501,7 +501,7 @@
         if since > self.holding.directory {
             self.want(from, Subject::Directory, now, actions);
         } else {
-            actions.push(Action::Changes(changes, until));
+            actions.push(Action::Changes(packed, until));
         }
     }
 
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -48,6 +48,19 @@
         changed
     }
 
+    /// Those of these changes that say something new: a server that is cold for less time than it was is just as cold, and each
+    /// such entry is written anew with every heartbeat of its server.
+    #[must_use]
+    pub fn news_of(&self, changes: Vec<Change>) -> Vec<Change> {
+        let known = |server: &Server| {
+            let Some(old) = self.servers.get(&server.name) else { return false };
+            let still_cold = server.cold_ms > 0 && server.cold_ms <= old.cold_ms;
+            let same = Server { cold_ms: server.cold_ms, ..Server::clone(old) } == *server;
+            same && (still_cold || server.cold_ms == old.cold_ms) && !self.lapsed.contains(&server.name)
+        };
+        changes.into_iter().filter(|change| !matches!(change, Change::Present(server) if known(server))).collect()
+    }
+
     /// Keeps what `former` has and this, read after the publisher was away, lacks.
     pub fn lapse_missing(&mut self, former: &Self) {
         for (name, server) in &former.servers {
--- a/crates/routing/src/excerpt.rs
+++ b/crates/routing/src/excerpt.rs
@@ -42,7 +42,7 @@
 /// A number for a server as it is; another for each kind of entry.
 fn digest(kind: &str, name: &str, server: Option<&Server>) -> u32 {
     let text = server.map_or_else(String::new, |s| {
-        format!("{}|{}|{}|{}|{}|{}|{}", s.id, s.service, s.address, s.hall, s.slots, s.draining, s.cold_ms)
+        format!("{}|{}|{}|{}|{}|{}|{}", s.id, s.service, s.address, s.hall, s.slots, s.draining, s.cold_ms > 0)
     });
     rank(1, &format!("{kind}|{name}|{text}")) as u32
 }
--- a/crates/routing/tests/directory.rs
+++ b/crates/routing/tests/directory.rs
@@ -132,3 +132,23 @@
         assert_eq!(older.excerpt(&newer.digests()), None);
     }
 }
+
+#[test]
+fn a_server_that_is_cold_for_less_time_is_no_news_and_one_that_turns_cold_or_warm_is() {
+    let cold = |cold_ms: u32| {
+        let Change::Present(server) = server("a", false) else { unreachable!() };
+        Change::Present(Server { cold_ms, ..server })
+    };
+    for (before, after, news) in
+        [(3_000, 1_800, false), (1_800, 0, true), (0, 3_000, true), (500, 3_000, true), (0, 0, false)]
+    {
+        let mut directory = Directory::default();
+        directory.apply(vec![cold(before)], 5);
+        assert_eq!(directory.news_of(vec![cold(after)]).len(), usize::from(news), "{before} {after}");
+    }
+    let mut directory = Directory::default();
+    directory.apply(vec![cold(3_000)], 5);
+    assert_eq!(directory.news_of(vec![server("a", true), Change::Gone("a".to_owned())]).len(), 2);
+    directory.apply(vec![Change::Lapsed("a".to_owned())], 6);
+    assert_eq!(directory.news_of(vec![cold(1_000)]).len(), 1, "it is back");
+}
