The only watcher of all knows the others, too, and gives leave for cold servers

A box gives leave once another box said that it knows the same boxes, which only heartbeats told; where a single box watches for all it hears none, so that whether a cold server is used hung on which address ranks first. Ruled out: load; a test of two state machines without time shows it always. Change: boxes say with each hello how many and which boxes they know; and nobody's agreement counts in the first second, when two may agree that know few. Test: peers/tests/heartbeat.rs, seen to fail before; the test with processes stays as it was. On sites with several halls watchers heard each other before.

--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -47,7 +47,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// A box is there and wants to hear of news.
-    Hello(Profile),
+    Hello {
+        /// The sender.
+        profile: Profile,
+        /// Digest of the boxes that it knows.
+        members: u32,
+    },
     /// Tells a box that has just come how new the sender's knowledge is, so that it need not read the publisher.
     Welcome {
         /// Version of the sender's configuration; 0 for none.
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -51,6 +51,9 @@
 /// thousandths of a core or tenths of Mbit/s. At 30 kB each it spends at most a quarter of its link on them.
 const CAPACITY_PER_WELCOME: u32 = 10;
 
+/// How long after its start a box may take others' agreement for knowing all: by then boxes that start together have met.
+const SETTLED_AFTER: Millis = 1_000;
+
 /// Pause between two questions for the same thing.
 const WANT_EVERY: Millis = 300;
 
@@ -215,7 +218,8 @@
             return actions;
         }
         match message {
-            Message::Hello(profile) => {
+            Message::Hello { profile, members } => {
+                self.compare(members, now);
                 if self.hear(from, &profile, now, &mut actions) {
                     self.welcome(from, now, &mut actions);
                 }
@@ -370,7 +374,7 @@
     }
 
     fn hello(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let hello = Message::Hello(self.profile.clone());
+        let hello = Message::Hello { profile: self.profile.clone(), members: self.digest };
         let mine = self.members.iter().filter(|(_, m)| m.profile.hall == self.profile.hall);
         let heard: Vec<SocketAddr> = mine.filter(|(_, m)| self.heard_watching(m, now)).map(|(a, _)| *a).collect();
         let alone = heard.is_empty();
@@ -442,12 +446,18 @@
         }
         self.take_evacuations(beat.evacuations, actions);
         if beat.members == self.digest {
-            self.settled = true;
+            self.compare(beat.members, now);
         } else {
             self.want(from, Subject::Members, now, actions);
         }
     }
 
+    /// Takes the digest of the boxes that another box knows. Just after a start two may agree that know few.
+    fn compare(&mut self, members: u32, now: Millis) {
+        let started = self.began.is_some_and(|at| now >= at + SETTLED_AFTER);
+        self.settled |= started && members == self.digest;
+    }
+
     fn take_evacuations(&self, evacuations: Evacuations, actions: &mut Vec<Action>) {
         if evacuations.revision > self.holding.evacuations.revision {
             actions.push(Action::Evacuations(evacuations));
--- a/crates/peers/tests/heartbeat.rs
+++ b/crates/peers/tests/heartbeat.rs
@@ -55,7 +55,7 @@
 
 #[test]
 fn a_box_that_has_just_come_asks_another_and_not_the_publisher() {
-    let told = knowing(1_000).handle(address(2), Message::Hello(profile()), 0);
+    let told = knowing(1_000).handle(address(2), Message::Hello { profile: profile(), members: 0 }, 0);
     assert!(told.contains(&Action::Send(
         address(2),
         Message::Welcome { table: 7, directory: 9, evacuations: Evacuations::default() }
@@ -75,7 +75,9 @@
     let mut small = knowing(50);
     let mut told = |now: u64, from: u8| {
         (from..from + 20)
-            .map(|index| welcomes(&small.handle(address(index), Message::Hello(profile()), now)))
+            .map(|index| {
+                welcomes(&small.handle(address(index), Message::Hello { profile: profile(), members: 0 }, now))
+            })
             .sum::<usize>()
     };
     assert_eq!(told(0, 10), 5);
@@ -135,3 +137,25 @@
         assert_eq!(asked, most, "in two seconds, from revision {directory}");
     }
 }
+
+#[test]
+fn the_only_watcher_of_all_knows_by_what_others_say_that_they_know_the_same_boxes() {
+    let mut watcher = Peers::new(address(1), profile(), &[address(1), address(2)]);
+    let mut other = Peers::new(address(2), profile(), &[address(1), address(2)]);
+    let mut posts: Vec<(u8, Action)> = Vec::new();
+    // Nobody else ever watches, so that the watcher hears no heartbeat.
+    for now in (0..5_000).step_by(100) {
+        posts.extend(watcher.tick(now).into_iter().map(|action| (1, action)));
+        posts.extend(other.tick(now).into_iter().filter(|a| !matches!(a, Action::Watch(_))).map(|action| (2, action)));
+        while let Some((from, action)) = posts.pop() {
+            let Action::Send(_, message) = action else { continue };
+            if from == 2 && matches!(message, Message::Heartbeat(_)) {
+                continue;
+            }
+            let (to, receiver) = if from == 1 { (2, &mut other) } else { (1, &mut watcher) };
+            posts.extend(receiver.handle(address(from), message, now).into_iter().map(|action| (to, action)));
+        }
+    }
+    assert!(other.settled(), "by the watcher's heartbeats");
+    assert!(watcher.settled(), "by what the other says");
+}
