Questions to owners: one ranking, one way of waiting; only watchers pack changes

Every box encoded and deflated each change of servers, though only watchers have anybody to tell; who owns a server and who gives leave for it were ranked by two copies of one rule, and two maps of waiting questions were kept by two copies of the same code. News of evacuations only woke the teller. Behaviour is as it was: the ranking prefers boxes of the hall as before, and no bound or message changes.

--- a/crates/cleatshelf/src/router/advice.rs
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -21,6 +21,33 @@
 /// some within the last second.
 const FIRST_LEAVE: Millis = 1_500;
 
+/// Questions that wait for their answers, by number.
+struct Waiting<T>(HashMap<u64, oneshot::Sender<T>>);
+
+impl<T> Default for Waiting<T> {
+    fn default() -> Self {
+        Self(HashMap::new())
+    }
+}
+
+impl<T> Waiting<T> {
+    /// Notes whom to tell an answer. Those whose requests wait no longer are dropped now and then.
+    fn add(&mut self, number: u64, answer: oneshot::Sender<T>) {
+        if self.0.len() >= WAITING_MOST {
+            self.0.retain(|_, waiting| !waiting.is_closed());
+        }
+        self.0.insert(number, answer);
+    }
+
+    /// Tells an answer to who waits for it.
+    fn answer(&mut self, number: u64, value: T) {
+        if let Some(waiting) = self.0.remove(&number) {
+            // An error means that the request no longer waits.
+            let _ = waiting.send(value);
+        }
+    }
+}
+
 /// Between boxes, about servers that one of them owns.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) enum Message {
@@ -48,10 +75,10 @@
     settled: bool,
     /// Which boxes aren't asked.
     silence: Silence,
-    /// Whom to tell an answer, by the question's number. Those whose requests wait no longer are dropped now and then.
-    waiting: HashMap<u64, oneshot::Sender<Opinion>>,
-    /// The same for leaves.
-    leaves: HashMap<u64, oneshot::Sender<bool>>,
+    /// Who waits for opinions.
+    opinions: Waiting<Opinion>,
+    /// Who waits for leaves.
+    leaves: Waiting<bool>,
     /// Who hears of a lease, until it has ended.
     leases: HashMap<u64, SocketAddr>,
 }
@@ -108,17 +135,11 @@
                 Some(Message::Permitted { number, granted })
             }
             Message::Permitted { number, granted } => {
-                if let Some(waiting) = state.leaves.remove(&number) {
-                    // An error means that the request no longer waits.
-                    let _ = waiting.send(granted);
-                }
+                state.leaves.answer(number, granted);
                 None
             }
             Message::Opinion(opinion) => {
-                if let Some(waiting) = state.waiting.remove(&opinion.number) {
-                    // An error means that the request no longer waits.
-                    let _ = waiting.send(opinion);
-                }
+                state.opinions.answer(opinion.number, opinion);
                 None
             }
         }
@@ -135,25 +156,22 @@
     /// The box that owns a server: equal on every box that knows the same boxes. One of the server's hall, so that
     /// who reaches the one reaches the other.
     fn owner_of(&self, server: &Server, now: Millis) -> Option<SocketAddr> {
-        let heard = |address: &SocketAddr| !self.silence.silent(address, now);
-        let near = self.boxes.iter().filter(|(address, profile)| profile.hall == server.hall && heard(address));
-        let key = rank(0, &server.id);
-        let owner = near.map(|(address, _)| *address).max_by_key(|address| rank_address(key, address));
-        owner.or_else(|| {
-            let all = self.boxes.iter().map(|(address, _)| *address).filter(heard);
-            all.max_by_key(|address| rank_address(key, address))
-        })
+        self.first(&server.id, &server.hall, |address| !self.silence.silent(address, now))
     }
 
     /// The one box that may give leave for sends to a cold server, whether it is heard or not: two that each took the other
     /// for silent would give twice what the server bears.
     fn granter_of(&self, server: &str, hall: &str) -> Option<SocketAddr> {
+        self.first(server, hall, |_| true)
+    }
+
+    /// The box that ranks first for a server among those that may: one of its hall, else any.
+    fn first(&self, server: &str, hall: &str, may: impl Fn(&SocketAddr) -> bool) -> Option<SocketAddr> {
         let key = rank(0, server);
-        let best = |all: &mut dyn Iterator<Item = &(SocketAddr, Profile)>| {
-            all.map(|(address, _)| *address).max_by_key(|address| rank_address(key, address))
-        };
-        best(&mut self.boxes.iter().filter(|(_, profile)| profile.hall == hall))
-            .or_else(|| best(&mut self.boxes.iter()))
+        let boxes = self.boxes.iter().filter(|(address, _)| may(address));
+        // One of the hall goes before all others.
+        let best = boxes.max_by_key(|(address, profile)| (profile.hall == hall, rank_address(key, address)));
+        best.map(|(address, _)| *address)
     }
 }
 
@@ -173,10 +191,7 @@
             let _ = answer.send(opinion);
             return Some(waiting);
         }
-        if state.waiting.len() >= WAITING_MOST {
-            state.waiting.retain(|_, waiting| !waiting.is_closed());
-        }
-        state.waiting.insert(question.number, answer);
+        state.opinions.add(question.number, answer);
         drop(state);
         advice.send(owner, Message::Question(question));
         Some(waiting)
@@ -196,10 +211,7 @@
         if state.silence.silent(&owner, now) {
             return None;
         }
-        if state.leaves.len() >= WAITING_MOST {
-            state.leaves.retain(|_, waiting| !waiting.is_closed());
-        }
-        state.leaves.insert(permit.number, answer);
+        state.leaves.add(permit.number, answer);
         drop(state);
         advice.send(owner, Message::Permit { permit, hall: server.hall.clone() });
         Some(waiting)
--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -36,8 +36,6 @@
 /// What this box learned and others may not know yet.
 pub(super) enum News {
     Table,
-    /// Heartbeats carry these.
-    Evacuations,
     /// A first list of servers: heartbeats say that it is there.
     Directory,
     Changes {
@@ -138,7 +136,8 @@
         let Evacuations { revision, halls } = &state.evacuations;
         telemetry::emit(Event::HallsEvacuated, format_args!("revision={revision} halls={halls:?} from={origin:?}"));
         self.put_in_force(&state);
-        self.tell(&mut state, News::Evacuations);
+        // The next heartbeat carries them, and is due at once.
+        self.told.notify_one();
     }
 
     /// Takes which evacuations began (true) or ended up to a revision of the publisher, on top of what is known.
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -198,11 +198,15 @@
     }
 }
 
+/// What a watcher tells its hall; others have nobody to tell, and pack nothing.
 fn spread(peers: &Peers, news: &News) -> Vec<Action> {
+    if !peers.watching() {
+        return Vec::new();
+    }
     match news {
         News::Table => peers.spread_table(),
-        // The next heartbeat tells of them; it is due at once where other halls are evacuated.
-        News::Evacuations | News::Directory => Vec::new(),
+        // The next heartbeat says that it is there.
+        News::Directory => Vec::new(),
         News::Changes { since, until, changes } => peers.spread_changes(*since, *until, &encode(changes)),
     }
 }
