Homes are ranked once for a plan; less is done again when nothing changed

Found on reading the change again: a plan ranked all servers for a prompt's last part and then those of its side once more; each list of servers copied every member's region; each list of boxes computed the digest of the same boxes anew and had owners told. One test says whether parts may be fetched from a server. Behaviour is as it was; tests unchanged.

--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -490,10 +490,13 @@
     }
 
     fn meet(&mut self, roster: Roster, now: Millis) {
+        let known = self.members.len();
         for (address, profile) in roster.boxes().filter(|(address, _)| *address != self.me) {
             self.members.entry(address).or_insert_with(|| Member::new(&profile, now));
         }
-        self.roster_changed();
+        if self.members.len() > known {
+            self.roster_changed();
+        }
     }
 
     fn take_changes(
--- a/crates/placement/src/member.rs
+++ b/crates/placement/src/member.rs
@@ -29,7 +29,7 @@
     pub(crate) region: Option<String>,
     /// What its service says of cold servers.
     pub(crate) cold: Option<Cold>,
-    /// Until when it is cold by its entry, or by what its hall went through; 0 where it isn't.
+    /// Until when it is cold by its entry, or by what its hall went through; not in the future where it isn't.
     pub(crate) cold_until: Millis,
     /// What this box's sends show of starts.
     pub(crate) breaks: Breaks,
@@ -48,7 +48,7 @@
             evacuated: false,
             region: None,
             cold: None,
-            cold_until: if server.cold_ms > 0 { now + Millis::from(server.cold_ms) } else { 0 },
+            cold_until: now + Millis::from(server.cold_ms),
             breaks: Breaks::default(),
         }
     }
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -110,7 +110,10 @@
     pub(crate) fn set_halls(&mut self, evacuations: &Evacuations, regions: &Regions, now: Millis) {
         for member in self.members.values_mut() {
             member.evacuate(evacuations.halls.contains(&member.server.hall), now);
-            member.region = regions.get(&member.server.hall).cloned();
+            let region = regions.get(&member.server.hall);
+            if member.region.as_ref() != region {
+                member.region = region.cloned();
+            }
         }
     }
 
@@ -139,7 +142,7 @@
         let mut candidates: Vec<_> = among.iter().map(|member| scale.weigh(member)).collect();
         by_cost(&mut candidates, ask);
         let shares = ask.prompt.is_some_and(|prompt| prompt.shared_tokens() >= FETCH_LEAST);
-        let likely = if shares { self.keepers(ask, &among, &scale) } else { Vec::new() };
+        let likely = if shares { keepers(&scale) } else { Vec::new() };
         let cheap = candidates.iter().map(|candidate| candidate.member);
         let others = cheap.filter(|member| !likely.iter().any(|keeper| keeper.server.id == member.server.id));
         likely
@@ -151,23 +154,14 @@
             .collect()
     }
 
-    /// The servers that likely keep the prompt's shared parts: its first homes, and those of the other side that are its homes
-    /// where a box divides the servers a little otherwise, or did so before.
-    fn keepers<'a>(&self, ask: &Ask<'_>, among: &[&'a Member], scale: &Scale<'a>) -> Vec<&'a Member> {
-        let Some((prompt, first)) = ask.prompt.zip(scale.homes.first()) else { return Vec::new() };
-        let ranked = homes(among, prompt);
-        let beyond = ranked.into_iter().take_while(|member| member.server.id != first.server.id).take(BEYOND_ASKED);
-        scale.homes.iter().copied().take(HOMES_ASKED).chain(beyond).collect()
-    }
-
     fn scale<'a>(&'a self, ask: &'a Ask<'_>, hall: &'a str, among: &[&'a Member]) -> Scale<'a> {
         let speed = Speed::mean(self.members.values().filter_map(Member::speed), SPEED_SEEN_MOST);
         let longness = ask.prompt.map_or(0.0, |prompt| {
             split::longness(speed.read(Reading::last(prompt.tokens, prompt.tokens, speed.stretch())), self.gap_ms)
         });
         let long = split::is_long(longness);
-        let side: Vec<&Member> = among.iter().copied().filter(|m| self.split.reads(m.position) == long).collect();
-        let keepers = if side.is_empty() { among } else { &side };
+        let ranked = ask.prompt.map_or_else(Vec::new, |prompt| homes(among, prompt));
+        let side: Vec<&Member> = ranked.iter().copied().filter(|m| self.split.reads(m.position) == long).collect();
         Scale {
             ask,
             engine: self.engine.as_ref(),
@@ -176,7 +170,8 @@
             longness,
             hall,
             failing_least: among.iter().map(|member| member.health.failing()).fold(1.0, f64::min),
-            homes: ask.prompt.map_or_else(Vec::new, |prompt| homes(keepers, prompt)),
+            homes: if side.is_empty() { ranked.clone() } else { side },
+            ranked,
             source: self.source(ask),
         }
     }
@@ -185,8 +180,7 @@
     fn source(&self, ask: &Ask<'_>) -> Option<Source<'_>> {
         let shared = ask.prompt?.shared();
         let read = |m: &Member| m.kept.read_prefix(shared).max(ask.opinion(&m.server.id).map_or(0, |o| o.read));
-        let members = self.members.values().filter(|m| !m.paused(ask.now) && ask.at_home(m.region.as_deref()));
-        let best = members.max_by_key(|m| read(m))?;
+        let best = self.members.values().filter(|m| may_give(m, ask)).max_by_key(|m| read(m))?;
         let all = ask.prompt?.shared_tokens();
         let tokens = read(best).min(all);
         if tokens < all {
@@ -200,8 +194,7 @@
     /// A server that read the prompt's last shared part, by the part's register.
     fn registered(&self, ask: &Ask<'_>) -> Option<&Member> {
         let ids = ask.opinions.iter().flat_map(|(_, opinion)| &opinion.elsewhere);
-        let usable = |m: &&Member| !m.paused(ask.now) && ask.at_home(m.region.as_deref());
-        ids.filter_map(|id| self.members.get(id)).find(usable)
+        ids.filter_map(|id| self.members.get(id)).find(|member| may_give(member, ask))
     }
 
     /// The servers whose owners keep the register of a part: the same for every box, however it divides the engines. Two,
@@ -281,10 +274,9 @@
         let candidates = self.candidates(ask, &among, &scale);
         // What was sent before is not refused: it may have run.
         let admitted = |c: &&Candidate<'_>| !ask.tried.is_empty() || self.admission.admits(ask, c.expected.place_ms);
-        let rank = |c: &Candidate<'_>| (self.crowded(c.member, ask), c.cost());
+        let crowded = |c: &Candidate<'_>| self.crowded(c.member, ask);
         let cheaper = |a: &&Candidate<'_>, b: &&Candidate<'_>| {
-            let (a, b) = (rank(a), rank(b));
-            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+            crowded(a).cmp(&crowded(b)).then_with(|| a.cost().total_cmp(&b.cost()))
         };
         let Some(best) = candidates.iter().filter(admitted).min_by(cheaper) else {
             return Err(refusal(&candidates));
@@ -373,6 +365,19 @@
     }
 }
 
+/// The servers that likely keep the prompt's shared parts: its first homes, and those of the other side that are its homes
+/// where a box divides the servers a little otherwise, or did so before.
+fn keepers<'a>(scale: &Scale<'a>) -> Vec<&'a Member> {
+    let Some(first) = scale.homes.first() else { return Vec::new() };
+    let beyond = scale.ranked.iter().take_while(|member| member.server.id != first.server.id).take(BEYOND_ASKED);
+    scale.homes.iter().take(HOMES_ASKED).chain(beyond).copied().collect()
+}
+
+/// True when parts of the prompt may be fetched from a server.
+fn may_give(member: &Member, ask: &Ask<'_>) -> bool {
+    !member.paused(ask.now) && ask.at_home(member.region.as_deref())
+}
+
 /// Why none of the candidates is chosen.
 fn refusal(candidates: &[Candidate<'_>]) -> Refusal {
     let waits = candidates.iter().map(|candidate| candidate.expected.place_ms);
--- a/crates/placement/src/weigh.rs
+++ b/crates/placement/src/weigh.rs
@@ -82,6 +82,8 @@
     pub(crate) hall: &'a str,
     /// Least share of failures among the servers: only more than that counts against one.
     pub(crate) failing_least: f64,
+    /// All servers that may be chosen, in the order in which they would keep the prompt's shared parts; none without such parts.
+    pub(crate) ranked: Vec<&'a Member>,
     /// The servers that are to keep the prompt's shared parts, the first of them first; none without such parts.
     pub(crate) homes: Vec<&'a Member>,
     /// From where these can be fetched.
