A list of servers is shared until a server changes, and packed once for all who ask the same

Found on reading the change again: every message of changes copied the whole list, since traffic holds the same one, also where only its revision rose; and a watcher encoded and deflated the whole list anew for each box that starts, a hundred times the same bytes after a kill of all. The list's map is shared by its copies now, and the last excerpt is kept while the list stands. Directory is on no wire any more and isn't serialised. Behaviour is as it was.

--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -60,7 +60,9 @@
     table: Option<(Arc<Table>, Rc<Vec<u8>>)>,
     /// Revision of the publisher at which that configuration was still the newest; 0 when this is not known.
     table_until: u64,
-    directory: Arc<Directory>,
+    directory: Directory,
+    /// What a list with these digests lacks of the list above, packed; none once that has changed.
+    excerpt: Option<(Digests, Rc<Vec<u8>>)>,
     evacuations: Evacuations,
     /// When each of the lapsed servers was noticed.
     lapsed: HashMap<String, Instant>,
@@ -169,7 +171,8 @@
             directory.lapse_missing(&state.directory);
         }
         let changed = directory.servers != state.directory.servers;
-        let former = std::mem::replace(&mut state.directory, Arc::new(directory));
+        let former = std::mem::replace(&mut state.directory, directory);
+        state.excerpt = None;
         state.note_lapses();
         if !changed {
             return;
@@ -185,8 +188,15 @@
     }
 
     /// What the list of servers with these digests lacks of this box's, packed; none where this box's isn't newer.
-    pub(super) fn excerpt(&self, theirs: &Digests) -> Option<Vec<u8>> {
-        self.state.borrow().directory.excerpt(theirs).map(|excerpt| encode(&excerpt))
+    /// Many boxes that have just started ask the same, and get the same.
+    pub(super) fn excerpt(&self, theirs: &Digests) -> Option<Rc<Vec<u8>>> {
+        let mut state = self.state.borrow_mut();
+        if let Some((_, packed)) = state.excerpt.as_ref().filter(|(digests, _)| digests == theirs) {
+            return Some(Rc::clone(packed));
+        }
+        let packed = Rc::new(encode(&state.directory.excerpt(theirs)?));
+        state.excerpt = Some((theirs.clone(), Rc::clone(&packed)));
+        Some(packed)
     }
 
     /// Takes what became of servers, as another box packed it.
@@ -215,7 +225,8 @@
         let mut state = self.state.borrow_mut();
         let since = state.directory.revision;
         let changes = state.directory.news_of(changes);
-        let changed = Arc::make_mut(&mut state.directory).apply(changes.clone(), until);
+        let changed = state.directory.apply(changes.clone(), until);
+        state.excerpt = None;
         state.note_lapses();
         if changed {
             self.servers_changed(&state, origin);
@@ -232,8 +243,9 @@
             return;
         }
         for id in &over {
-            Arc::make_mut(&mut state.directory).expire(id);
+            state.directory.expire(id);
         }
+        state.excerpt = None;
         state.note_lapses();
         self.servers_changed(&state, Origin::Lapse);
     }
@@ -261,7 +273,7 @@
     fn put_in_force(&self, state: &State) {
         let table = state.table.as_ref().map(|(table, _)| Arc::clone(table));
         let evacuations = state.evacuations.clone();
-        self.shared.set_view(View { table, directory: Arc::clone(&state.directory), evacuations });
+        self.shared.set_view(View { table, directory: Arc::new(state.directory.clone()), evacuations });
     }
 
     /// Notes that the publisher or a watcher was heard.
@@ -288,8 +300,8 @@
     }
 
     /// The servers known.
-    pub(super) fn directory(&self) -> Arc<Directory> {
-        Arc::clone(&self.state.borrow().directory)
+    pub(super) fn directory(&self) -> Directory {
+        self.state.borrow().directory.clone()
     }
 }
 
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -159,7 +159,7 @@
                 }
                 Action::SendDirectory(to, digests) => {
                     if let Some(packed) = self.knowledge.excerpt(&digests) {
-                        self.send(to, &Envelope::Peers(Message::Excerpt(packed)));
+                        self.send(to, &Envelope::Peers(Message::Excerpt(packed.to_vec())));
                     }
                 }
                 Action::Watch(watching) => {
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -19,13 +19,13 @@
     Lapsed(String),
 }
 
-/// All servers, at one revision of the publisher.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// All servers, at one revision of the publisher. A copy is cheap: copies share the servers until one of them changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Directory {
     /// The publisher's revision; never falls within a life of the process.
     pub revision: u64,
     /// Servers by name: one life of each.
-    pub servers: BTreeMap<String, Arc<Server>>,
+    pub servers: Arc<BTreeMap<String, Arc<Server>>>,
     /// Names of entries that say of no server that it may be used. None of them is in `servers`.
     pub foreign: BTreeSet<String>,
     /// Names of those whose entries lapsed while the publisher was away. Each is in `servers`, and not draining.
@@ -63,10 +63,10 @@
 
     /// Keeps what `former` has and this, read after the publisher was away, lacks.
     pub fn lapse_missing(&mut self, former: &Self) {
-        for (name, server) in &former.servers {
+        for (name, server) in former.servers.iter() {
             let listed = self.servers.contains_key(name) || self.foreign.contains(name);
             if !server.draining && !listed {
-                self.servers.insert(name.clone(), Arc::clone(server));
+                Arc::make_mut(&mut self.servers).insert(name.clone(), Arc::clone(server));
                 self.lapsed.insert(name.clone());
             }
         }
@@ -99,7 +99,8 @@
     fn remove(&mut self, name: &str) -> bool {
         self.lapsed.remove(name);
         self.foreign.remove(name);
-        self.servers.remove(name).is_some()
+        // Looked for first: what other copies share is copied to be changed.
+        self.servers.contains_key(name) && Arc::make_mut(&mut self.servers).remove(name).is_some()
     }
 
     fn reject(&mut self, name: String) -> bool {
@@ -124,7 +125,7 @@
         if self.servers.get(&server.name).is_some_and(|old| **old == server) {
             return false;
         }
-        self.servers.insert(server.name.clone(), Arc::new(server));
+        Arc::make_mut(&mut self.servers).insert(server.name.clone(), Arc::new(server));
         true
     }
 }
--- a/crates/routing/src/excerpt.rs
+++ b/crates/routing/src/excerpt.rs
@@ -90,10 +90,11 @@
         }
         let mut list = self.clone();
         let stays = |name: &String| !excerpt.parts.contains(&part(name));
-        list.servers.retain(|name, _| stays(name));
+        let servers = Arc::make_mut(&mut list.servers);
+        servers.retain(|name, _| stays(name));
+        servers.extend(excerpt.servers.into_iter().map(|server| (server.name.clone(), Arc::new(server))));
         list.foreign.retain(&stays);
         list.lapsed.retain(&stays);
-        list.servers.extend(excerpt.servers.into_iter().map(|server| (server.name.clone(), Arc::new(server))));
         list.foreign.extend(excerpt.foreign);
         list.lapsed.extend(excerpt.lapsed);
         list.revision = excerpt.revision;
