Tests and the benchmark of placement share their servers, routes and tables

Four files of tests and the benchmark each built the same server, route, engine and table by hand; a field that a server gains had to be added five times. What they assert is unchanged.

--- a/crates/placement/examples/choose.rs
+++ b/crates/placement/examples/choose.rs
@@ -3,13 +3,15 @@
 //! On one core of an 8-core machine that was busy otherwise, planning and choosing together: 180 us for a short prompt and
 //! 189 us for a long one while ranks were computed for each comparison, 127 us and 102 us since they are computed once.
 
-use placement::{Ask, Budget, InForce, Opinion, Part, Placement, Prompt};
-use routing::{Change, Directory, Engine, Evacuations, Kind, Route, Server, Service, Share, Table};
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use common::{route, server, service, MODEL};
+use placement::{Ask, Budget, Opinion, Part, Placement, Prompt};
+use routing::{Server, Table};
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
-const MODEL: &str = "model";
-
 /// Engines of the pool, in five halls.
 const ENGINES: usize = 320;
 
@@ -19,42 +21,15 @@
 /// Owners asked for a choice at most.
 const ASKED: usize = 9;
 
-fn server(index: usize) -> Server {
-    Server {
-        id: format!("i-{index:010x}"),
-        name: format!("i-{index:010x}"),
-        service: MODEL.to_owned(),
-        address: ([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 80).into(),
-        hall: format!("hall-{}", index % 5),
-        slots: 32,
-        draining: false,
-        cold_ms: 0,
-    }
-}
-
 fn placement() -> Placement {
-    let route = Route {
-        name: "quick".to_owned(),
-        host: "a.example".to_owned(),
-        prefix: "/".to_owned(),
-        kind: Kind::Stream { resumable: true },
-        timeout: Duration::from_secs(12),
-        aim: Duration::from_millis(1_500),
-        gap_aim: Some(Duration::from_millis(500)),
-        priority: 0,
-        shares: vec![Share { service: MODEL.to_owned(), weight: 1 }],
-        attempts: 2,
-        open: false,
-        homes: None,
+    let engine = |index: usize| {
+        // Ids as long as those of the users' platform.
+        let id = format!("i-{index:010x}");
+        Server { name: id.clone(), id, slots: 32, ..server(index, &format!("hall-{}", index % 5)) }
     };
-    let engine = Engine { slots: 32, memory_tokens: 500_000, token_bytes: 18_432, link_mbps: 100_000.0, stride: 8 };
-    let service = Service { name: MODEL.to_owned(), connections: 100, engine: Some(engine), cold: None };
-    let mut directory = Directory::default();
-    directory.apply((0..ENGINES).map(server).map(Change::Present).collect(), 1);
     let mut placement = Placement::new("hall-0", Budget::new(0.2, 50.0, 10_000));
-    let table = Table::new(1, vec![route], vec![service]);
-    let in_force = InForce { table: &table, directory: &directory, evacuations: &Evacuations::default() };
-    placement.update(&in_force, 0);
+    let table = Table::new(1, vec![route(Some(Duration::from_millis(500)))], vec![service(32, 8, None)]);
+    common::update(&mut placement, &table, (0..ENGINES).map(engine).collect(), &[], 0);
     placement
 }
 
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -1,12 +1,11 @@
 //! Which server is chosen.
 
-use placement::{
-    Ask, Budget, Choice, Ending, InForce, Load, Opinion, Part, Placement, Prompt, Reading, Refusal, Speed, Work,
-};
-use routing::{Change, Directory, Engine, Evacuations, Kind, Route, Server, Service, Share, Table};
-use std::time::Duration;
+mod common;
 
-const MODEL: &str = "model";
+use common::{route, service, MODEL};
+use placement::{Ask, Budget, Choice, Ending, Load, Opinion, Part, Placement, Prompt, Reading, Refusal, Speed, Work};
+use routing::{Server, Table};
+use std::time::Duration;
 
 /// Aim for the first event.
 const AIM: Duration = Duration::from_millis(1_500);
@@ -15,51 +14,18 @@
 const QUICK_GAP: Duration = Duration::from_millis(300);
 
 fn server(index: usize, hall: &str, draining: bool) -> Server {
-    Server {
-        id: format!("s{index}"),
-        name: format!("s{index}"),
-        service: MODEL.to_owned(),
-        address: format!("10.0.0.{}:80", index + 1).parse().expect("an address"),
-        hall: hall.to_owned(),
-        slots: 64,
-        draining,
-        cold_ms: 0,
-    }
+    Server { draining, ..common::server(index, hall) }
 }
 
 fn servers(count: usize) -> Vec<Server> {
     (0..count).map(|index| server(index, "here", false)).collect()
 }
 
-/// A table with one route to engines whose events hold four tokens.
-fn table() -> Table {
-    let route = Route {
-        name: "quickest".to_owned(),
-        host: "a.example".to_owned(),
-        prefix: "/".to_owned(),
-        kind: Kind::Stream { resumable: true },
-        timeout: Duration::from_secs(12),
-        aim: Duration::from_millis(1_500),
-        gap_aim: Some(QUICK_GAP),
-        priority: 0,
-        shares: vec![Share { service: MODEL.to_owned(), weight: 1 }],
-        attempts: 2,
-        open: false,
-        homes: None,
-    };
-    let engine = Engine { slots: 64, memory_tokens: 500_000, token_bytes: 18_432, link_mbps: 100_000.0, stride: 4 };
-    Table::new(
-        1,
-        vec![route],
-        vec![Service { name: MODEL.to_owned(), connections: 100, engine: Some(engine), cold: None }],
-    )
-}
-
+/// With one route to engines whose events hold four tokens.
 fn placement(servers: Vec<Server>) -> Placement {
     let mut placement = Placement::new("here", Budget::new(0.2, 50.0, 10_000));
-    let mut directory = Directory::default();
-    directory.apply(servers.into_iter().map(Change::Present).collect(), 1);
-    placement.update(&InForce { table: &table(), directory: &directory, evacuations: &Evacuations::default() }, 0);
+    let table = Table::new(1, vec![route(Some(QUICK_GAP))], vec![service(64, 4, None)]);
+    common::update(&mut placement, &table, servers, &[], 0);
     placement
 }
 
--- a/crates/placement/tests/cold.rs
+++ b/crates/placement/tests/cold.rs
@@ -1,18 +1,20 @@
 //! Cold servers under the load that breaks them: all boxes of a fleet send at once what they held back, to servers that have
 //! just started. Summed over all boxes, no second brings one of them more than the platform allows.
 
+mod common;
+
+use common::{server, service, MODEL};
 use placement::{
-    Allowance, Ask, Budget, Ending, InForce, News, Opinion, Owner, Part, Permit, Placement, Prompt, Question, Refusal,
-    Report, Work,
+    Allowance, Ask, Budget, Ending, News, Opinion, Owner, Part, Permit, Placement, Prompt, Question, Refusal, Report,
+    Work,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use routing::{Change, Cold, Directory, Engine, Evacuations, Server, Service, Table};
+use routing::{Cold, Server, Table};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-const MODEL: &str = "model";
 const BOXES: usize = 40;
 const SERVERS: usize = 12;
 
@@ -23,36 +25,13 @@
 /// Longest way of a message between boxes, and of a request to its server.
 const WAY_MOST: u64 = 60;
 
-fn server(index: usize, born: u64, cold_ms: u32) -> Server {
-    Server {
-        id: format!("s{index}@{born}"),
-        name: format!("s{index}"),
-        service: MODEL.to_owned(),
-        address: format!("10.0.0.{}:80", index + 1).parse().expect("an address"),
-        hall: format!("hall-{}", index % 2),
-        slots: 64,
-        draining: false,
-        cold_ms,
-    }
-}
-
-fn table() -> Table {
-    let engine = Engine { slots: 64, memory_tokens: 500_000, token_bytes: 18_432, link_mbps: 100_000.0, stride: 6 };
-    let cold = Some(Cold { time: Duration::from_secs(3), per_s: PER_S });
-    Table::new(1, Vec::new(), vec![Service { name: MODEL.to_owned(), connections: 800, engine: Some(engine), cold }])
-}
-
-fn directory(servers: Vec<Server>) -> Directory {
-    let mut directory = Directory::default();
-    directory.apply(servers.into_iter().map(Change::Present).collect(), 1);
-    directory
+fn life(index: usize, born: u64, cold_ms: u32) -> Server {
+    Server { id: format!("s{index}@{born}"), cold_ms, ..server(index, &format!("hall-{}", index % 2)) }
 }
 
 fn update(placement: &mut Placement, servers: Vec<Server>, evacuated: &[&str], now: u64) {
-    let halls = evacuated.iter().map(|hall| (*hall).to_owned()).collect();
-    let in_force =
-        InForce { table: &table(), directory: &directory(servers), evacuations: &Evacuations { revision: 1, halls } };
-    placement.update(&in_force, now);
+    let cold = Some(Cold { time: Duration::from_secs(3), per_s: PER_S });
+    common::update(placement, &Table::new(1, Vec::new(), vec![service(64, 6, cold)]), servers, evacuated, now);
 }
 
 fn placement() -> Placement {
@@ -95,7 +74,7 @@
 
 impl Fleet {
     fn new(seed: u64, cut_off: usize) -> Self {
-        let servers = || (0..SERVERS).map(|index| server(index, 1, 0)).collect();
+        let servers = || (0..SERVERS).map(|index| life(index, 1, 0)).collect();
         let mut boxes = vec![placement(); BOXES];
         boxes.iter_mut().for_each(|one| update(one, servers(), &[], 0));
         let rng = ChaCha8Rng::seed_from_u64(seed);
@@ -188,7 +167,7 @@
     for seed in 0..8 {
         let mut fleet = Fleet::new(seed, 0);
         for one in &mut fleet.boxes {
-            update(one, (0..SERVERS).map(|index| server(index, 2, 3_000)).collect(), &[], 1_000);
+            update(one, (0..SERVERS).map(|index| life(index, 2, 3_000)).collect(), &[], 1_000);
         }
         fleet.run(1_000, 3_900, 300.0);
         let most = fleet.most_in_a_second();
@@ -204,7 +183,7 @@
     for seed in 0..8 {
         let mut fleet = Fleet::new(seed, BOXES / 2);
         for one in &mut fleet.boxes {
-            update(one, (0..SERVERS).map(|index| server(index, 2, 3_000)).collect(), &[], 1_000);
+            update(one, (0..SERVERS).map(|index| life(index, 2, 3_000)).collect(), &[], 1_000);
         }
         fleet.run(1_000, 3_900, 400.0);
         let most = fleet.most_in_a_second();
@@ -227,7 +206,7 @@
 #[test]
 fn servers_of_a_hall_that_is_given_back_are_taken_for_cold() {
     let mut placement = placement();
-    let servers = || (0..2).map(|index| server(index, 1, 0)).collect();
+    let servers = || (0..2).map(|index| life(index, 1, 0)).collect();
     update(&mut placement, servers(), &["hall-0"], 1_000);
     let prompt = prompt(1, 2);
     let during = placement.choose(&ask(&prompt, &[], &[], 1_500)).expect("the other hall's server");
@@ -245,7 +224,7 @@
 #[test]
 fn a_server_that_broke_off_is_cold_until_some_time_after_its_next_answer() {
     let mut placement = placement();
-    update(&mut placement, vec![server(0, 1, 0)], &[], 0);
+    update(&mut placement, vec![life(0, 1, 0)], &[], 0);
     let leave = |placement: &mut Placement, now: u64| {
         placement.choose(&ask(&prompt(1, 2), &[], &[], now)).expect("a server").leave.is_some()
     };
@@ -260,12 +239,12 @@
 #[test]
 fn what_a_former_life_did_says_nothing_of_the_next() {
     let mut placement = placement();
-    update(&mut placement, vec![server(0, 1, 0)], &[], 0);
+    update(&mut placement, vec![life(0, 1, 0)], &[], 0);
     let known = prompt(1, 2);
     placement.choose(&ask(&known, &[], &[], 10)).expect("a server");
     placement.confirm(MODEL, "s0@1", &known);
     placement.note(MODEL, "s0@1", Ending::Unreached, 20);
-    update(&mut placement, vec![server(0, 2, 0)], &[], 30);
+    update(&mut placement, vec![life(0, 2, 0)], &[], 30);
     let chosen = placement.choose(&ask(&prompt(1, 3), &[], &[], 40)).expect("it isn't paused");
     assert_eq!((chosen.server.id.as_str(), chosen.leave), ("s0@2", None));
     assert_eq!(chosen.load.running, 0);
--- /dev/null
+++ b/crates/placement/tests/common/mod.rs
@@ -0,0 +1,56 @@
+//! Servers, routes and tables that the tests and the benchmark of placement share.
+// Each of them uses a part of it.
+#![allow(dead_code)]
+
+use placement::{InForce, Placement};
+use routing::{Change, Cold, Directory, Engine, Evacuations, Kind, Route, Server, Service, Share, Table};
+use std::time::Duration;
+
+pub const MODEL: &str = "model";
+
+/// An engine of 64 places in this hall, warm and taking work.
+pub fn server(index: usize, hall: &str) -> Server {
+    Server {
+        id: format!("s{index}"),
+        name: format!("s{index}"),
+        service: MODEL.to_owned(),
+        address: ([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 80).into(),
+        hall: hall.to_owned(),
+        slots: 64,
+        draining: false,
+        cold_ms: 0,
+    }
+}
+
+/// A route to the engines, whose answers bear pauses of `gap`.
+pub fn route(gap: Option<Duration>) -> Route {
+    Route {
+        name: "quick".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/".to_owned(),
+        kind: Kind::Stream { resumable: true },
+        timeout: Duration::from_secs(12),
+        aim: Duration::from_millis(1_500),
+        gap_aim: gap,
+        priority: 0,
+        shares: vec![Share { service: MODEL.to_owned(), weight: 1 }],
+        attempts: 2,
+        open: false,
+        homes: None,
+    }
+}
+
+/// The service of engines of so many places whose events hold `stride` tokens.
+pub fn service(slots: u32, stride: u32, cold: Option<Cold>) -> Service {
+    let engine = Engine { slots, memory_tokens: 500_000, token_bytes: 18_432, link_mbps: 100_000.0, stride };
+    Service { name: MODEL.to_owned(), connections: 100, engine: Some(engine), cold }
+}
+
+/// Puts servers in force, these halls being evacuated.
+pub fn update(placement: &mut Placement, table: &Table, servers: Vec<Server>, evacuated: &[&str], now: u64) {
+    let mut directory = Directory::default();
+    directory.apply(servers.into_iter().map(Change::Present).collect(), 1);
+    let halls = evacuated.iter().map(|hall| (*hall).to_owned()).collect();
+    let evacuations = Evacuations { revision: 1, halls };
+    placement.update(&InForce { table, directory: &directory, evacuations: &evacuations }, now);
+}
--- a/crates/placement/tests/register.rs
+++ b/crates/placement/tests/register.rs
@@ -1,34 +1,20 @@
 //! Shared parts that were read away from their home, as happens when a burst of long prompts finds the home full: the next
 //! box that needs them fetches them and does not have them read again.
 
-use placement::{
-    Ask, Budget, Choice, InForce, Load, News, Opinion, Owner, Part, Placement, Prompt, Question, Reading, Report,
-};
-use routing::{Change, Directory, Engine, Evacuations, Server, Service, Table};
+mod common;
+
+use common::{server, service, MODEL};
+use placement::{Ask, Budget, Choice, Load, News, Opinion, Owner, Part, Placement, Prompt, Question, Reading, Report};
+use routing::Table;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-const MODEL: &str = "model";
 const SERVERS: usize = 40;
 
 fn placement() -> Placement {
     let mut placement = Placement::new("hall-0", Budget::new(0.2, 50.0, 10_000));
-    let mut directory = Directory::default();
-    let server = |index: usize| Server {
-        id: format!("s{index}"),
-        name: format!("s{index}"),
-        service: MODEL.to_owned(),
-        address: format!("10.0.0.{}:80", index + 1).parse().expect("an address"),
-        hall: format!("hall-{}", index % 2),
-        slots: 64,
-        draining: false,
-        cold_ms: 0,
-    };
-    directory.apply((0..SERVERS).map(|index| Change::Present(server(index))).collect(), 1);
-    let engine = Engine { slots: 64, memory_tokens: 500_000, token_bytes: 18_432, link_mbps: 100_000.0, stride: 6 };
-    let service = Service { name: MODEL.to_owned(), connections: 800, engine: Some(engine), cold: None };
-    let table = Table::new(1, Vec::new(), vec![service]);
-    placement.update(&InForce { table: &table, directory: &directory, evacuations: &Evacuations::default() }, 0);
+    let servers = (0..SERVERS).map(|index| server(index, &format!("hall-{}", index % 2))).collect();
+    common::update(&mut placement, &Table::new(1, Vec::new(), vec![service(64, 6, None)]), servers, &[], 0);
     placement
 }
 
@@ -37,7 +23,8 @@
     Prompt { model: "m".to_owned(), tokens: 16_000, out_most: 100, out_hint: None, parts }
 }
 
-/// A box's question to the owners of nine servers, of which the first five, that are asked for the prompt's parts, have their hands full, and its choice.
+/// A box's question to the owners of nine servers, of which the first five, that are asked for the prompt's parts, have their
+/// hands full, and its choice.
 fn choose(one: &mut Placement, owner: &mut Owner, prompt: &Prompt, now: u64) -> Choice {
     let ask = |opinions| Ask {
         service: MODEL,
--- a/crates/placement/tests/split.rs
+++ b/crates/placement/tests/split.rs
@@ -1,16 +1,17 @@
 //! Engines divided between long prompts and the rest, under the load that asks for it: long prompts come faster than they
 //! are read, and quick answers beside them bear no long pause.
 
-use placement::{Ask, Budget, Ending, InForce, News, Owner, Part, Placement, Prompt, Question, Report};
+mod common;
+
+use common::{route, server, service, MODEL};
+use placement::{Ask, Budget, Ending, News, Owner, Part, Placement, Prompt, Question, Report};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use routing::{Change, Directory, Engine, Evacuations, Kind, Route, Server, Service, Share, Table};
+use routing::{Server, Table};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-const MODEL: &str = "model";
-
 /// Engines of the pool.
 const ENGINES: usize = 20;
 
@@ -32,41 +33,8 @@
     "10.0.0.1:1".parse().expect("an address")
 }
 
-fn table(gap: Option<Duration>) -> Table {
-    let route = Route {
-        name: "quick".to_owned(),
-        host: "a.example".to_owned(),
-        prefix: "/".to_owned(),
-        kind: Kind::Stream { resumable: true },
-        timeout: Duration::from_secs(12),
-        aim: Duration::from_millis(1_500),
-        gap_aim: gap,
-        priority: 0,
-        shares: vec![Share { service: MODEL.to_owned(), weight: 1 }],
-        attempts: 2,
-        open: false,
-        homes: None,
-    };
-    let engine = Engine { slots: 32, memory_tokens: 500_000, token_bytes: 18_432, link_mbps: 100_000.0, stride: 8 };
-    Table::new(
-        1,
-        vec![route],
-        vec![Service { name: MODEL.to_owned(), connections: 100, engine: Some(engine), cold: None }],
-    )
-}
-
 fn servers() -> Vec<Server> {
-    let server = |index: usize| Server {
-        id: format!("s{index}"),
-        name: format!("s{index}"),
-        service: MODEL.to_owned(),
-        address: format!("10.0.1.{}:80", index + 1).parse().expect("an address"),
-        hall: format!("hall-{}", index % 4),
-        slots: 32,
-        draining: false,
-        cold_ms: 0,
-    };
-    (0..ENGINES).map(server).collect()
+    (0..ENGINES).map(|index| Server { slots: 32, ..server(index, &format!("hall-{}", index % 4)) }).collect()
 }
 
 /// An answer that runs at an engine.
@@ -121,10 +89,8 @@
 impl World {
     fn new(gap: Option<Duration>) -> Self {
         let mut placement = Placement::new("hall-0", Budget::new(0.2, 50.0, 10_000));
-        let mut directory = Directory::default();
-        directory.apply(servers().into_iter().map(Change::Present).collect(), 1);
-        let in_force = InForce { table: &table(gap), directory: &directory, evacuations: &Evacuations::default() };
-        placement.update(&in_force, 0);
+        let table = Table::new(1, vec![route(gap)], vec![service(32, 8, None)]);
+        common::update(&mut placement, &table, servers(), &[], 0);
         Self {
             placement,
             owner: Owner::default(),
