Changes that were partly heard of before are told and taken whole

Change: only an entry that is the same but for a shorter cold time is dropped, and only if no earlier change of the same batch is about its server. An entry that is known is told: a list read in pages may be ahead of its revision.

--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -19,6 +19,17 @@
     Lapsed(String),
 }
 
+impl Change {
+    /// Name of the server that it is about.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Present(server) => &server.name,
+            Self::Gone(name) | Self::Foreign(name) | Self::Lapsed(name) => name,
+        }
+    }
+}
+
 /// All servers, at one revision of the publisher. A copy is cheap: copies share the servers until one of them changes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Directory {
@@ -48,17 +59,33 @@
         changed
     }
 
-    /// Those of these changes that say something new: a server that is cold for less time than it was is just as cold, and each
-    /// such entry is written anew with every heartbeat of its server.
+    /// Those of these changes that others are to hear of: a server that is cold for less time than it was is just as cold, and
+    /// each such entry is written anew with every heartbeat of its server.
+    ///
+    /// All else is told, also what is known here: a list that was read in pages may be ahead of its revision, and another
+    /// box at that revision is not.
     #[must_use]
     pub fn news_of(&self, changes: Vec<Change>) -> Vec<Change> {
-        let known = |server: &Server| {
-            let Some(old) = self.servers.get(&server.name) else { return false };
-            let still_cold = server.cold_ms > 0 && server.cold_ms <= old.cold_ms;
-            let same = Server { cold_ms: server.cold_ms, ..Server::clone(old) } == *server;
-            same && (still_cold || server.cold_ms == old.cold_ms) && !self.lapsed.contains(&server.name)
+        // What is known here says nothing of a server once an earlier one of these changes has made it another.
+        let mut touched = HashSet::new();
+        let mut news = |change: &Change| {
+            if !touched.contains(change.name()) && self.only_warmer(change) {
+                return false;
+            }
+            touched.insert(change.name().to_owned());
+            true
         };
-        changes.into_iter().filter(|change| !matches!(change, Change::Present(server) if known(server))).collect()
+        changes.into_iter().filter(|change| news(change)).collect()
+    }
+
+    /// True when a change says only that a server is cold for less time than it was.
+    fn only_warmer(&self, change: &Change) -> bool {
+        let Change::Present(server) = change else { return false };
+        let Some(old) = self.servers.get(&server.name) else { return false };
+        let warmer = 0 < server.cold_ms && server.cold_ms < old.cold_ms;
+        warmer
+            && !self.lapsed.contains(&server.name)
+            && Server { cold_ms: server.cold_ms, ..Server::clone(old) } == *server
     }
 
     /// Keeps what `former` has and this, read after the publisher was away, lacks.
