Logs tell which request a broken answer belonged to, and a server's end from a reset

Cause: lines name requests by ids that are new with each attempt, so that breaks on several boxes could not be told to be of one request; nor whether a server or only a connection had ended. Change: requests have a fingerprint of method, host, target, customer and body (503, 507), and when an answer breaks off the box looks once whether the server takes new connections: 508 ServerEnded names the requests that were there, 509 ServerBroke the rest. No decision changes.

--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -11,7 +11,7 @@
 use peers::{Peers, Profile};
 use placement::{Budget, Placement};
 use relay::{Front, Ready, Shared};
-use routing::{Publisher, Subject};
+use routing::{rank, Publisher, Subject};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -44,7 +44,7 @@
         Placement::new(&settings.hall, budget).with_allowance(settings.cold).with_regions(settings.regions.clone());
     let (advice, sent) = Advice::new(settings.boxes);
     let desk = Desk(Arc::clone(&advice));
-    let shared = Shared::new(Box::new(platform::Headers), Box::new(desk), placement);
+    let shared = Shared::new(Box::new(platform::Headers), Box::new(desk), placement, rank(0, &settings.link_key));
     let (stop, stopped) = watch::channel(false);
     let (done, mut front_done) = watch::channel(false);
     let traffic = actix::Arbiter::new();
--- /dev/null
+++ b/crates/placement/src/fingerprint.rs
@@ -0,0 +1,24 @@
+//! Tells a request that comes again from others.
+
+use routing::rank_bytes;
+use serde::{Deserialize, Serialize};
+
+/// What a request is known by, whichever box it comes to and however often: equal for equal method, host, target, customer
+/// and body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// The fingerprint of these fields in this order. Callers don't know `secret`, and so can't make requests that are taken
+    /// for those of others.
+    #[must_use]
+    pub fn of(secret: u64, fields: &[&[u8]]) -> Self {
+        Self(fields.iter().fold(secret, |key, field| rank_bytes(key, field)))
+    }
+}
+
+impl std::fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -10,6 +10,7 @@
 mod budget;
 mod elsewhere;
 mod ends;
+mod fingerprint;
 mod fit;
 mod harm;
 mod health;
@@ -34,6 +35,7 @@
 
 pub use ask::{Ask, Choice, Expectation, Refusal};
 pub use budget::Budget;
+pub use fingerprint::Fingerprint;
 pub use health::{Ending, Health};
 pub use kept::Kept;
 pub use learner::Learner;
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -60,9 +60,20 @@
 impl Connections {
     /// A connection to a server: the one used last that still stands, or a new one.
     pub(crate) async fn open(&self, life: &str, address: SocketAddr) -> std::io::Result<Connection> {
-        if let Some(connection) = self.take(life) {
-            return Ok(connection);
+        match self.take(life) {
+            Some(connection) => Ok(connection),
+            None => self.open_new(address).await,
         }
+    }
+
+    /// Whether a server takes new connections; one that comes about is kept for use.
+    pub(crate) async fn reach(&self, life: &str, address: SocketAddr) -> std::io::Result<()> {
+        let connection = self.open_new(address).await?;
+        self.keep(life, connection, &HeaderMap::new());
+        Ok(())
+    }
+
+    async fn open_new(&self, address: SocketAddr) -> std::io::Result<Connection> {
         let mut handshake = self.handshake.get();
         let began = Instant::now();
         let connected = tokio::time::timeout(handshake.patience(), connect(address)).await;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -4,17 +4,19 @@
 use crate::attempt::{self, Answer, Claim, Message, Sent};
 use crate::connections::Connections;
 use crate::consult::{self, Asked};
+use crate::crash::Crashes;
 use crate::dialect::{Call, Dispatch};
 use crate::outcome::Outcome;
 use crate::shared::Shared;
 use crate::timing::Timing;
 use crate::Body;
 use bytes::Bytes;
-use http::{request, Response, StatusCode};
-use placement::{Ask, Choice, Ending, Opinion, Prompt, Refusal};
+use http::uri::PathAndQuery;
+use http::{header, request, HeaderValue, Response, StatusCode};
+use placement::{Ask, Choice, Ending, Fingerprint, Opinion, Prompt, Refusal};
 use rand::Rng;
-use routing::{Customer, Kind, Route};
-use std::cell::Cell;
+use routing::{Customer, Kind, Route, Server};
+use std::cell::{Cell, OnceCell};
 use std::fmt::Write;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,6 +58,7 @@
 pub(crate) struct Exchange {
     pub(crate) shared: Arc<Shared>,
     pub(crate) connections: Connections,
+    pub(crate) crashes: Crashes,
     pub(crate) call: Call,
     pub(crate) route: Arc<Route>,
     pub(crate) customer: Option<Arc<Customer>>,
@@ -65,6 +68,8 @@
     /// When its time is over, for the caller or for the route, whichever is first.
     pub(crate) deadline: Instant,
     pub(crate) began: Instant,
+    /// What it is known by when it comes again; made when it is first asked for.
+    pub(crate) fingerprint: OnceCell<Fingerprint>,
     /// Ids of servers that it was sent to, or that could not be reached.
     pub(crate) tried: Vec<String>,
     /// Sends that reached a server.
@@ -214,6 +219,23 @@
         opinions
     }
 
+    /// What it is known by when it comes again.
+    fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let host = self.parts.headers.get(header::HOST).map_or(&b""[..], HeaderValue::as_bytes);
+            let target = self.parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
+            let customer = self.customer.as_ref().map_or("", |customer| customer.name.as_str());
+            let method = self.parts.method.as_str();
+            let fields = [method.as_bytes(), host, target.as_bytes(), customer.as_bytes(), &self.body];
+            Fingerprint::of(self.shared.secret, &fields)
+        })
+    }
+
+    /// The answer from `server` broke off: that connection has ended, or the server has.
+    pub(crate) fn broke(&self, server: &Arc<Server>) {
+        self.crashes.broke(&self.shared, &self.connections, server, self.fingerprint());
+    }
+
     fn log_choice(&self, choice: &Choice) {
         let Choice { expected, work, load, .. } = choice;
         let prompt = self.call.prompt.as_ref();
@@ -319,6 +341,9 @@
             Sent::Answer(_) => (Ending::Broken, "an answer out of place".to_owned()),
         };
         let _ = write!(self.trail, "={ending:?}({why})");
+        if ending == Ending::Broken {
+            self.broke(&claim.server);
+        }
         claim.ended(ending);
         if matches!(ending, Ending::Unreached | Ending::Left) {
             self.unreached += 1;
@@ -436,8 +461,9 @@
         telemetry::emit(
             if plain { Event::RequestAnswered } else { Event::RequestEnded },
             format_args!(
-                "id={} outcome={} route={} ms={} first={} pause={} sends={} trail=\"{}\"",
+                "id={} request={} outcome={} route={} ms={} first={} pause={} sends={} trail=\"{}\"",
                 self.call.id,
+                self.fingerprint(),
                 outcome.word(),
                 self.route.name,
                 took.as_millis(),
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -2,6 +2,7 @@
 
 use crate::answer::{self, strip_hop};
 use crate::connections::Connections;
+use crate::crash::Crashes;
 use crate::exchange::{Exchange, Reply};
 use crate::liveness::notice_death;
 use crate::pump::Pump;
@@ -14,7 +15,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use routing::{Access, Table};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -49,6 +50,7 @@
 pub struct Front {
     shared: Arc<Shared>,
     connections: Connections,
+    crashes: Crashes,
     /// Most connections of callers at once.
     connections_most: usize,
     open: Rc<Cell<usize>>,
@@ -74,6 +76,7 @@
         Self {
             shared,
             connections: Connections::default(),
+            crashes: Crashes::default(),
             connections_most,
             open: Rc::default(),
             draws: Rc::new(RefCell::new(Draws(0.3))),
@@ -228,6 +231,7 @@
         Ok(Exchange {
             shared: Arc::clone(&self.shared),
             connections: self.connections.clone(),
+            crashes: self.crashes.clone(),
             call,
             route: Arc::clone(route),
             customer,
@@ -236,6 +240,7 @@
             body,
             deadline: began + time,
             began,
+            fingerprint: OnceCell::new(),
             tried: Vec::new(),
             sends: 0,
             unreached: 0,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod channel;
 mod connections;
 mod consult;
+mod crash;
 mod dialect;
 mod events;
 mod exchange;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -26,6 +26,8 @@
     pub advisor: Box<dyn Advisor>,
     view: RwLock<Arc<View>>,
     placement: Mutex<Placement>,
+    /// Known to boxes only; fingerprints of requests are made with it.
+    pub(crate) secret: u64,
     began: Instant,
     stopping: AtomicBool,
     /// Numbers of questions and leases, unique in this process.
@@ -35,14 +37,15 @@
 }
 
 impl Shared {
-    /// State with nothing known yet.
+    /// State with nothing known yet. All boxes have the same `secret`, and nobody else has it.
     #[must_use]
-    pub fn new(dialect: Box<dyn Dialect>, advisor: Box<dyn Advisor>, placement: Placement) -> Arc<Self> {
+    pub fn new(dialect: Box<dyn Dialect>, advisor: Box<dyn Advisor>, placement: Placement, secret: u64) -> Arc<Self> {
         Arc::new(Self {
             dialect,
             advisor,
             view: RwLock::default(),
             placement: Mutex::new(placement),
+            secret,
             began: Instant::now(),
             stopping: AtomicBool::new(false),
             numbers: AtomicU64::new(0),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -26,7 +26,7 @@
 pub use kind::Kind;
 pub use limits::Limits;
 pub use publisher::{Freshness, Orders, Publisher, Subject, Trouble, Update};
-pub use rank::{rank, rank_address};
+pub use rank::{rank, rank_address, rank_bytes};
 pub use route::{Route, Share};
 pub use server::Server;
 pub use service::{Cold, Engine, Service};
--- a/crates/routing/src/rank.rs
+++ b/crates/routing/src/rank.rs
@@ -6,7 +6,13 @@
 /// The rank of `name` for `key`: spread evenly, and another for each key.
 #[must_use]
 pub fn rank(key: u64, name: &str) -> u64 {
-    xxh3_64_with_seed(name.as_bytes(), key)
+    rank_bytes(key, name.as_bytes())
+}
+
+/// The rank of some bytes for `key`.
+#[must_use]
+pub fn rank_bytes(key: u64, bytes: &[u8]) -> u64 {
+    xxh3_64_with_seed(bytes, key)
 }
 
 /// The rank of an address for `key`.
@@ -18,5 +24,5 @@
         IpAddr::V6(ip) => bytes[..16].copy_from_slice(&ip.octets()),
     }
     bytes[16..].copy_from_slice(&address.port().to_be_bytes());
-    xxh3_64_with_seed(&bytes, key)
+    rank_bytes(key, &bytes)
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -118,6 +118,10 @@
     StreamBegan = 506, Debug;
     /// A request ended with the first server's whole answer.
     RequestAnswered = 507, Debug;
+    /// A server's connection broke, and its address refuses new ones.
+    ServerEnded = 508, Info;
+    /// A server's connection broke, and the server was not found to have ended.
+    ServerBroke = 509, Debug;
     /// Leases granted no longer equal held, returned and expired ones.
     LeaseCountBroken = 900, Error;
     /// A grant went above the floor while a more urgent request waited.
