Spans that others rely on go by a clock that counts while the machine is suspended

Cause: route's spans went by the steady clock, which stands still during a suspension: a box that wakes told servers time that its caller no longer had, used leave for a cold server that had ended, and sent on connections that their server had closed. Change: crate clock (moved from feed) is the one clock of both programs. By it go: time told to servers and whether a request is sent again, leave for cold servers, rest of connections, lapsed servers, owners' and boxes' times, age of knowledge. Waits within the process stay on tokio's timers.

--- a/crates/cleatshelf/src/control.rs
+++ b/crates/cleatshelf/src/control.rs
@@ -10,7 +10,8 @@
 use crate::{Envelope, Settings};
 use actix::{Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, WrapFuture};
 use catalog::{BoxId, ClassId, CustomerId, Digest, Order, ServerId};
-use feed::{Allowance, Clock, Listing, Source, Trouble, Value, MANIFEST};
+use clock::Clock;
+use feed::{Allowance, Listing, Source, Trouble, Value, MANIFEST};
 use fleet::{watchers, Probe, Spread, State, Timing};
 use gateway::{Offer, Request, Snapshot};
 use policy::{Action, Broker, Layout, Load, Permit, Refusal, Time, Verdict};
@@ -186,7 +187,7 @@
     #[must_use]
     pub fn start_here(parts: Parts, context: &mut Context<Self>) -> Self {
         let Parts { settings, clock, shared, running, boxes } = parts;
-        let now = clock.now();
+        let now = Time(clock.now());
         let me = settings.me.clone();
         let seconds = unix().as_secs();
         // Numbers of an earlier life of this box are lower, at up to 4,096 a second.
@@ -234,7 +235,7 @@
     }
 
     fn now(&self) -> Time {
-        self.clock.now()
+        Time(self.clock.now())
     }
 
     fn update_snapshot(&self, change: impl FnOnce(&mut Snapshot)) {
--- a/crates/cleatshelf/src/desk.rs
+++ b/crates/cleatshelf/src/desk.rs
@@ -2,7 +2,7 @@
 
 use crate::Control;
 use actix::Addr;
-use feed::Clock;
+use clock::Clock;
 use gateway::{Desk, Request, Snapshot};
 use policy::Time;
 use std::sync::{Arc, RwLock};
@@ -33,6 +33,6 @@
     }
 
     fn now(&self) -> Time {
-        self.clock.now()
+        Time(self.clock.now())
     }
 }
--- a/crates/cleatshelf/src/router/advice.rs
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -1,5 +1,6 @@
 //! Which box owns a server, and the questions that are on their way there.
 
+use clock::Clock;
 use peers::{Millis, Profile, Silence};
 use placement::{Fingerprint, News, Opinion, Owner, Permit, Question, Record, Report};
 use relay::Advisor;
@@ -8,7 +9,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 use tokio::sync::{mpsc, oneshot};
 
 /// Most messages on their way to the control thread; more are dropped, and their questions go unanswered.
@@ -72,7 +72,9 @@
 /// Questions to owners, answers, and what this box itself owns. Shared by all threads.
 pub(super) struct Advice {
     me: SocketAddr,
-    began: Instant,
+    clock: Arc<dyn Clock>,
+    /// When this was made, by that clock.
+    began: Millis,
     state: Mutex<State>,
     out: mpsc::Sender<(SocketAddr, Message)>,
 }
@@ -96,9 +98,10 @@
 
 impl Advice {
     /// Advice for the box `me`, and what it wants to send.
-    pub(super) fn new(me: SocketAddr) -> (Arc<Self>, mpsc::Receiver<(SocketAddr, Message)>) {
+    pub(super) fn new(me: SocketAddr, clock: Arc<dyn Clock>) -> (Arc<Self>, mpsc::Receiver<(SocketAddr, Message)>) {
         let (out, sent) = mpsc::channel(QUEUE_MOST);
-        let advice = Self { me, began: Instant::now(), state: Mutex::default(), out };
+        let began = clock.now();
+        let advice = Self { me, clock, began, state: Mutex::default(), out };
         (Arc::new(advice), sent)
     }
 
@@ -107,7 +110,7 @@
     }
 
     fn now(&self) -> Millis {
-        self.began.elapsed().as_millis() as u64
+        self.clock.now().saturating_sub(self.began)
     }
 
     /// Takes the boxes that are known.
--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -3,7 +3,7 @@
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use flate2::Compression;
-use peers::Holding;
+use peers::{Holding, Millis};
 use relay::{Shared, View};
 use routing::{Change, Digests, Directory, Evacuations, Excerpt, Publisher, Table};
 use serde::de::DeserializeOwned;
@@ -13,7 +13,7 @@
 use std::io::{Read, Write};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use telemetry::Event;
 use tokio::sync::Notify;
 
@@ -22,7 +22,7 @@
 
 /// How long a server stays in use whose entry went while the publisher was away. The platform has those back that live
 /// within about 2 s of its return; on the strictest of the users' sites a server that has left must get nothing after 2 s.
-const LAPSED_MOST: Duration = Duration::from_millis(1_500);
+const LAPSED_MOST: Millis = 1_500;
 
 /// Where news came from, for the log.
 #[derive(Clone, Copy, Debug)]
@@ -65,17 +65,16 @@
     excerpt: Option<(Digests, Rc<Vec<u8>>)>,
     evacuations: Evacuations,
     /// When each of the lapsed servers was noticed.
-    lapsed: HashMap<String, Instant>,
+    lapsed: HashMap<String, Millis>,
     /// What others have not been told yet, in order.
     news: Vec<News>,
     /// When the publisher or a peer last said something, even if nothing new.
-    heard: Option<Instant>,
+    heard: Option<Millis>,
 }
 
 impl State {
     /// Notes since when servers are lapsed.
-    fn note_lapses(&mut self) {
-        let now = Instant::now();
+    fn note_lapses(&mut self, now: Millis) {
         let lapsed = &self.directory.lapsed;
         self.lapsed.retain(|id, _| lapsed.contains(id));
         for id in lapsed {
@@ -173,7 +172,7 @@
         let changed = directory.servers != state.directory.servers;
         let former = std::mem::replace(&mut state.directory, directory);
         state.excerpt = None;
-        state.note_lapses();
+        state.note_lapses(self.shared.now());
         if !changed {
             return;
         }
@@ -227,7 +226,7 @@
         let changes = state.directory.news_of(changes);
         let changed = state.directory.apply(changes.clone(), until);
         state.excerpt = None;
-        state.note_lapses();
+        state.note_lapses(self.shared.now());
         if changed {
             self.servers_changed(&state, origin);
         }
@@ -236,9 +235,10 @@
 
     /// Takes servers for gone that lapsed and did not come back in time.
     pub(super) fn expire(&self) {
+        let now = self.shared.now();
         let mut state = self.state.borrow_mut();
         let over: Vec<String> =
-            state.lapsed.iter().filter(|(_, at)| at.elapsed() >= LAPSED_MOST).map(|(id, _)| id.clone()).collect();
+            state.lapsed.iter().filter(|(_, at)| now >= *at + LAPSED_MOST).map(|(id, _)| id.clone()).collect();
         if over.is_empty() {
             return;
         }
@@ -246,7 +246,7 @@
             state.directory.expire(id);
         }
         state.excerpt = None;
-        state.note_lapses();
+        state.note_lapses(self.shared.now());
         self.servers_changed(&state, Origin::Lapse);
     }
 
@@ -278,12 +278,12 @@
 
     /// Notes that the publisher or a watcher was heard.
     pub(super) fn heard(&self) {
-        self.state.borrow_mut().heard = Some(Instant::now());
+        self.state.borrow_mut().heard = Some(self.shared.now());
     }
 
     /// How long ago the publisher or a watcher was last heard; zero before.
     pub(super) fn age(&self) -> Duration {
-        self.state.borrow().heard.map_or(Duration::ZERO, |at| at.elapsed())
+        self.state.borrow().heard.map_or(Duration::ZERO, |at| Duration::from_millis(self.shared.now() - at))
     }
 
     /// How new this box's knowledge is.
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -7,6 +7,7 @@
 use super::peering::{Parts, Peering};
 use super::reload::Reload;
 use super::Settings;
+use clock::BootClock;
 use eyre::WrapErr;
 use peers::{Peers, Profile};
 use placement::{Budget, Placement};
@@ -42,9 +43,15 @@
     let budget = Budget::new(settings.retry_ratio, settings.retry_slack, window);
     let placement =
         Placement::new(&settings.hall, budget).with_allowance(settings.cold).with_regions(settings.regions.clone());
-    let (advice, sent) = Advice::new(settings.boxes);
+    let (advice, sent) = Advice::new(settings.boxes, Arc::new(BootClock));
     let desk = Desk(Arc::clone(&advice));
-    let shared = Shared::new(Box::new(platform::Headers), Box::new(desk), placement, rank(0, &settings.link_key));
+    let shared = Shared::new(relay::Parts {
+        dialect: Box::new(platform::Headers),
+        advisor: Box::new(desk),
+        placement,
+        secret: rank(0, &settings.link_key),
+        clock: Arc::new(BootClock),
+    });
     let (stop, stopped) = watch::channel(false);
     let (done, mut front_done) = watch::channel(false);
     let traffic = actix::Arbiter::new();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -13,7 +13,6 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Largest answer that isn't a stream, in bytes: held whole, so that a broken one is never passed on.
 const ANSWER_MOST: usize = 32 << 20;
@@ -152,7 +151,7 @@
     pub(crate) parts: &'a request::Parts,
     pub(crate) body: &'a Bytes,
     /// Until when it may leave this box, where a cold server's owner gave leave.
-    pub(crate) leave_until: Option<Instant>,
+    pub(crate) leave_until: Option<Millis>,
 }
 
 /// Sends a request and waits for the head of its answer. `under_way` becomes true before its first byte may leave this
@@ -171,7 +170,7 @@
             Ok(connection) => connection,
             Err(why) => return Sent::Unreached(why.to_string()),
         };
-        if message.leave_until.is_some_and(|until| Instant::now() > until) {
+        if message.leave_until.is_some_and(|until| shared.now() > until) {
             return Sent::Expired;
         }
         under_way.set(true);
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -4,13 +4,16 @@
 use crate::handshake::Handshake;
 use crate::liveness::notice_death;
 use bytes::Bytes;
+use clock::Clock;
 use http::{header, HeaderMap};
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
+use placement::Millis;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -46,18 +49,23 @@
     }
 }
 
-/// A connection, and since when it rests.
-type Resting = (Connection, Instant);
+/// A connection, and since when it rests. By a clock that counts while the machine is suspended: its server's does.
+type Resting = (Connection, Millis);
 
 /// Unused connections by server life, of one traffic thread.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct Connections {
+    clock: Arc<dyn Clock>,
     idle: Rc<RefCell<HashMap<String, Vec<Resting>>>>,
     /// How long new ones took lately.
     handshake: Rc<Cell<Handshake>>,
 }
 
 impl Connections {
+    pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
+        Self { clock, idle: Rc::default(), handshake: Rc::default() }
+    }
+
     /// A connection to a server: the one used last that still stands, or a new one.
     pub(crate) async fn open(&self, life: &str, address: SocketAddr) -> std::io::Result<Connection> {
         match self.take(life) {
@@ -93,7 +101,7 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(life)?;
         while let Some((connection, since)) = connections.pop() {
-            if since.elapsed() < connection.rest && connection.sender.is_ready() {
+            if self.rests(&connection, since) && connection.sender.is_ready() {
                 connection.busy.set(true);
                 return Some(connection);
             }
@@ -102,6 +110,11 @@
         None
     }
 
+    /// True while a connection that rests since then may be used.
+    fn rests(&self, connection: &Connection, since: Millis) -> bool {
+        u128::from(self.clock.now().saturating_sub(since)) < connection.rest.as_millis()
+    }
+
     /// Keeps a connection whose exchange is over, unless its server wants it closed.
     pub(crate) fn keep(&self, life: &str, mut connection: Connection, headers: &HeaderMap) {
         let Some(rest) = rest(headers) else { return };
@@ -110,14 +123,14 @@
         if connections.len() < IDLE_COUNT {
             connection.rest = rest;
             connection.busy.set(false);
-            connections.push((connection, Instant::now()));
+            connections.push((connection, self.clock.now()));
         }
     }
 
     /// Closes what has rested too long, and all connections to lives that are not listed.
     pub(crate) fn prune(&self, listed: impl Fn(&str) -> bool) {
         self.idle.borrow_mut().retain(|life, connections| {
-            connections.retain(|(c, since)| since.elapsed() < c.rest && !c.sender.is_closed());
+            connections.retain(|(c, since)| self.rests(c, *since) && !c.sender.is_closed());
             !connections.is_empty() && listed(life)
         });
     }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -52,8 +52,9 @@
 const LOOK_MOST: Duration = Duration::from_millis(25);
 
 /// Longest time from a cold server's owner's leave to the send: the span in which the owner counts arrivals is longer than
-/// a second by twice this, the rest being for the way.
-const LEAVE_MOST: Duration = Duration::from_millis(100);
+/// a second by twice this, the rest being for the way. By the clock that counts while the machine is suspended: the owner's
+/// second does, too.
+const LEAVE_MOST: Millis = 100;
 
 /// How many aims long a server of repeatable requests may be silent before another is asked: the longest work on the
 /// users' sheets takes one and a half.
@@ -72,6 +73,8 @@
     pub(crate) body: Bytes,
     /// When its time is over, for the caller or for the route, whichever is first.
     pub(crate) deadline: Instant,
+    /// The same by the clock that counts while the machine is suspended: what servers are told, and whether it is sent again.
+    pub(crate) ends: Millis,
     pub(crate) began: Instant,
     /// What it is known by when it comes again; made when it is first asked for.
     pub(crate) fingerprint: OnceCell<Fingerprint>,
@@ -84,7 +87,7 @@
     /// Sends that found no server.
     pub(crate) unreached: usize,
     /// Until when the send that was last claimed may leave this box; none where the server isn't cold.
-    pub(crate) leave_until: Option<Instant>,
+    pub(crate) leave_until: Option<Millis>,
     /// True when a send that has ended may have run.
     pub(crate) may_have_run: bool,
     /// True while the last send may run or have run. Stands beside `may_have_run`, since a send that is dropped when the
@@ -109,6 +112,8 @@
 pub(crate) enum Withheld {
     /// No server may be tried.
     Refused(Refusal),
+    /// Its time is over.
+    Late,
     /// Servers ended under it, again and again.
     Held {
         /// When its caller is asked back, in milliseconds.
@@ -186,7 +191,7 @@
     fn patience(&self, choice: &Choice) -> Option<Duration> {
         let another = self.route.kind == Kind::Idempotent && self.sends + 1 < self.route.attempts;
         let patience = self.route.aim * SILENT_AIMS;
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.left();
         (another && choice.candidates > 1 && patience < left).then_some(patience)
     }
 
@@ -200,7 +205,7 @@
         let mut denied = Vec::new();
         loop {
             let choice = self.shared.placement().choose(&self.ask(&opinions, &denied))?;
-            let leave_until = Instant::now() + LEAVE_MOST;
+            let leave_until = self.shared.now() + LEAVE_MOST;
             let Some(most) = choice.leave else {
                 return self.claim(choice, None);
             };
@@ -212,7 +217,11 @@
     }
 
     /// Takes a place at the chosen server, unless servers ended under the request meanwhile, here or elsewhere.
-    fn claim(&mut self, choice: Choice, leave_until: Option<Instant>) -> Result<(Choice, Claim), Withheld> {
+    fn claim(&mut self, choice: Choice, leave_until: Option<Millis>) -> Result<(Choice, Claim), Withheld> {
+        if self.left().is_zero() {
+            // The machine was suspended: its timers don't know yet.
+            return Err(Withheld::Late);
+        }
         match self.verdict() {
             Verdict::Free => {}
             Verdict::Trial => self.shared.begin_trial(self.fingerprint()),
@@ -325,7 +334,7 @@
         let dispatch = Dispatch {
             name: &server.name,
             customer: self.customer.as_ref().map(|c| c.name.as_str()),
-            time: self.deadline.saturating_duration_since(Instant::now()),
+            time: self.left(),
             urgency: self.call.prompt.as_ref().map(|_| self.urgency()),
             fetch: choice.fetch,
             last_event,
@@ -418,7 +427,12 @@
     }
 
     fn time_left(&self) -> bool {
-        self.deadline.saturating_duration_since(Instant::now()) > TIME_LEAST
+        self.left() > TIME_LEAST
+    }
+
+    /// What is left of its time.
+    fn left(&self) -> Duration {
+        Duration::from_millis(self.ends.saturating_sub(self.shared.now()))
     }
 
     /// A further send of a stream that broke: its answer, if a server goes on with it.
@@ -446,6 +460,7 @@
                 let after = COLD_LEAST.mul_f64(rand::rng().random_range(1.0..2.0));
                 self.refuse_until("all servers are cold", after)
             }
+            Withheld::Late => self.refuse("its time is over"),
             Withheld::Held { back_ms } => {
                 self.trail.push_str("held");
                 self.refuse_until("servers ended under this request", Duration::from_millis(back_ms))
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -74,8 +74,8 @@
     #[must_use]
     pub fn new(shared: Arc<Shared>, connections_most: usize) -> Self {
         Self {
+            connections: Connections::new(shared.clock()),
             shared,
-            connections: Connections::default(),
             crashes: Crashes::default(),
             connections_most,
             open: Rc::default(),
@@ -239,6 +239,7 @@
             parts,
             body,
             deadline: began + time,
+            ends: self.shared.now() + time.saturating_sub(began.elapsed()).as_millis() as u64,
             began,
             fingerprint: OnceCell::new(),
             tried: Vec::new(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -36,7 +36,7 @@
 pub use liveness::notice_death;
 pub use outcome::Outcome;
 pub use ready::Ready;
-pub use shared::{Shared, View};
+pub use shared::{Parts, Shared, View};
 
 /// The body of an answer to a caller.
 pub type Body = http_body_util::combinators::UnsyncBoxBody<bytes::Bytes, Broken>;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -1,11 +1,11 @@
 //! What the traffic threads and the control thread share.
 
 use crate::{Advisor, Dialect};
+use clock::Clock;
 use placement::{InForce, Millis, Placement, Quarantine};
 use routing::{Directory, Evacuations, Table};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
-use std::time::Instant;
 
 /// The configuration and servers in force. A new one replaces the old one whole.
 #[derive(Clone, Debug, Default)]
@@ -18,6 +18,20 @@
     pub evacuations: Evacuations,
 }
 
+/// What the state of a box is made of.
+pub struct Parts {
+    /// Reads and writes headers.
+    pub dialect: Box<dyn Dialect>,
+    /// Asks the owners of servers.
+    pub advisor: Box<dyn Advisor>,
+    /// Chooses servers.
+    pub placement: Placement,
+    /// The same for all boxes, and known to nobody else: fingerprints of requests are made with it.
+    pub secret: u64,
+    /// What all but waits goes by.
+    pub clock: Arc<dyn Clock>,
+}
+
 /// State of one box that all its threads see.
 pub struct Shared {
     /// Reads and writes headers.
@@ -29,7 +43,9 @@
     pub(crate) quarantine: Mutex<Quarantine>,
     /// Known to boxes only; fingerprints of requests are made with it.
     pub(crate) secret: u64,
-    began: Instant,
+    clock: Arc<dyn Clock>,
+    /// When this was made, by that clock.
+    began: Millis,
     stopping: AtomicBool,
     /// Numbers of questions and leases, unique in this process.
     pub(crate) numbers: AtomicU64,
@@ -38,9 +54,10 @@
 }
 
 impl Shared {
-    /// State with nothing known yet. All boxes have the same `secret`, and nobody else has it.
+    /// State with nothing known yet.
     #[must_use]
-    pub fn new(dialect: Box<dyn Dialect>, advisor: Box<dyn Advisor>, placement: Placement, secret: u64) -> Arc<Self> {
+    pub fn new(parts: Parts) -> Arc<Self> {
+        let Parts { dialect, advisor, placement, secret, clock } = parts;
         Arc::new(Self {
             dialect,
             advisor,
@@ -48,17 +65,23 @@
             placement: Mutex::new(placement),
             quarantine: Mutex::default(),
             secret,
-            began: Instant::now(),
+            began: clock.now(),
+            clock,
             stopping: AtomicBool::new(false),
             numbers: AtomicU64::new(0),
             running: AtomicUsize::new(0),
         })
     }
 
-    /// Now, by this process's clock.
+    /// Now, counted from when this was made; goes on while the machine is suspended.
     #[must_use]
     pub fn now(&self) -> Millis {
-        self.began.elapsed().as_millis() as Millis
+        self.clock.now().saturating_sub(self.began)
+    }
+
+    /// The clock that this goes by.
+    pub(crate) fn clock(&self) -> Arc<dyn Clock> {
+        Arc::clone(&self.clock)
     }
 
     /// The configuration and servers in force.
