A server that answers has not ended, whoever took it for ended

Change: a server's later answer to any box disproves its end (placement::Sign): ends are struck out, whoever told them hears it, and tells the others. An answer counts from a second after the end was seen, since what was sent before may be read late. What is held follows from the ends alone. Ruled out: asking further servers or boxes of the hall before believing a refusal: it fails where two servers of a hall end together, and costs connections. Tests: quarantine.rs, a cut-off box, one that believed it and one that knows better; late bytes prove nothing.

--- a/crates/cleatshelf/src/router/advice.rs
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -2,7 +2,7 @@
 
 use clock::Clock;
 use peers::{Millis, Profile, Silence};
-use placement::{Fingerprint, News, Opinion, Owner, Permit, Question, Record, Report};
+use placement::{Fingerprint, News, Opinion, Owner, Permit, Question, Record, Report, Sign};
 use relay::Advisor;
 use routing::{rank, rank_address, Directory, Server};
 use serde::{Deserialize, Serialize};
@@ -62,9 +62,10 @@
         number: u64,
         granted: bool,
     },
-    /// Requests under which servers ended, or that were found innocent.
+    /// Requests under which servers ended, or that were found innocent, and servers that answer; `asks` for the same.
     Suspects {
         records: Vec<Record>,
+        signs: Vec<Sign>,
         asks: bool,
     },
 }
@@ -265,13 +266,14 @@
         state.silence.missed(owner, now);
     }
 
-    fn suspect(&self, records: Vec<Record>) {
+    fn suspect(&self, records: Vec<Record>, signs: Vec<Sign>) {
         let others: Vec<SocketAddr> = {
             let state = self.0.state();
             state.boxes.iter().map(|(address, _)| *address).filter(|address| *address != self.0.me).collect()
         };
         for other in others {
-            self.0.send(other, Message::Suspects { records: records.clone(), asks: false });
+            let (records, signs) = (records.clone(), signs.clone());
+            self.0.send(other, Message::Suspects { records, signs, asks: false });
         }
     }
 
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -4,6 +4,7 @@
 use super::follow::Troubles;
 use super::knowledge::{encode, Knowledge, News, Origin};
 use peers::{Action, Message, Peers};
+use placement::Sign;
 use relay::Shared;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -87,10 +88,10 @@
                     let actions = this.peers.borrow_mut().handle(from, message, this.shared.now());
                     this.carry_out(actions);
                 }
-                Envelope::Advice(advice::Message::Suspects { records, asks }) => {
-                    this.shared.hear_suspects(&records);
-                    if asks {
-                        this.send_suspects(from, false);
+                Envelope::Advice(advice::Message::Suspects { records, signs, asks }) => {
+                    let signs = this.shared.hear_suspects(&records, signs);
+                    if asks || !signs.is_empty() {
+                        this.send_suspects(from, signs, false);
                     }
                 }
                 Envelope::Advice(message) => {
@@ -122,7 +123,10 @@
         self.knowledge.expire();
         let news = self.knowledge.take_news();
         if !news.is_empty() {
-            self.advice.retain(&self.knowledge.directory());
+            let directory = self.knowledge.directory();
+            self.advice.retain(&directory);
+            let lives = directory.lives();
+            self.shared.quarantine().retain_servers(|id| lives.contains(id));
         }
         let actions = {
             let mut peers = self.peers.borrow_mut();
@@ -168,7 +172,7 @@
                         self.send(to, &Envelope::Peers(Message::Excerpt(packed.to_vec())));
                     }
                 }
-                Action::ShareSuspects(to) => self.send_suspects(to, true),
+                Action::ShareSuspects(to) => self.send_suspects(to, Vec::new(), true),
                 Action::Watch(watching) => {
                     telemetry::emit(Event::WatchRole, format_args!("watching={watching}"));
                     self.watching.send_replace(watching);
@@ -195,10 +199,10 @@
         self.advice.set_boxes(peers.list(), peers.settled());
     }
 
-    /// Tells a box which requests are held, or were found innocent; `asks` for what that one knows.
-    fn send_suspects(&self, to: SocketAddr, asks: bool) {
+    /// Tells a box which requests are held, or were found innocent, and which servers live; `asks` for what that one knows.
+    fn send_suspects(&self, to: SocketAddr, signs: Vec<Sign>, asks: bool) {
         let records = self.shared.quarantine().records(self.shared.now());
-        self.send(to, &Envelope::Advice(advice::Message::Suspects { records, asks }));
+        self.send(to, &Envelope::Advice(advice::Message::Suspects { records, signs, asks }));
     }
 
     fn send(&self, to: SocketAddr, envelope: &Envelope) {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -44,7 +44,7 @@
 pub use owner::{News, Opinion, Owner, Permit, Question, Report};
 pub use placement::{InForce, Placement};
 pub use prompt::{Part, Prompt};
-pub use quarantine::{Change, End, Quarantine, Record, Verdict};
+pub use quarantine::{Change, End, Quarantine, Record, Sign, Verdict};
 pub use speed::Speed;
 pub use standing::Standing;
 pub use warmth::{Allowance, Break};
--- a/crates/placement/src/quarantine.rs
+++ b/crates/placement/src/quarantine.rs
@@ -4,19 +4,26 @@
 //! on. A server that survives it proves it innocent. Boxes tell each other [`Record`]s; whatever the order in which these come,
 //! all that heard the same hold the same.
 //!
+//! That a server has ended is what one box saw: its address refused connections, as it also does to a box that is cut off. Whatever
+//! box the server answers later disproves it, and tells the others.
+//!
 //! A request that ends its servers is met by one after the other. One that runs everywhere loses many at once with a hall, and
 //! is soon proved innocent by those that go on; where none does, it is tried early.
 
 use crate::{Fingerprint, Millis};
 use routing::rank_bytes;
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// How many servers must have ended under a request before it is held. With two, 42 of 50,600 requests that came once were held
 /// in 20 drawn days of lost halls and crashes, with three 1; the guilty one ended as many servers as it takes
 /// (`placement/tests/quarantine.rs`).
 const ENDS_MOST: usize = 3;
 
+/// How long after a server's end was seen an answer of it disproves that, in milliseconds: what it sent before may be read late, by a
+/// box that had no processor for some tenths of a second.
+const DISPROVED_AFTER: i64 = 1_000;
+
 /// When a held request is let through once, counted from when it was held. Early where servers ended while it ran at several: a
 /// lost hall may have ended them, and all that could have shown its innocence. On drawn days on which all servers end together
 /// once, 1,233 of 21,500 arrivals of a request that runs everywhere were refused, 3,713 with five seconds, 5,377 without it.
@@ -69,14 +76,21 @@
     pub survivals: u32,
     /// Servers that ended under it since.
     pub ends: Vec<End>,
-    /// For how long it has been held, in milliseconds; none where it isn't.
-    pub held: Option<Millis>,
     /// How often it was let through although it was held.
     pub trials: u8,
     /// How long ago the last of this happened, in milliseconds.
     pub ago: Millis,
 }
 
+/// A server answers: what was seen of its end before wasn't one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sign {
+    /// Id of the server's life.
+    pub server: String,
+    /// How long ago it answered, in milliseconds.
+    pub ago: Millis,
+}
+
 /// Whether a request may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -105,6 +119,14 @@
 }
 
 impl Change {
+    fn of(held: bool, holds: bool, record: Record) -> Self {
+        match (held, holds) {
+            (false, true) => Self::Held(record),
+            (true, false) => Self::Lifted(record),
+            _ => Self::Noted(record),
+        }
+    }
+
     /// What others may not know.
     #[must_use]
     pub fn into_record(self) -> Option<Record> {
@@ -128,8 +150,6 @@
     survivals: u32,
     /// In the order in which they ended.
     ends: Vec<Ended>,
-    /// Since when it is held; none where it isn't.
-    held_since: Option<i64>,
     trials: u8,
     /// When the last of this happened.
     changed: i64,
@@ -137,7 +157,7 @@
 
 impl Default for Suspect {
     fn default() -> Self {
-        Self { survivals: 0, ends: Vec::new(), held_since: None, trials: 0, changed: i64::MIN }
+        Self { survivals: 0, ends: Vec::new(), trials: 0, changed: i64::MIN }
     }
 }
 
@@ -145,6 +165,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     suspects: HashMap<Fingerprint, Suspect>,
+    /// When servers answered last, by id of their life.
+    answered: HashMap<String, i64>,
+    /// Ids of servers whose end some suspect names; may name more.
+    named: HashSet<String>,
     /// Sum over what other boxes must know too.
     digest: u64,
     expire_at: i64,
@@ -160,7 +184,7 @@
     /// A server ended while this request was there.
     pub fn ended(&mut self, request: Fingerprint, end: End, now: Millis) -> Change {
         let survivals = self.suspects.get(&request).map_or(0, |suspect| suspect.survivals);
-        self.take(&Record { request, survivals, ends: vec![end], held: None, trials: 0, ago: 0 }, now)
+        self.take(&Record { request, survivals, ends: vec![end], trials: 0, ago: 0 }, now)
     }
 
     /// A server ran this request and lives, or an operator says that it is innocent.
@@ -169,26 +193,87 @@
             return Change::Known;
         };
         let survivals = suspect.survivals + 1;
-        self.take(&Record { request, survivals, ends: Vec::new(), held: None, trials: 0, ago: 0 }, now)
+        self.take(&Record { request, survivals, ends: Vec::new(), trials: 0, ago: 0 }, now)
     }
 
     /// Takes what another box told.
     pub fn take(&mut self, record: &Record, now: Millis) -> Change {
         let now = now as i64;
         self.make_room(record.request);
+        let answered = &self.answered;
+        let disproved = |end: &Ended| answered.get(&end.server).is_some_and(|at| *at >= end.at + DISPROVED_AFTER);
         let suspect = self.suspects.entry(record.request).or_default();
-        let (held, told) = (suspect.held_since.is_some(), suspect.told(record.request));
-        if !suspect.take(record, now) {
+        let (held, told) = (suspect.held(), suspect.told(record.request));
+        if !suspect.take(record, now, disproved) {
+            if suspect.is_nothing() {
+                self.suspects.remove(&record.request);
+            }
             return Change::Known;
         }
         suspect.changed = suspect.changed.max(now - record.ago as i64);
+        self.named.extend(record.ends.iter().map(|end| end.server.clone()));
         let record = suspect.record(record.request, now);
         self.digest = self.digest.wrapping_sub(told).wrapping_add(suspect.told(record.request));
-        match (held, suspect.held_since.is_some()) {
-            (false, true) => Change::Held(record),
-            (true, false) => Change::Lifted(record),
-            _ => Change::Noted(record),
+        Change::of(held, suspect.held(), record)
+    }
+
+    /// A server answers this box. What is disproved by that, and what others must know of it; nothing where no end of it was
+    /// seen.
+    pub fn answered(&mut self, server: &str, now: Millis) -> Vec<Change> {
+        match self.answered.get_mut(server) {
+            Some(at) => *at = now as i64,
+            None => drop(self.answered.insert(server.to_owned(), now as i64)),
+        }
+        self.disprove(server, now as i64)
+    }
+
+    /// Another box says that a server answers it.
+    pub fn take_sign(&mut self, sign: &Sign, now: Millis) -> Vec<Change> {
+        let at = now as i64 - sign.ago as i64;
+        let answered = self.answered.entry(sign.server.clone()).or_insert(at);
+        *answered = at.max(*answered);
+        self.disprove(&sign.server, now as i64)
+    }
+
+    /// The signs that disprove what a record says, for who told it.
+    #[must_use]
+    pub fn signs(&self, record: &Record, now: Millis) -> Vec<Sign> {
+        let now = now as i64;
+        let sign = |end: &End| {
+            let at = self.answered.get(&end.server)?;
+            let disproves = *at >= now - end.ago as i64 + DISPROVED_AFTER;
+            disproves.then(|| Sign { server: end.server.clone(), ago: (now - at).max(0) as Millis })
+        };
+        record.ends.iter().filter_map(sign).collect()
+    }
+
+    /// Forgets when servers answered that are no longer listed.
+    pub fn retain_servers(&mut self, listed: impl Fn(&str) -> bool) {
+        self.answered.retain(|server, _| listed(server));
+    }
+
+    /// Strikes out ends of a server from before it answered.
+    fn disprove(&mut self, server: &str, now: i64) -> Vec<Change> {
+        if !self.named.contains(server) {
+            return Vec::new();
+        }
+        let Some(answered) = self.answered.get(server) else { return Vec::new() };
+        let false_end = |end: &Ended| end.server == server && *answered >= end.at + DISPROVED_AFTER;
+        let mut changes = Vec::new();
+        for (request, suspect) in &mut self.suspects {
+            if !suspect.ends.iter().any(false_end) {
+                continue;
+            }
+            let (held, told) = (suspect.held(), suspect.told(*request));
+            suspect.ends.retain(|end| !false_end(end));
+            self.digest = self.digest.wrapping_sub(told).wrapping_add(suspect.told(*request));
+            changes.push(Change::of(held, suspect.held(), suspect.record(*request, now)));
         }
+        self.suspects.retain(|_, suspect| !suspect.is_nothing());
+        if !self.suspects.values().any(|suspect| suspect.ends.iter().any(|end| end.server == server)) {
+            self.named.remove(server);
+        }
+        changes
     }
 
     /// Whether this request may be sent. `first` is true for the one box that may try a held one.
@@ -196,7 +281,7 @@
     pub fn verdict(&self, request: Fingerprint, first: bool, now: Millis) -> Verdict {
         let now = now as i64;
         let Some(suspect) = self.suspects.get(&request) else { return Verdict::Free };
-        let Some(since) = suspect.held_since.filter(|since| now < since + KEPT_FOR) else { return Verdict::Free };
+        let Some(since) = suspect.held_since().filter(|since| now < since + KEPT_FOR) else { return Verdict::Free };
         if first && suspect.trial_after().is_some_and(|after| now >= since + after) {
             return Verdict::Trial;
         }
@@ -222,13 +307,13 @@
     /// What a box that has just come must know: what is held, and what was found innocent.
     #[must_use]
     pub fn records(&self, now: Millis) -> Vec<Record> {
-        let told = self.suspects.iter().filter(|(_, suspect)| suspect.held_since.is_some() || suspect.survivals > 0);
+        let told = self.suspects.iter().filter(|(_, suspect)| suspect.held() || suspect.survivals > 0);
         told.map(|(request, suspect)| suspect.record(*request, now as i64)).collect()
     }
 
     /// The requests that are held.
     pub fn held(&self) -> impl Iterator<Item = Fingerprint> + '_ {
-        self.suspects.iter().filter(|(_, suspect)| suspect.held_since.is_some()).map(|(request, _)| *request)
+        self.suspects.iter().filter(|(_, suspect)| suspect.held()).map(|(request, _)| *request)
     }
 
     /// Equal on boxes that hold the same.
@@ -246,7 +331,7 @@
         if self.suspects.len() < SUSPECTS_MOST || self.suspects.contains_key(&request) {
             return;
         }
-        let weight = |suspect: &Suspect| (suspect.held_since.is_some(), suspect.ends.len(), suspect.changed);
+        let weight = |suspect: &Suspect| (suspect.held(), suspect.ends.len(), suspect.changed);
         let mut weights: Vec<_> = self.suspects.values().map(weight).collect();
         let (_, least, _) = weights.select_nth_unstable(DROPPED);
         let least = *least;
@@ -257,12 +342,13 @@
         self.suspects.retain(|_, suspect| keep(suspect));
         let told = self.suspects.iter().map(|(request, suspect)| suspect.told(*request));
         self.digest = told.fold(0, u64::wrapping_add);
+        self.named = self.suspects.values().flat_map(|suspect| &suspect.ends).map(|end| end.server.clone()).collect();
     }
 }
 
 impl Suspect {
-    /// Takes what was told. False when all of it was known.
-    fn take(&mut self, record: &Record, now: i64) -> bool {
+    /// Takes what was told. False when all of it was known, or is disproved.
+    fn take(&mut self, record: &Record, now: i64, disproved: impl Fn(&Ended) -> bool) -> bool {
         if record.survivals < self.survivals {
             return false;
         }
@@ -271,9 +357,10 @@
             *self = Self { survivals: record.survivals, changed: self.changed, ..Self::default() };
         }
         for end in &record.ends {
-            if self.ends.iter().all(|known| known.server != end.server) {
-                let [sent, at] = [end.sent, end.ago].map(|ago| now - ago as i64);
-                self.ends.push(Ended { server: end.server.clone(), sent, at });
+            let [sent, at] = [end.sent, end.ago].map(|ago| now - ago as i64);
+            let ended = Ended { server: end.server.clone(), sent, at };
+            if !disproved(&ended) && self.ends.iter().all(|known| known.server != end.server) {
+                self.ends.push(ended);
                 news = true;
             }
         }
@@ -281,16 +368,25 @@
         while self.ends.len() > ENDS_KEPT {
             self.ends.remove(self.least());
         }
-        if self.held_since.is_none() {
-            let told = record.held.map(|held| now - held as i64);
-            self.held_since = told.or_else(|| self.ends.get(ENDS_MOST - 1).map(|end| end.at));
-            news |= self.held_since.is_some();
-        }
         news |= record.trials > self.trials;
         self.trials = self.trials.max(record.trials);
         news
     }
 
+    /// Since when it is held; none where it isn't.
+    fn held_since(&self) -> Option<i64> {
+        self.ends.get(ENDS_MOST - 1).map(|end| end.at)
+    }
+
+    fn held(&self) -> bool {
+        self.ends.len() >= ENDS_MOST
+    }
+
+    /// True when nothing is to be remembered of it.
+    fn is_nothing(&self) -> bool {
+        self.ends.is_empty() && self.survivals == 0
+    }
+
     /// The places in `ends` of servers that ended one after the other: each was sent the request after the one before had ended.
     fn in_turn(&self) -> Vec<usize> {
         let mut last = i64::MIN;
@@ -327,7 +423,6 @@
             request,
             survivals: self.survivals,
             ends: self.ends.iter().map(end).collect(),
-            held: self.held_since.map(ago),
             trials: self.trials,
             ago: ago(self.changed),
         }
@@ -335,7 +430,7 @@
 
     /// What it adds to the digest: nothing while it is a mere suspect.
     fn told(&self, request: Fingerprint) -> u64 {
-        let held = self.held_since.is_some();
+        let held = self.held();
         if !held && self.survivals == 0 {
             return 0;
         }
--- a/crates/placement/tests/quarantine.rs
+++ b/crates/placement/tests/quarantine.rs
@@ -81,8 +81,7 @@
                     .iter()
                     .map(|e| End { server: e.server.clone(), sent: late(e.sent), ago: late(e.ago) })
                     .collect();
-                let held = record.held.map(late);
-                other.take(&Record { ends, held, ago: late(record.ago), ..record.clone() }, end);
+                other.take(&Record { ends, ago: late(record.ago), ..record.clone() }, end);
             }
             let list = |quarantine: &Quarantine| quarantine.held().collect::<HashSet<_>>();
             assert_eq!(list(&other), list(&source), "seed {seed}");
@@ -179,6 +178,42 @@
     assert!(most <= 5, "{most} servers ended under one request");
 }
 
+#[test]
+fn a_server_that_answers_has_not_ended_whoever_said_so() {
+    // A box that is cut off takes what it can't reach for ended.
+    let mut cut_off = after(10, &[1_000, 1_100, 1_200]);
+    let told = cut_off.record(GUILTY, 1_200).expect("a suspect");
+    let mut knows_better = Quarantine::default();
+    for server in ["s0", "s1", "s2"] {
+        assert!(knows_better.answered(server, 2_900).is_empty());
+    }
+    let mut believes = Quarantine::default();
+    believes.take(&told, 1_210);
+    assert!(held(&believes, GUILTY, 1_210));
+    // It hears of it when the cut is over, and says so to who told it.
+    let later = cut_off.record(GUILTY, 3_000).expect("a suspect");
+    assert_eq!(knows_better.take(&later, 3_000), Change::Known);
+    let signs = knows_better.signs(&later, 3_000);
+    assert_eq!(signs.len(), 3);
+    for sign in &signs {
+        assert!(!cut_off.take_sign(sign, 3_010).is_empty(), "others must hear it from there");
+        assert!(!believes.take_sign(sign, 3_020).is_empty());
+        assert!(believes.take_sign(sign, 3_030).is_empty(), "told once");
+    }
+    for quarantine in [&cut_off, &believes, &knows_better] {
+        assert!(quarantine.is_empty());
+    }
+}
+
+#[test]
+fn what_a_server_sent_before_its_end_is_read_late_and_proves_nothing() {
+    let mut quarantine = after(10, &[1_000, 1_100, 1_200]);
+    assert!(quarantine.answered("s1", 1_800).is_empty());
+    assert!(held(&quarantine, GUILTY, 1_800));
+    assert!(matches!(quarantine.answered("s1", 2_200)[..], [Change::Lifted(_)]));
+    assert!(!held(&quarantine, GUILTY, 2_200));
+}
+
 #[test]
 fn a_flood_of_suspects_drops_none_that_is_held_and_fills_nothing() {
     let mut quarantine = after(10, &[1_000, 2_000, 3_000]);
--- a/crates/relay/src/advisor.rs
+++ b/crates/relay/src/advisor.rs
@@ -1,6 +1,6 @@
 //! The border towards the boxes that own servers.
 
-use placement::{Fingerprint, Opinion, Permit, Question, Record, Report};
+use placement::{Fingerprint, Opinion, Permit, Question, Record, Report, Sign};
 use routing::Server;
 use tokio::sync::oneshot;
 
@@ -19,8 +19,9 @@
     /// The owner of `server` gave no answer in time.
     fn silent(&self, server: &Server);
 
-    /// Tells all other boxes of requests under which servers ended, or that were found innocent.
-    fn suspect(&self, records: Vec<Record>);
+    /// Tells all other boxes of requests under which servers ended, or that were found innocent, and of servers that answer though
+    /// they were taken for ended.
+    fn suspect(&self, records: Vec<Record>, signs: Vec<Sign>);
 
     /// True for the one box that may try a request that is held.
     fn ranks_first(&self, request: Fingerprint) -> bool;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -92,6 +92,7 @@
     pub(crate) fn read(&mut self) -> bool {
         let first = !std::mem::replace(&mut self.read, true);
         if first {
+            self.shared.answered(&self.server.id);
             self.shared.placement().read(&self.service, &self.server.id, self.work);
             self.report(News::Read);
             self.tell_registers();
@@ -127,6 +128,9 @@
 
     /// How the send ended; if never told, the caller left.
     pub(crate) fn ended(mut self, ending: Ending) {
+        if ending == Ending::Good {
+            self.shared.answered(&self.server.id);
+        }
         self.ending = ending;
     }
 }
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -2,7 +2,7 @@
 
 use crate::crash::Broken;
 use crate::Shared;
-use placement::{Change, End, Fingerprint, Quarantine, Record, Verdict};
+use placement::{Change, End, Fingerprint, Quarantine, Record, Sign, Verdict};
 use std::fmt::Write;
 use std::sync::{MutexGuard, PoisonError};
 use telemetry::Event;
@@ -38,15 +38,41 @@
         suspected
     }
 
-    /// Takes what another box knows of requests.
-    pub fn hear_suspects(&self, records: &[Record]) {
+    /// A server answers: if some box took it for ended, all hear that it lives.
+    pub(crate) fn answered(&self, server: &str) {
         let now = self.now();
-        for record in records {
-            let change = self.quarantine().take(record, now);
-            note(&change);
+        let changes = self.quarantine().answered(server, now);
+        if !changes.is_empty() {
+            changes.iter().for_each(note);
+            self.advisor.suspect(Vec::new(), vec![Sign { server: server.to_owned(), ago: 0 }]);
         }
     }
 
+    /// Takes what another box knows of requests and servers. What disproves it, for that box.
+    #[must_use]
+    pub fn hear_suspects(&self, records: &[Record], signs: Vec<Sign>) -> Vec<Sign> {
+        let now = self.now();
+        let mut quarantine = self.quarantine();
+        let mut changes = Vec::new();
+        let mut told = Vec::new();
+        for sign in signs {
+            let disproved = quarantine.take_sign(&sign, now);
+            if !disproved.is_empty() {
+                told.push(sign);
+            }
+            changes.extend(disproved);
+        }
+        changes.extend(records.iter().map(|record| quarantine.take(record, now)));
+        let disproved = records.iter().flat_map(|record| quarantine.signs(record, now)).collect();
+        drop(quarantine);
+        changes.iter().for_each(note);
+        if !told.is_empty() {
+            // Those who believed this box's word must hear it too; those who know say nothing more.
+            self.advisor.suspect(Vec::new(), told);
+        }
+        disproved
+    }
+
     /// Whether a request may be sent, as far as servers ended under it.
     pub(crate) fn verdict(&self, request: Fingerprint) -> Verdict {
         let first = self.advisor.ranks_first(request);
@@ -65,7 +91,7 @@
         changes.iter().for_each(note);
         let records: Vec<Record> = changes.into_iter().filter_map(Change::into_record).collect();
         if !records.is_empty() {
-            self.advisor.suspect(records);
+            self.advisor.suspect(records, Vec::new());
         }
     }
 }
