A fault soak over the platform's protocol, with a request that ends servers and suspended boxes

Cause: no soak played the platform's protocol; nothing of ours played a request that ends servers, nor a box whose boot clock jumps. Change: crate platform-lab: the store, processes and servers of the process tests moved there (their tests are unchanged in what they check), and a soak of four boxes in two halls. route takes its clock as an argument, so that the soak's boxes can be suspended.

--- a/crates/cleatshelf/src/command.rs
+++ b/crates/cleatshelf/src/command.rs
@@ -4,11 +4,13 @@
 use crate::{router, serve, Settings};
 use argh::FromArgs;
 use catalog::{Catalog, Digest, Fault, Key, Manifest, Release};
+use clock::{BootClock, Clock};
 use eyre::WrapErr;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 /// Exit status for faults in files or settings.
 const FAULTS: u8 = 2;
@@ -142,7 +144,7 @@
 pub fn run(command: Command) -> ExitCode {
     let done = match command.what {
         What::Serve(args) => run_box(&args.settings),
-        What::Route(args) => route_box(&args.settings),
+        What::Route(args) => route(&args.settings, Arc::new(BootClock)),
         What::Check(args) => check(&args),
         What::Pack(args) => pack(&args),
         What::Status(args) => status(&args),
@@ -190,14 +192,18 @@
     ended(serve(settings))
 }
 
-fn route_box(path: &Path) -> eyre::Result<ExitCode> {
+/// Runs a box that routes by a platform's configuration, with the settings of this file and by this clock.
+///
+/// # Errors
+/// When its settings can't be read, or it can't listen.
+pub fn route(path: &Path, clock: Arc<dyn Clock>) -> eyre::Result<ExitCode> {
     let settings = match router::Settings::parse(&path.display().to_string(), &read(path)?) {
         Ok(settings) => settings,
         Err(faults) => return Ok(report(&faults)),
     };
     let lines = telemetry::Lines::start(std::io::stdout())?;
     lines.clone().install();
-    ended(router::serve(settings, path.to_owned(), lines))
+    ended(router::serve(settings, path.to_owned(), lines, clock))
 }
 
 fn start_logs() {
--- a/crates/cleatshelf/src/lib.rs
+++ b/crates/cleatshelf/src/lib.rs
@@ -13,7 +13,7 @@
 mod settings;
 mod status;
 
-pub use command::{run, Command};
+pub use command::{route, run, Command};
 pub use control::Control;
 pub use desk::ControlDesk;
 pub use envelope::Envelope;
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -7,7 +7,7 @@
 use super::peering::{Parts, Peering};
 use super::reload::Reload;
 use super::Settings;
-use clock::BootClock;
+use clock::Clock;
 use eyre::WrapErr;
 use peers::{Peers, Profile};
 use placement::{Budget, Placement};
@@ -33,24 +33,24 @@
 ///
 /// # Errors
 /// When a listener can't be bound.
-pub fn serve(settings: Settings, path: PathBuf, lines: Lines) -> eyre::Result<bool> {
-    actix::System::new().block_on(run(settings, path, lines))
+pub fn serve(settings: Settings, path: PathBuf, lines: Lines, clock: Arc<dyn Clock>) -> eyre::Result<bool> {
+    actix::System::new().block_on(run(settings, path, lines, clock))
 }
 
-async fn run(settings: Settings, path: PathBuf, lines: Lines) -> eyre::Result<bool> {
+async fn run(settings: Settings, path: PathBuf, lines: Lines, clock: Arc<dyn Clock>) -> eyre::Result<bool> {
     let scrape = Scrape::install()?;
     let window = settings.retry_window.as_millis() as u64;
     let budget = Budget::new(settings.retry_ratio, settings.retry_slack, window);
     let placement =
         Placement::new(&settings.hall, budget).with_allowance(settings.cold).with_regions(settings.regions.clone());
-    let (advice, sent) = Advice::new(settings.boxes, Arc::new(BootClock));
+    let (advice, sent) = Advice::new(settings.boxes, Arc::clone(&clock));
     let desk = Desk(Arc::clone(&advice));
     let shared = Shared::new(relay::Parts {
         dialect: Box::new(platform::Headers),
         advisor: Box::new(desk),
         placement,
         secret: rank(0, &settings.link_key),
-        clock: Arc::new(BootClock),
+        clock,
     });
     let (stop, stopped) = watch::channel(false);
     let (done, mut front_done) = watch::channel(false);
--- a/crates/cleatshelf/tests/crashing.rs
+++ b/crates/cleatshelf/tests/crashing.rs
@@ -11,22 +11,14 @@
 //!
 //! and so on: 36 ends under the one request, which reached servers 32 times after the third.
 
-mod common;
-
-use common::{call, config, entry, soon, Box, Store};
-use lab::ports::{free, listener};
-use std::io::{Read, Write};
-use std::net::{Shutdown, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use lab::ports::free;
+use platform_lab::{config, soon, Process, Servers, Store};
+use std::path::Path;
 use std::time::Duration;
 
 /// What ends a server that begins to run it.
 const CRASHING: &str = "/x/crashing";
 
-/// How long an ended server is away.
-const AWAY: Duration = Duration::from_millis(500);
-
 /// How long news of an end may take to be everywhere.
 const CONTACT: Duration = Duration::from_secs(3);
 
@@ -34,118 +26,42 @@
 const ENDS_ALLOWED: usize = 3;
 const SENDS_ALLOWED: usize = 3;
 
-/// Servers that a request may end, each under a new name after a while.
-#[derive(Clone)]
-struct Servers {
-    store: Store,
-    /// Sends of the crashing request that reached a server.
-    reached: Arc<AtomicUsize>,
-    lives: Arc<AtomicUsize>,
-}
-
-impl Servers {
-    fn start(store: &Store, count: usize) -> Self {
-        let servers = Self { store: store.clone(), reached: Arc::default(), lives: Arc::default() };
-        for _ in 0..count {
-            servers.begin_life();
-        }
-        servers
-    }
-
-    fn reached(&self) -> usize {
-        self.reached.load(Ordering::Relaxed)
-    }
-
-    fn begin_life(&self) {
-        let name = format!("servers/i-{}", self.lives.fetch_add(1, Ordering::Relaxed));
-        let this = self.clone();
-        let listener = listener();
-        let address = listener.local_addr().expect("an address");
-        listener.set_nonblocking(true).expect("a listener that does not wait");
-        std::thread::spawn(move || {
-            let ended = Arc::new(AtomicBool::new(false));
-            let streams: Mutex<Vec<TcpStream>> = Mutex::default();
-            this.store.put(&name, &entry(address, "ready"));
-            while !ended.load(Ordering::Relaxed) {
-                let Ok((stream, _)) = listener.accept() else {
-                    std::thread::sleep(Duration::from_millis(2));
-                    continue;
-                };
-                stream.set_nonblocking(false).expect("a stream that waits");
-                streams.lock().expect("no thread died").push(stream.try_clone().expect("a stream"));
-                let (this, ended) = (this.clone(), Arc::clone(&ended));
-                std::thread::spawn(move || this.serve(stream, &ended));
-            }
-            // As a process ends: nothing listens any more when its connections close.
-            drop(listener);
-            for stream in streams.lock().expect("no thread died").iter() {
-                // An error means that it is closed already.
-                let _ = stream.shutdown(Shutdown::Both);
-            }
-            std::thread::sleep(AWAY);
-            this.store.remove(&name);
-            this.begin_life();
-        });
-    }
-
-    fn serve(&self, mut stream: TcpStream, ended: &AtomicBool) {
-        let mut bytes = Vec::new();
-        let mut buffer = [0; 4_096];
-        while let Ok(count @ 1..) = stream.read(&mut buffer) {
-            bytes.extend_from_slice(&buffer[..count]);
-            let text = String::from_utf8_lossy(&bytes).into_owned();
-            if !text.ends_with("\r\n\r\n") {
-                continue;
-            }
-            bytes.clear();
-            if text.contains(CRASHING) {
-                self.reached.fetch_add(1, Ordering::Relaxed);
-                ended.store(true, Ordering::Relaxed);
-                return;
-            }
-            let id = text.lines().find_map(|l| l.strip_prefix("cleatshelf-request-id: ")).unwrap_or("");
-            let answer = format!(
-                "HTTP/1.1 200 OK\r\nCleatshelf-Request-Id: {id}\r\nCleatshelf-Server-Seal: s\r\nContent-Length: 4\r\n\r\ngood"
-            );
-            if stream.write_all(answer.as_bytes()).is_err() {
-                return;
-            }
-        }
-    }
-}
-
 #[test]
 fn a_request_that_ends_its_servers_is_not_sent_on_and_on_by_many_boxes() {
     let store = Store::start();
     store.put("op/config", &config(3, "/x/"));
-    let servers = Servers::start(&store, 6);
+    let servers = Servers::start(&store, &["hall"], 6);
     let addresses = [free(), free(), free()];
-    let boxes = addresses.map(|address| Box::start(&store, address, &addresses));
+    let start = |address| {
+        let program = Path::new(env!("CARGO_BIN_EXE_cleatshelf"));
+        Process::start(program, &["route"], &store, "hall", address, &addresses)
+    };
+    let boxes = addresses.map(start);
     for one in &boxes {
-        soon("served", || call(one.callers, "/x/good").0 == 200);
+        soon("served", || one.get("/x/good").0 == 200);
     }
     // Boxes that start together know each other within this.
     std::thread::sleep(CONTACT);
     let round = std::cell::Cell::new(0);
     soon("servers end under the request", || {
         round.set(round.get() + 1);
-        call(boxes[round.get() % 3].callers, CRASHING);
+        let _ = boxes[round.get() % 3].get(CRASHING);
         servers.reached() >= ENDS_ALLOWED
     });
     std::thread::sleep(CONTACT);
     let before = servers.reached();
-    let later = Box::start(&store, free(), &addresses);
+    let later = start(free());
     soon("the later box is ready", || later.is_ready());
     std::thread::sleep(CONTACT);
     let asked = 32;
     for round in 0..asked {
         let one = boxes.iter().chain([&later]).nth(round % 4).expect("four boxes");
-        call(one.callers, CRASHING);
+        let _ = one.get(CRASHING);
         std::thread::sleep(Duration::from_millis(100));
     }
     let sends = servers.reached() - before;
     assert!(sends <= SENDS_ALLOWED, "sent {sends} times more, {asked} times asked for");
     for one in &boxes {
-        soon("others are served", || call(one.callers, "/x/good") == (200, "good".to_owned()));
+        soon("others are served", || one.get("/x/good") == (200, "good id1".to_owned()));
     }
 }
--- a/crates/cleatshelf/tests/route.rs
+++ b/crates/cleatshelf/tests/route.rs
@@ -1,18 +1,21 @@
 //! Router boxes as separate processes, with a store and servers of this test: start, news, peers, planned stop.
 
-mod common;
-
-use common::{call, config, entry, server, soon, Box, Store, SOON};
 use lab::ports::free;
+use platform_lab::{config, entry, server, soon, Call, Mood, Process, Reply, Store, SOON};
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
 use std::time::{Duration, Instant};
 
+fn start(store: &Store, boxes: SocketAddr, seeds: &[SocketAddr]) -> Process {
+    Process::start(Path::new(env!("CARGO_BIN_EXE_cleatshelf")), &["route"], store, "hall", boxes, seeds)
+}
+
 #[test]
 fn a_box_is_ready_with_a_configuration_and_follows_changes() {
     let store = Store::start();
-    let one = Box::start(&store, free(), &[]);
-    soon("the box answers", || call(one.ready, "/api/ready").0 == 503);
+    let one = start(&store, free(), &[]);
+    soon("the box answers", || one.readiness() == 503);
     assert_eq!(one.get("/x/1").0, 503, "neither 404 nor 401 without a configuration");
     store.put("servers/i-1", &entry(server("first", 0), "ready"));
     store.put("op/config", &config(3, "/x/"));
@@ -27,8 +30,7 @@
     store.put("servers/i-1", &entry(server("first", 0), "draining"));
     soon("a draining server gets nothing", || one.get("/y/1") == (200, "second".to_owned()));
     assert_eq!(one.get("/x/1").0, 404, "an older version never comes back");
-    assert_eq!(call(one.operators, "/metrics").0, 200);
-    assert!(call(one.operators, "/metrics").1.contains("cleatshelf_configuration_version 9"));
+    assert!(one.metrics().contains("cleatshelf_configuration_version 9"));
 }
 
 #[test]
@@ -37,10 +39,10 @@
     store.put("servers/i-1", &entry(server("first", 0), "ready"));
     store.put("op/config", &config(3, "/x/"));
     let (near, far) = (free(), free());
-    let one = Box::start(&store, near, &[near, far]);
+    let one = start(&store, near, &[near, far]);
     soon("ready", || one.is_ready());
-    store.turn_away(true);
-    let two = Box::start(&store, far, &[near, far]);
+    store.set(Mood::Away);
+    let two = start(&store, far, &[near, far]);
     soon("ready through the other", || two.is_ready());
     soon("served", || two.get("/x/1") == (200, "first".to_owned()));
 }
@@ -50,14 +52,14 @@
     let store = Store::start();
     store.put("op/config", &config(3, "/x/"));
     let addresses = [free(), free(), free()];
-    let boxes = addresses.map(|address| Box::start(&store, address, &addresses));
-    soon("ready", || boxes.iter().all(Box::is_ready));
+    let boxes = addresses.map(|address| start(&store, address, &addresses));
+    soon("ready", || boxes.iter().all(Process::is_ready));
     std::thread::sleep(Duration::from_secs(4));
-    let calls = || store.content.lock().expect("no thread died").calls;
-    let before = calls();
+    let before = store.calls();
     std::thread::sleep(Duration::from_secs(8));
     // Two subjects in watches of four seconds: four or five calls of one box, twelve and more of three.
-    assert!(calls() - before <= 6, "{} calls in 8 s", calls() - before);
+    let calls = store.calls() - before;
+    assert!(calls <= 6, "{calls} calls in 8 s");
 }
 
 #[test]
@@ -65,20 +67,25 @@
     let store = Store::start();
     store.put("servers/i-1", &entry(server("slow", 1_500), "ready"));
     store.put("op/config", &config(3, "/x/"));
-    let mut one = Box::start(&store, free(), &[]);
+    let mut one = start(&store, free(), &[]);
     soon("ready", || one.is_ready());
+    let call = Call { method: "GET", path: "/x/1".to_owned(), ..Call::default() };
     let callers = one.callers;
-    let running = std::thread::spawn(move || call(callers, "/x/1"));
+    let running = std::thread::spawn(move || call.send(callers));
     std::thread::sleep(Duration::from_millis(300));
     one.signal("-TERM");
     soon("not ready", || !one.is_ready());
-    assert_eq!(running.join().expect("a call"), (200, "slow".to_owned()));
+    let slow = Reply::Whole { status: 200, body: "slow".to_owned(), back: false };
+    assert_eq!(running.join().expect("a call"), slow);
     let began = Instant::now();
-    while one.child.try_wait().expect("a process").is_none() {
+    let clean = loop {
+        if let Some(clean) = one.ended() {
+            break clean;
+        }
         assert!(began.elapsed() < SOON, "the box ends");
         std::thread::sleep(Duration::from_millis(20));
-    }
-    assert!(one.child.wait().expect("a status").success(), "nothing was cut off");
+    };
+    assert!(clean, "nothing was cut off");
 }
 
 #[test]
@@ -86,11 +93,11 @@
     let store = Store::start();
     store.put("servers/i-1", &entry(server("first", 0), "ready"));
     store.put("op/config", &config(3, "/x/"));
-    let one = Box::start(&store, free(), &[]);
+    let one = start(&store, free(), &[]);
     soon("ready", || one.is_ready());
     std::fs::write(&one.settings, "name = 5").expect("written");
     one.signal("-HUP");
-    let counted = || call(one.operators, "/metrics").1.contains("cleatshelf_events_total{event=\"SettingsRefused\"}");
+    let counted = || one.metrics().contains("cleatshelf_events_total{event=\"SettingsRefused\"}");
     soon("the faults are reported", counted);
     assert_eq!(one.get("/x/1"), (200, "first".to_owned()));
 }
@@ -101,7 +108,7 @@
     store.put("servers/i-1", &entry(server("first", 0), "ready"));
     store.put("op/config", &config(3, "/x/"));
     let boxes = free();
-    let one = Box::start(&store, boxes, &[boxes]);
+    let one = start(&store, boxes, &[boxes]);
     soon("ready", || one.is_ready());
     for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0xff; 4_096], b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"] {
         let mut stream = TcpStream::connect(boxes).expect("the box");
@@ -121,8 +128,8 @@
     store.put("op/config", &config_with_cold(3, 20));
     store.put("servers/i-1", &entry(server("first", 0), "ready").replace("\"coldLeftMs\":0", "\"coldLeftMs\":600000"));
     let addresses = [free(), free()];
-    let boxes = addresses.map(|address| Box::start(&store, address, &addresses));
-    soon("ready", || boxes.iter().all(Box::is_ready));
+    let boxes = addresses.map(|address| start(&store, address, &addresses));
+    soon("ready", || boxes.iter().all(Process::is_ready));
     for one in &boxes {
         soon("leave is given once boxes know each other", || one.get("/x/1").0 == 200);
     }
@@ -133,7 +140,7 @@
     assert!(served <= 18 * spans, "{served} in {spans} spans");
     store.put("op/evacuate/hall", "{}");
     for one in &boxes {
-        soon("known to all", || call(one.operators, "/metrics").1.contains("HallsEvacuated"));
+        soon("known to all", || one.metrics().contains("HallsEvacuated"));
         // Longer than leaves were used up for.
         for _ in 0..6 {
             assert_eq!(one.get("/x/1").0, 503, "its only server's hall is evacuated");
