--- /dev/null
+++ b/crates/relay/src/choosing.rs
@@ -0,0 +1,179 @@
+//! Which server a request goes to, and whether it goes to any.
+
+use crate::attempt::Claim;
+use crate::consult::{self, Asked};
+use crate::crash::Broken;
+use crate::exchange::Exchange;
+use http::uri::PathAndQuery;
+use http::{header, HeaderValue};
+use placement::{Ask, Choice, Fingerprint, Millis, Opinion, Prompt, Refusal, Verdict};
+use std::time::Duration;
+use telemetry::Event;
+use tokio::time::Instant;
+
+/// How many servers' owners are asked for one request: the three that are to keep its parts first, and two cheap
+/// ones.
+const OWNERS_ASKED: usize = 9;
+
+/// Longest wait for owners. They are a few milliseconds away; a slow one must not make requests late.
+const OPINION_MOST: Duration = Duration::from_millis(25);
+
+/// Longest wait for whether the server of a send that broke off has ended, before the next: some ways there and back. Without
+/// it a request ends a fourth server, as the next send is faster than the news.
+const LOOK_MOST: Duration = Duration::from_millis(25);
+
+/// Longest time from a cold server's owner's leave to the send: the span in which the owner counts arrivals is longer than
+/// a second by twice this, the rest being for the way. By the clock that counts while the machine is suspended: the owner's
+/// second does, too.
+const LEAVE_MOST: Millis = 100;
+
+/// Why a request is not sent.
+pub(crate) enum Withheld {
+    /// No server may be tried.
+    Refused(Refusal),
+    /// Its time is over.
+    Late,
+    /// Servers ended under it, again and again.
+    Held {
+        /// When its caller is asked back, in milliseconds.
+        back_ms: Millis,
+    },
+}
+
+impl From<Refusal> for Withheld {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+impl Exchange {
+    /// Chooses a server, and claims a place there.
+    pub(crate) async fn choose(&mut self) -> Result<(Choice, Claim), Withheld> {
+        let opinions = self.consult().await;
+        if let Some(mut looking) = self.looking.take() {
+            // Closed or late: what is known by then is gone by.
+            let _ = tokio::time::timeout(LOOK_MOST, looking.changed()).await;
+        }
+        let mut denied = Vec::new();
+        loop {
+            let choice = self.shared.placement().choose(&self.ask(&opinions, &denied))?;
+            let leave_until = self.shared.now() + LEAVE_MOST;
+            let Some(most) = choice.leave else {
+                return self.claim(choice, None);
+            };
+            if consult::leave(&self.shared, &choice.server, most, Instant::now() + OPINION_MOST).await {
+                return self.claim(choice, Some(leave_until));
+            }
+            denied.push(choice.server.id.clone());
+        }
+    }
+
+    /// Takes a place at the chosen server, unless servers ended under the request meanwhile, here or elsewhere.
+    pub(crate) fn claim(&mut self, choice: Choice, leave_until: Option<Millis>) -> Result<(Choice, Claim), Withheld> {
+        if self.left().is_zero() {
+            // The machine was suspended: its timers don't know yet.
+            return Err(Withheld::Late);
+        }
+        match self.verdict() {
+            Verdict::Free => {}
+            Verdict::Trial => self.shared.begin_trial(self.fingerprint()),
+            Verdict::Held { back_ms } => return Err(Withheld::Held { back_ms }),
+        }
+        self.leave_until = leave_until;
+        self.log_choice(&choice);
+        let claim = Claim::new(&self.shared, &self.service, &choice, self.call.prompt.as_ref());
+        Ok((choice, claim))
+    }
+
+    pub(crate) fn ask<'a>(&'a self, opinions: &'a [(String, Opinion)], denied: &'a [String]) -> Ask<'a> {
+        Ask {
+            service: &self.service,
+            prompt: self.call.prompt.as_ref(),
+            aim: self.route.aim,
+            gap_aim: self.route.gap_aim,
+            urgency: self.urgency(),
+            bytes: self.body.len(),
+            tried: &self.tried,
+            denied,
+            homes: [self.route.homes.as_ref(), self.customer.as_ref().and_then(|customer| customer.homes.as_ref())],
+            opinions,
+            now: self.shared.now(),
+        }
+    }
+
+    /// Asks the owners of the likeliest servers; nobody for requests that are no prompts.
+    pub(crate) async fn consult(&self) -> Vec<(String, Opinion)> {
+        let Some(prompt) = &self.call.prompt else { return Vec::new() };
+        let planned = self.shared.placement().plan(&self.ask(&[], &[]), OWNERS_ASKED);
+        let gap_ms = self.route.gap_aim.map_or(0, |gap| gap.as_millis() as u32);
+        let asked: Vec<Asked> =
+            planned.iter().filter_map(|server| Asked::new(&self.shared, server, prompt, gap_ms)).collect();
+        let until = Instant::now() + OPINION_MOST;
+        let mut opinions = Vec::new();
+        for asked in asked {
+            opinions.extend(asked.wait(&self.shared, &self.service, until).await);
+        }
+        opinions
+    }
+
+    /// What it is known by when it comes again.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let host = self.parts.headers.get(header::HOST).map_or(&b""[..], HeaderValue::as_bytes);
+            let target = self.parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
+            let customer = self.customer.as_ref().map_or("", |customer| customer.name.as_str());
+            let method = self.parts.method.as_str();
+            let fields = [method.as_bytes(), host, target.as_bytes(), customer.as_bytes(), &self.body];
+            Fingerprint::of(self.shared.secret, &fields)
+        })
+    }
+
+    /// Whether it may be sent, as far as servers ended under it before.
+    pub(crate) fn verdict(&self) -> Verdict {
+        if self.shared.quarantine().is_empty() {
+            return Verdict::Free;
+        }
+        self.shared.verdict(self.fingerprint())
+    }
+
+    /// The answer that was claimed broke off: its connection has ended, or its server has.
+    pub(crate) fn broke(&mut self, claim: &Claim) {
+        let broken = Broken { request: self.fingerprint(), sent: claim.sent, at: self.shared.now() };
+        self.looking = Some(self.crashes.broke(&self.shared, &self.connections, &claim.server, broken));
+    }
+
+    pub(crate) fn log_choice(&self, choice: &Choice) {
+        let Choice { expected, work, load, .. } = choice;
+        let prompt = self.call.prompt.as_ref();
+        telemetry::emit(
+            Event::ServerChosen,
+            format_args!(
+                "id={} server={} cost={:.3} expected_ms={:.0} stalled={:.2} others={:.2} split={:.2} unread={} fetch={} among={} \
+                 running={} ahead={} held={} prompt={} shared={} read_ms={:.1} pair_ms={:.2} stall_ms={:.0} stall_depth_ms={:.1}",
+                self.call.id,
+                choice.server.id,
+                expected.cost,
+                expected.wait_ms,
+                expected.stalled,
+                expected.others,
+                expected.split,
+                work.reading.tokens,
+                choice.fetch.map_or_else(|| "-".to_owned(), |f| f.to_string()),
+                choice.candidates,
+                load.running,
+                load.reading.tokens,
+                load.held,
+                prompt.map_or(0, |p| p.tokens),
+                prompt.map_or(0, Prompt::shared_tokens),
+                expected.speed.read_ms,
+                expected.speed.pair_ms,
+                expected.speed.stall_ms,
+                expected.speed.stall_depth_ms,
+            ),
+        );
+    }
+
+    pub(crate) fn urgency(&self) -> u8 {
+        self.route.urgency(self.customer.as_deref())
+    }
+}
--- /dev/null
+++ b/crates/relay/src/ending.rs
@@ -0,0 +1,117 @@
+//! How a request ends when no server's answer is passed on, and what is noted of each end.
+
+use crate::answer;
+use crate::choosing::Withheld;
+use crate::exchange::Exchange;
+use crate::outcome::Outcome;
+use crate::Body;
+use http::{Response, StatusCode};
+use placement::{Ending, Refusal};
+use rand::Rng;
+use std::fmt::Write;
+use std::time::Duration;
+use telemetry::Event;
+
+/// When a refused caller is asked to come back: a crashed server's place is taken by others within that.
+const COME_BACK: Duration = Duration::from_millis(400);
+
+/// Shortest time after which a caller is asked back where all places are taken: as long as an answer of seconds takes, so
+/// that others have ended. Up to twice the time, by chance, so that those who were refused don't come back together.
+const CROWD_LEAST: Duration = Duration::from_secs(1);
+
+/// The same where all servers are cold: some of them are warm again within that, or their owners give leave.
+const COLD_LEAST: Duration = Duration::from_millis(600);
+
+impl Exchange {
+    pub(crate) fn not_sent(&mut self, why: &Withheld) -> Response<Body> {
+        if self.may_have_run {
+            return self.unknown("no other server");
+        }
+        match *why {
+            Withheld::Refused(Refusal::NoServer) => self.refuse("no server"),
+            Withheld::Refused(Refusal::Cold) => {
+                let after = COLD_LEAST.mul_f64(rand::rng().random_range(1.0..2.0));
+                self.refuse_until("all servers are cold", after)
+            }
+            Withheld::Late => self.refuse("its time is over"),
+            Withheld::Held { back_ms } => {
+                self.trail.push_str("held");
+                self.refuse_until("servers ended under this request", Duration::from_millis(back_ms))
+            }
+            Withheld::Refused(Refusal::Crowded { wait_ms }) => {
+                let _ = write!(self.trail, "crowded, {wait_ms:.0} ms to a place");
+                let wait = Duration::from_secs_f64(wait_ms / 1e3) + CROWD_LEAST;
+                self.refuse_until("all places are taken", wait.mul_f64(rand::rng().random_range(1.0..2.0)))
+            }
+        }
+    }
+
+    pub(crate) fn refuse(&mut self, why: &'static str) -> Response<Body> {
+        self.refuse_until(why, COME_BACK)
+    }
+
+    /// Refuses, and says when to come back.
+    pub(crate) fn refuse_until(&mut self, why: &'static str, after: Duration) -> Response<Body> {
+        if self.may_have_run {
+            telemetry::emit(Event::RefusalBroken, format_args!("id={} trail=\"{}\"", self.call.id, self.trail));
+            return self.unknown(why);
+        }
+        self.conclude(Outcome::Refused);
+        answer::refused(why, after)
+    }
+
+    pub(crate) fn unknown(&mut self, why: &'static str) -> Response<Body> {
+        self.conclude(Outcome::Unknown);
+        answer::plain(StatusCode::BAD_GATEWAY, why)
+    }
+
+    pub(crate) fn too_late(&mut self) -> Response<Body> {
+        if let Some(server) = self.tried.last().filter(|_| !self.route.kind.streams()) {
+            // A plain server that says nothing for that long is broken; an engine may be busy.
+            let now = self.shared.now();
+            self.shared.placement().note(&self.service, server, Ending::Broken, now);
+        }
+        if !self.may_have_run && !self.under_way.get() {
+            return self.refuse("no server could be reached in time");
+        }
+        self.conclude(Outcome::Late);
+        answer::plain(StatusCode::GATEWAY_TIMEOUT, "its time is over")
+    }
+
+    /// Logs and counts the end of the request.
+    pub(crate) fn conclude(&mut self, outcome: Outcome) {
+        if std::mem::replace(&mut self.concluded, true) {
+            telemetry::emit(Event::SecondOutcomeBroken, format_args!("id={} outcome={}", self.call.id, outcome.word()));
+            return;
+        }
+        let took = self.began.elapsed();
+        metrics::counter!("cleatshelf_requests_total", "outcome" => outcome.word(), "route" => self.route.name.clone())
+            .increment(1);
+        metrics::histogram!("cleatshelf_request_seconds", "route" => self.route.name.clone())
+            .record(took.as_secs_f64());
+        if outcome == Outcome::Answered && !self.shared.quarantine().is_empty() {
+            self.shared.survived(self.fingerprint());
+        }
+        let late = if outcome == Outcome::Answered { self.timing.late(&self.route) } else { None };
+        if let Some(why) = late {
+            metrics::counter!("cleatshelf_streams_late_total", "why" => why, "route" => self.route.name.clone())
+                .increment(1);
+        }
+        let plain = outcome == Outcome::Answered && self.sends <= 1;
+        telemetry::emit(
+            if plain { Event::RequestAnswered } else { Event::RequestEnded },
+            format_args!(
+                "id={} request={} outcome={} route={} ms={} first={} pause={} sends={} trail=\"{}\"",
+                self.call.id,
+                self.fingerprint(),
+                outcome.word(),
+                self.route.name,
+                took.as_millis(),
+                self.timing.first.map_or(0, |first| first.as_millis()),
+                self.timing.pause.as_millis(),
+                self.sends,
+                self.trail.trim_start()
+            ),
+        );
+    }
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -2,19 +2,17 @@
 
 use crate::answer::{self, strip_hop};
 use crate::attempt::{self, Answer, Claim, Message, Sent};
+use crate::choosing::Withheld;
 use crate::connections::Connections;
-use crate::consult::{self, Asked};
-use crate::crash::{Broken, Crashes};
+use crate::crash::Crashes;
 use crate::dialect::{Call, Dispatch};
 use crate::outcome::Outcome;
 use crate::shared::Shared;
 use crate::timing::Timing;
 use crate::Body;
 use bytes::Bytes;
-use http::uri::PathAndQuery;
-use http::{header, request, HeaderValue, Response, StatusCode};
-use placement::{Ask, Choice, Ending, Fingerprint, Millis, Opinion, Prompt, Refusal, Verdict};
-use rand::Rng;
+use http::{request, Response, StatusCode};
+use placement::{Choice, Ending, Fingerprint, Millis, Verdict};
 use routing::{Customer, Kind, Route};
 use std::cell::{Cell, OnceCell};
 use std::fmt::Write;
@@ -27,35 +25,9 @@
 /// Most servers that are tried without a connection for one request. They don't count as sends.
 const UNREACHED_MOST: usize = 6;
 
-/// When a refused caller is asked to come back: a crashed server's place is taken by others within that.
-const COME_BACK: Duration = Duration::from_millis(400);
-
-/// Shortest time after which a caller is asked back where all places are taken: as long as an answer of seconds takes, so
-/// that others have ended. Up to twice the time, by chance, so that those who were refused don't come back together.
-const CROWD_LEAST: Duration = Duration::from_secs(1);
-
-/// The same where all servers are cold: some of them are warm again within that, or their owners give leave.
-const COLD_LEAST: Duration = Duration::from_millis(600);
-
 /// Less time than this is not worth a send: the way to a server and back, and its shortest work.
 const TIME_LEAST: Duration = Duration::from_millis(8);
 
-/// How many servers' owners are asked for one request: the three that are to keep its parts first, and two cheap
-/// ones.
-const OWNERS_ASKED: usize = 9;
-
-/// Longest wait for owners. They are a few milliseconds away; a slow one must not make requests late.
-const OPINION_MOST: Duration = Duration::from_millis(25);
-
-/// Longest wait for whether the server of a send that broke off has ended, before the next: some ways there and back. Without
-/// it a request ends a fourth server, as the next send is faster than the news.
-const LOOK_MOST: Duration = Duration::from_millis(25);
-
-/// Longest time from a cold server's owner's leave to the send: the span in which the owner counts arrivals is longer than
-/// a second by twice this, the rest being for the way. By the clock that counts while the machine is suspended: the owner's
-/// second does, too.
-const LEAVE_MOST: Millis = 100;
-
 /// How many aims long a server of repeatable requests may be silent before another is asked: the longest work on the
 /// users' sheets takes one and a half.
 const SILENT_AIMS: u32 = 3;
@@ -108,25 +80,6 @@
     Nothing(Sent),
 }
 
-/// Why a request is not sent.
-pub(crate) enum Withheld {
-    /// No server may be tried.
-    Refused(Refusal),
-    /// Its time is over.
-    Late,
-    /// Servers ended under it, again and again.
-    Held {
-        /// When its caller is asked back, in milliseconds.
-        back_ms: Millis,
-    },
-}
-
-impl From<Refusal> for Withheld {
-    fn from(refusal: Refusal) -> Self {
-        Self::Refused(refusal)
-    }
-}
-
 /// What follows a send that brought no answer.
 enum Next {
     Again,
@@ -195,132 +148,6 @@
         (another && choice.candidates > 1 && patience < left).then_some(patience)
     }
 
-    /// Chooses a server, and claims a place there.
-    pub(crate) async fn choose(&mut self) -> Result<(Choice, Claim), Withheld> {
-        let opinions = self.consult().await;
-        if let Some(mut looking) = self.looking.take() {
-            // Closed or late: what is known by then is gone by.
-            let _ = tokio::time::timeout(LOOK_MOST, looking.changed()).await;
-        }
-        let mut denied = Vec::new();
-        loop {
-            let choice = self.shared.placement().choose(&self.ask(&opinions, &denied))?;
-            let leave_until = self.shared.now() + LEAVE_MOST;
-            let Some(most) = choice.leave else {
-                return self.claim(choice, None);
-            };
-            if consult::leave(&self.shared, &choice.server, most, Instant::now() + OPINION_MOST).await {
-                return self.claim(choice, Some(leave_until));
-            }
-            denied.push(choice.server.id.clone());
-        }
-    }
-
-    /// Takes a place at the chosen server, unless servers ended under the request meanwhile, here or elsewhere.
-    fn claim(&mut self, choice: Choice, leave_until: Option<Millis>) -> Result<(Choice, Claim), Withheld> {
-        if self.left().is_zero() {
-            // The machine was suspended: its timers don't know yet.
-            return Err(Withheld::Late);
-        }
-        match self.verdict() {
-            Verdict::Free => {}
-            Verdict::Trial => self.shared.begin_trial(self.fingerprint()),
-            Verdict::Held { back_ms } => return Err(Withheld::Held { back_ms }),
-        }
-        self.leave_until = leave_until;
-        self.log_choice(&choice);
-        let claim = Claim::new(&self.shared, &self.service, &choice, self.call.prompt.as_ref());
-        Ok((choice, claim))
-    }
-
-    fn ask<'a>(&'a self, opinions: &'a [(String, Opinion)], denied: &'a [String]) -> Ask<'a> {
-        Ask {
-            service: &self.service,
-            prompt: self.call.prompt.as_ref(),
-            aim: self.route.aim,
-            gap_aim: self.route.gap_aim,
-            urgency: self.urgency(),
-            bytes: self.body.len(),
-            tried: &self.tried,
-            denied,
-            homes: [self.route.homes.as_ref(), self.customer.as_ref().and_then(|customer| customer.homes.as_ref())],
-            opinions,
-            now: self.shared.now(),
-        }
-    }
-
-    /// Asks the owners of the likeliest servers; nobody for requests that are no prompts.
-    async fn consult(&self) -> Vec<(String, Opinion)> {
-        let Some(prompt) = &self.call.prompt else { return Vec::new() };
-        let planned = self.shared.placement().plan(&self.ask(&[], &[]), OWNERS_ASKED);
-        let gap_ms = self.route.gap_aim.map_or(0, |gap| gap.as_millis() as u32);
-        let asked: Vec<Asked> =
-            planned.iter().filter_map(|server| Asked::new(&self.shared, server, prompt, gap_ms)).collect();
-        let until = Instant::now() + OPINION_MOST;
-        let mut opinions = Vec::new();
-        for asked in asked {
-            opinions.extend(asked.wait(&self.shared, &self.service, until).await);
-        }
-        opinions
-    }
-
-    /// What it is known by when it comes again.
-    fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| {
-            let host = self.parts.headers.get(header::HOST).map_or(&b""[..], HeaderValue::as_bytes);
-            let target = self.parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
-            let customer = self.customer.as_ref().map_or("", |customer| customer.name.as_str());
-            let method = self.parts.method.as_str();
-            let fields = [method.as_bytes(), host, target.as_bytes(), customer.as_bytes(), &self.body];
-            Fingerprint::of(self.shared.secret, &fields)
-        })
-    }
-
-    /// Whether it may be sent, as far as servers ended under it before.
-    fn verdict(&self) -> Verdict {
-        if self.shared.quarantine().is_empty() {
-            return Verdict::Free;
-        }
-        self.shared.verdict(self.fingerprint())
-    }
-
-    /// The answer that was claimed broke off: its connection has ended, or its server has.
-    pub(crate) fn broke(&mut self, claim: &Claim) {
-        let broken = Broken { request: self.fingerprint(), sent: claim.sent, at: self.shared.now() };
-        self.looking = Some(self.crashes.broke(&self.shared, &self.connections, &claim.server, broken));
-    }
-
-    fn log_choice(&self, choice: &Choice) {
-        let Choice { expected, work, load, .. } = choice;
-        let prompt = self.call.prompt.as_ref();
-        telemetry::emit(
-            Event::ServerChosen,
-            format_args!(
-                "id={} server={} cost={:.3} expected_ms={:.0} stalled={:.2} others={:.2} split={:.2} unread={} fetch={} among={} \
-                 running={} ahead={} held={} prompt={} shared={} read_ms={:.1} pair_ms={:.2} stall_ms={:.0} stall_depth_ms={:.1}",
-                self.call.id,
-                choice.server.id,
-                expected.cost,
-                expected.wait_ms,
-                expected.stalled,
-                expected.others,
-                expected.split,
-                work.reading.tokens,
-                choice.fetch.map_or_else(|| "-".to_owned(), |f| f.to_string()),
-                choice.candidates,
-                load.running,
-                load.reading.tokens,
-                load.held,
-                prompt.map_or(0, |p| p.tokens),
-                prompt.map_or(0, Prompt::shared_tokens),
-                expected.speed.read_ms,
-                expected.speed.pair_ms,
-                expected.speed.stall_ms,
-                expected.speed.stall_depth_ms,
-            ),
-        );
-    }
-
     /// Sends to the chosen server, with what time is left.
     pub(crate) async fn send(&mut self, choice: &Choice, last_event: Option<u64>) -> Sent {
         let server = Arc::clone(&choice.server);
@@ -344,10 +171,6 @@
         attempt::send(&self.shared, &self.connections, &server, &message, &dispatch, &self.under_way).await
     }
 
-    fn urgency(&self) -> u8 {
-        self.route.urgency(self.customer.as_deref())
-    }
-
     /// A whole answer: passed on, unless it is a failure that another server may mend.
     fn whole(&mut self, parts: http::response::Parts, bytes: Bytes, claim: Claim) -> Option<Reply> {
         self.sends += 1;
@@ -431,7 +254,7 @@
     }
 
     /// What is left of its time.
-    fn left(&self) -> Duration {
+    pub(crate) fn left(&self) -> Duration {
         Duration::from_millis(self.ends.saturating_sub(self.shared.now()))
     }
 
@@ -449,98 +272,6 @@
             }
         }
     }
-
-    fn not_sent(&mut self, why: &Withheld) -> Response<Body> {
-        if self.may_have_run {
-            return self.unknown("no other server");
-        }
-        match *why {
-            Withheld::Refused(Refusal::NoServer) => self.refuse("no server"),
-            Withheld::Refused(Refusal::Cold) => {
-                let after = COLD_LEAST.mul_f64(rand::rng().random_range(1.0..2.0));
-                self.refuse_until("all servers are cold", after)
-            }
-            Withheld::Late => self.refuse("its time is over"),
-            Withheld::Held { back_ms } => {
-                self.trail.push_str("held");
-                self.refuse_until("servers ended under this request", Duration::from_millis(back_ms))
-            }
-            Withheld::Refused(Refusal::Crowded { wait_ms }) => {
-                let _ = write!(self.trail, "crowded, {wait_ms:.0} ms to a place");
-                let wait = Duration::from_secs_f64(wait_ms / 1e3) + CROWD_LEAST;
-                self.refuse_until("all places are taken", wait.mul_f64(rand::rng().random_range(1.0..2.0)))
-            }
-        }
-    }
-
-    fn refuse(&mut self, why: &'static str) -> Response<Body> {
-        self.refuse_until(why, COME_BACK)
-    }
-
-    /// Refuses, and says when to come back.
-    fn refuse_until(&mut self, why: &'static str, after: Duration) -> Response<Body> {
-        if self.may_have_run {
-            telemetry::emit(Event::RefusalBroken, format_args!("id={} trail=\"{}\"", self.call.id, self.trail));
-            return self.unknown(why);
-        }
-        self.conclude(Outcome::Refused);
-        answer::refused(why, after)
-    }
-
-    fn unknown(&mut self, why: &'static str) -> Response<Body> {
-        self.conclude(Outcome::Unknown);
-        answer::plain(StatusCode::BAD_GATEWAY, why)
-    }
-
-    fn too_late(&mut self) -> Response<Body> {
-        if let Some(server) = self.tried.last().filter(|_| !self.route.kind.streams()) {
-            // A plain server that says nothing for that long is broken; an engine may be busy.
-            let now = self.shared.now();
-            self.shared.placement().note(&self.service, server, Ending::Broken, now);
-        }
-        if !self.may_have_run && !self.under_way.get() {
-            return self.refuse("no server could be reached in time");
-        }
-        self.conclude(Outcome::Late);
-        answer::plain(StatusCode::GATEWAY_TIMEOUT, "its time is over")
-    }
-
-    /// Logs and counts the end of the request.
-    pub(crate) fn conclude(&mut self, outcome: Outcome) {
-        if std::mem::replace(&mut self.concluded, true) {
-            telemetry::emit(Event::SecondOutcomeBroken, format_args!("id={} outcome={}", self.call.id, outcome.word()));
-            return;
-        }
-        let took = self.began.elapsed();
-        metrics::counter!("cleatshelf_requests_total", "outcome" => outcome.word(), "route" => self.route.name.clone())
-            .increment(1);
-        metrics::histogram!("cleatshelf_request_seconds", "route" => self.route.name.clone())
-            .record(took.as_secs_f64());
-        if outcome == Outcome::Answered && !self.shared.quarantine().is_empty() {
-            self.shared.survived(self.fingerprint());
-        }
-        let late = if outcome == Outcome::Answered { self.timing.late(&self.route) } else { None };
-        if let Some(why) = late {
-            metrics::counter!("cleatshelf_streams_late_total", "why" => why, "route" => self.route.name.clone())
-                .increment(1);
-        }
-        let plain = outcome == Outcome::Answered && self.sends <= 1;
-        telemetry::emit(
-            if plain { Event::RequestAnswered } else { Event::RequestEnded },
-            format_args!(
-                "id={} request={} outcome={} route={} ms={} first={} pause={} sends={} trail=\"{}\"",
-                self.call.id,
-                self.fingerprint(),
-                outcome.word(),
-                self.route.name,
-                took.as_millis(),
-                self.timing.first.map_or(0, |first| first.as_millis()),
-                self.timing.pause.as_millis(),
-                self.sends,
-                self.trail.trim_start()
-            ),
-        );
-    }
 }
 
 /// What the sends brought for the caller.
