An answer under a name that a later life may have proves no life

Cause: where servers start again under their names, a box that hadn't heard of it yet got answers of the later life, took them for signs of the former one, and struck out its end; what had ended it was sent again. Change: an answer disproves an end only where names are not used again. Test: platform/tests/held.rs, failed first ("no other server" where the request must be held).

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -92,7 +92,7 @@
     pub(crate) fn read(&mut self) -> bool {
         let first = !std::mem::replace(&mut self.read, true);
         if first {
-            self.shared.answered(&self.server.id);
+            self.answered();
             self.shared.placement().read(&self.service, &self.server.id, self.work);
             self.report(News::Read);
             self.tell_registers();
@@ -110,6 +110,14 @@
         }
     }
 
+    /// The server answers. Where a later life may have its name, that may be one of which this box hasn't heard, and so
+    /// doesn't show that this one lives.
+    fn answered(&self) {
+        if self.server.id == self.server.name {
+            self.shared.answered(&self.server.id);
+        }
+    }
+
     /// Tells where a part was read that others may look for.
     fn tell_registers(&mut self) {
         for (register, part) in std::mem::take(&mut self.registers) {
@@ -129,7 +137,7 @@
     /// How the send ended; if never told, the caller left.
     pub(crate) fn ended(mut self, ending: Ending) {
         if ending == Ending::Good {
-            self.shared.answered(&self.server.id);
+            self.answered();
         }
         self.ending = ending;
     }
