--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -248,7 +248,11 @@
 ) -> Sent {
     let (parts, body) = response.into_parts();
     let status = parts.status;
-    match shared.dialect.verdict(id, status, &parts.headers) {
+    let verdict = shared.dialect.verdict(id, status, &parts.headers);
+    if verdict != Verdict::Foreign {
+        shared.noticed(id, server, shared.dialect.notice(status, &parts.headers));
+    }
+    match verdict {
         Verdict::Foreign => Sent::Broken(format!("status {status} is not this request's answer")),
         Verdict::NotRun => Sent::NotRun(format!("status {status}")),
         Verdict::Answer => Sent::Answer(Box::new(Answer { parts, body, connection, life: server.id.clone() })),
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -48,6 +48,15 @@
     Foreign,
 }
 
+/// What the head of a server's answer says of the server itself, whatever became of the request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// True where it leaves, and is to get no new work. It says so in all its answers until it ends.
+    pub leaving: bool,
+    /// For how long it wants nothing from this box, counted from its answer; none where it doesn't say.
+    pub rest: Option<Duration>,
+}
+
 /// Reads and writes the headers by which callers, boxes and servers talk.
 pub trait Dialect: Send + Sync {
     /// What a caller's head says.
@@ -61,4 +70,7 @@
 
     /// What the head of an answer to the request `id` says.
     fn verdict(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> Verdict;
+
+    /// What the head of an answer, which is not foreign, says of its server.
+    fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod front;
 mod handshake;
 mod liveness;
+mod noticed;
 mod outcome;
 mod pump;
 mod ready;
@@ -31,7 +32,7 @@
 mod timing;
 
 pub use advisor::Advisor;
-pub use dialect::{Call, Dialect, Dispatch, Verdict};
+pub use dialect::{Call, Dialect, Dispatch, Notice, Verdict};
 pub use events::Events;
 pub use front::Front;
 pub use handshake::Handshake;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -128,6 +128,10 @@
     RequestLifted = 511, Info;
     /// A request that is held was let through once.
     RequestTried = 512, Warn;
+    /// A server's answer says that it leaves.
+    ServerLeaves = 513, Info;
+    /// A server turned a request away and wants nothing more from this box for a while.
+    ServerRests = 514, Info;
     /// Leases granted no longer equal held, returned and expired ones.
     LeaseCountBroken = 900, Error;
     /// A grant went above the floor while a more urgent request waited.
