A server's word in an answer is in force at once: it leaves, or wants rest

Cause: what an answer says of its server was dropped at the adapter; a leaving server was known by its entry alone, rest not at all. Ruled out by the log lines of the failing tests: that the word was known and overruled, or known elsewhere in the box.

A life that said that it leaves never takes work again, whatever its entry says later. All boxes are told of it once, and by a digest in heartbeats; rest holds between one server and one box. Where all rest, callers are refused with the time of the first one's return.

--- a/crates/cleatshelf/src/router/advice.rs
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -68,6 +68,11 @@
         signs: Vec<Sign>,
         asks: bool,
     },
+    /// Lives that said that they leave; `asks` for the same.
+    Leaving {
+        lives: Vec<String>,
+        asks: bool,
+    },
 }
 
 /// Questions to owners, answers, and what this box itself owns. Shared by all threads.
@@ -157,8 +162,19 @@
                 state.opinions.answer(opinion.number, opinion);
                 None
             }
-            // For the quarantine, not for owners.
-            Message::Suspects { .. } => None,
+            // For the quarantine and the placement, not for owners.
+            Message::Suspects { .. } | Message::Leaving { .. } => None,
+        }
+    }
+
+    /// Sends a message to all other boxes that are known.
+    fn send_all(&self, message: &Message) {
+        let others: Vec<SocketAddr> = {
+            let state = self.state();
+            state.boxes.iter().map(|(address, _)| *address).filter(|address| *address != self.me).collect()
+        };
+        for other in others {
+            self.send(other, message.clone());
         }
     }
 
@@ -267,14 +283,11 @@
     }
 
     fn suspect(&self, records: Vec<Record>, signs: Vec<Sign>) {
-        let others: Vec<SocketAddr> = {
-            let state = self.0.state();
-            state.boxes.iter().map(|(address, _)| *address).filter(|address| *address != self.0.me).collect()
-        };
-        for other in others {
-            let (records, signs) = (records.clone(), signs.clone());
-            self.0.send(other, Message::Suspects { records, signs, asks: false });
-        }
+        self.0.send_all(&Message::Suspects { records, signs, asks: false });
+    }
+
+    fn leaves(&self, life: &str) {
+        self.0.send_all(&Message::Leaving { lives: vec![life.to_owned()], asks: false });
     }
 
     fn ranks_first(&self, request: Fingerprint) -> bool {
--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -292,7 +292,9 @@
         let table = state.table.as_ref().map_or(0, |(table, _)| table.version);
         let evacuations = state.evacuations.clone();
         let suspects = self.shared.quarantine().digest(self.shared.now());
-        Holding { table, table_until: state.table_until, directory: state.directory.revision, evacuations, suspects }
+        let leaving = self.shared.placement().leaving_digest();
+        let directory = state.directory.revision;
+        Holding { table, table_until: state.table_until, directory, evacuations, suspects, leaving }
     }
 
     /// The configuration in force as it was published, packed.
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -94,6 +94,12 @@
                         this.send_suspects(from, signs, false);
                     }
                 }
+                Envelope::Advice(advice::Message::Leaving { lives, asks }) => {
+                    this.shared.hear_leaving(&lives);
+                    if asks {
+                        this.send_leaving(from, false);
+                    }
+                }
                 Envelope::Advice(message) => {
                     if let Some(answer) = this.advice.handle(from, message) {
                         this.send(from, &Envelope::Advice(answer));
@@ -173,6 +179,7 @@
                     }
                 }
                 Action::ShareSuspects(to) => self.send_suspects(to, Vec::new(), true),
+                Action::ShareLeaving(to) => self.send_leaving(to, true),
                 Action::Watch(watching) => {
                     telemetry::emit(Event::WatchRole, format_args!("watching={watching}"));
                     self.watching.send_replace(watching);
@@ -205,6 +212,12 @@
         self.send(to, &Envelope::Advice(advice::Message::Suspects { records, signs, asks }));
     }
 
+    /// Tells a box which servers said that they leave; `asks` for what that one knows.
+    fn send_leaving(&self, to: SocketAddr, asks: bool) {
+        let lives = self.shared.placement().leaving();
+        self.send(to, &Envelope::Advice(advice::Message::Leaving { lives, asks }));
+    }
+
     fn send(&self, to: SocketAddr, envelope: &Envelope) {
         let mut links = self.links.borrow_mut();
         let link = links
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -65,8 +65,9 @@
 /// for it.
 const MEMBERS_EVERY: Millis = 1_500;
 
-/// The same for requests that end servers: each box is told of them as they are found, and asks only where that was lost.
-const SUSPECTS_EVERY: Millis = 1_000;
+/// The same for requests that end servers, and for servers that leave: each box is told of them as they are found, and asks only
+/// where that was lost.
+const TOLD_EVERY: Millis = 1_000;
 
 /// How new this box's knowledge is.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -81,6 +82,8 @@
     pub evacuations: Evacuations,
     /// Digest of the requests that end servers.
     pub suspects: u64,
+    /// Digest of the servers that said that they leave and whose entries don't.
+    pub leaving: u64,
 }
 
 /// What one box knows of the others, and what it does about news.
@@ -358,6 +361,7 @@
             evacuations: self.holding.evacuations.clone(),
             members: self.digest,
             suspects: self.holding.suspects,
+            leaving: self.holding.leaving,
         });
         let all = self.beats.is_multiple_of(SILENT_BEATS);
         for (address, member) in &self.members {
@@ -454,6 +458,9 @@
         if beat.suspects != self.holding.suspects {
             self.want(from, Subject::Suspects, now, actions);
         }
+        if beat.leaving != self.holding.leaving {
+            self.want(from, Subject::Leaving, now, actions);
+        }
         if beat.members == self.digest {
             self.compare(beat.members, now);
         } else {
@@ -479,13 +486,14 @@
             Subject::Members => MEMBERS_EVERY,
             Subject::Directory if self.holding.directory == 0 => FIRST_LIST_EVERY,
             Subject::Directory | Subject::Table => WANT_EVERY,
-            Subject::Suspects => SUSPECTS_EVERY,
+            Subject::Suspects | Subject::Leaving => TOLD_EVERY,
         };
         if last.is_none_or(|at| now >= at + pause) {
             self.wanted.insert(subject as u8, now);
             actions.push(match subject {
                 Subject::Directory => Action::AskDirectory(from),
                 Subject::Suspects => Action::ShareSuspects(from),
+                Subject::Leaving => Action::ShareLeaving(from),
                 Subject::Table | Subject::Members => Action::Send(from, Message::Want(subject)),
             });
         }
@@ -495,7 +503,7 @@
         actions.push(match subject {
             Subject::Table => Action::SendTable(to),
             // Asked for with what the asker has, in messages of their own.
-            Subject::Directory | Subject::Suspects => return,
+            Subject::Directory | Subject::Suspects | Subject::Leaving => return,
             Subject::Members => Action::Send(to, Message::Members(Roster::of(self.list()))),
         });
     }
--- a/crates/peers/tests/world.rs
+++ b/crates/peers/tests/world.rs
@@ -53,6 +53,14 @@
     format!("hall-{}", address.to_string().split('.').nth(1).expect("a hall"))
 }
 
+fn suspects(holding: &mut Holding) -> &mut u64 {
+    &mut holding.suspects
+}
+
+fn leaving(holding: &mut Holding) -> &mut u64 {
+    &mut holding.leaving
+}
+
 impl World {
     fn new(seed: u64, halls: usize, each: usize) -> Self {
         let seeds: Vec<SocketAddr> = (0..halls.min(3)).map(|hall| address(hall, 1)).collect();
@@ -97,6 +105,7 @@
                     directory: self.published,
                     evacuations,
                     suspects: one.holding.suspects,
+                    leaving: one.holding.leaving,
                 };
                 one.peers.hold(one.holding.clone());
             }
@@ -160,7 +169,8 @@
                         self.post(me, to, Message::Excerpt(revision.to_string().into_bytes()));
                     }
                 }
-                Action::ShareSuspects(to) => self.share_suspects(me, to),
+                Action::ShareSuspects(to) => self.share(me, to, suspects),
+                Action::ShareLeaving(to) => self.share(me, to, leaving),
                 Action::Watch(watching) => one.watching = watching,
                 Action::Table(bytes) => {
                     let version: u64 = String::from_utf8(bytes).expect("text").parse().expect("a version");
@@ -179,11 +189,11 @@
     }
 
     /// Both know afterwards what either knew; here the digest is all that there is to know, and grows.
-    fn share_suspects(&mut self, one: SocketAddr, other: SocketAddr) {
-        let known = [one, other].map(|address| self.boxes.get(&address).map_or(0, |b| b.holding.suspects));
+    fn share(&mut self, one: SocketAddr, other: SocketAddr, digest: fn(&mut Holding) -> &mut u64) {
+        let known = [one, other].map(|address| self.boxes.get_mut(&address).map_or(0, |b| *digest(&mut b.holding)));
         for address in [one, other] {
             if let Some(one) = self.boxes.get_mut(&address).filter(|b| !b.frozen) {
-                one.holding.suspects = known[0].max(known[1]);
+                *digest(&mut one.holding) = known[0].max(known[1]);
             }
         }
     }
@@ -234,6 +244,15 @@
 
 #[test]
 fn what_one_box_knows_of_suspects_reaches_every_box_and_those_that_come_later() {
+    reaches_every_box(suspects);
+}
+
+#[test]
+fn what_one_box_knows_of_leaving_servers_reaches_every_box_and_those_that_come_later() {
+    reaches_every_box(leaving);
+}
+
+fn reaches_every_box(digest: fn(&mut Holding) -> &mut u64) {
     for seed in 0..30 {
         let mut world = World::new(seed, 3, 1 + (seed as usize % 9));
         world.run(9_000);
@@ -242,10 +261,11 @@
         let comes = addresses[world.rng.random_range(0..addresses.len())];
         for (known, address) in [(7, knows), (0, comes)] {
             let one = world.boxes.get_mut(&address).expect("a box");
-            one.holding.suspects = known;
+            *digest(&mut one.holding) = known;
             one.peers.hold(one.holding.clone());
             world.run(CONTACT);
-            let behind: Vec<_> = world.boxes.iter().filter(|(_, b)| b.holding.suspects != 7).map(|(a, _)| *a).collect();
+            let known = |one: &mut Box| *digest(&mut one.holding) == 7;
+            let behind: Vec<_> = world.boxes.iter_mut().filter_map(|(a, b)| (!known(b)).then_some(*a)).collect();
             assert_eq!(behind, Vec::<SocketAddr>::new(), "seed {seed} at {} ms", world.now);
         }
     }
--- a/crates/placement/src/ask.rs
+++ b/crates/placement/src/ask.rs
@@ -94,6 +94,11 @@
     NoServer,
     /// All that may be tried are cold, and get as much as they bear.
     Cold,
+    /// All that may be tried want nothing from this box for now.
+    Resting {
+        /// When the first of them takes requests again, in milliseconds from now.
+        back_ms: Millis,
+    },
     /// All places are taken, and it would wait beyond its aim.
     Crowded {
         /// How long it would wait for a place, in milliseconds.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -20,6 +20,7 @@
 mod load;
 mod member;
 mod need;
+mod notices;
 mod order;
 mod owner;
 mod placement;
--- a/crates/placement/src/member.rs
+++ b/crates/placement/src/member.rs
@@ -25,6 +25,10 @@
     pub(crate) heard: Option<(Opinion, Millis)>,
     /// True while its hall is evacuated.
     pub(crate) evacuated: bool,
+    /// True once it said that it leaves, by whatever way.
+    pub(crate) leaving: bool,
+    /// Until when it wants nothing from this box; not in the future where it doesn't say so.
+    pub(crate) rest_until: Millis,
     /// Region of its hall, where that is known.
     pub(crate) region: Option<String>,
     /// What its service says of cold servers.
@@ -46,6 +50,8 @@
             health: Health::default(),
             heard: None,
             evacuated: false,
+            leaving: false,
+            rest_until: 0,
             region: None,
             cold: None,
             cold_until: now + Millis::from(server.cold_ms),
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,5 +1,6 @@
 //! All services of a box.
 
+use crate::notices::Notices;
 use crate::pool::Pool;
 use crate::{Allowance, Ask, Budget, Choice, Ending, Millis, Opinion, Prompt, Refusal, Work};
 use routing::{Directory, Evacuations, Regions, Server, Table};
@@ -31,6 +32,8 @@
     budgets: HashMap<String, Budget>,
     /// By service.
     pools: HashMap<String, Pool>,
+    /// What servers said of themselves.
+    notices: Notices,
     /// Boxes that share the budget, this one included.
     boxes: usize,
     /// What all boxes may send to a cold server.
@@ -48,6 +51,7 @@
             budget,
             budgets: HashMap::new(),
             pools: HashMap::new(),
+            notices: Notices::default(),
             boxes: BOXES_AT_START,
             allowance: Allowance::default(),
             regions: Regions::new(),
@@ -69,6 +73,7 @@
     /// Takes what is in force from now on.
     pub fn update(&mut self, in_force: &InForce<'_>, now: Millis) {
         let InForce { table, directory, evacuations } = in_force;
+        self.notices.update(directory, now);
         let mut by_service: HashMap<&str, Vec<_>> = HashMap::new();
         for server in directory.servers.values() {
             by_service.entry(&server.service).or_default().push(server.clone());
@@ -82,9 +87,46 @@
             pool.set_cold(table.services.get(name).and_then(|s| s.cold), &self.allowance);
             pool.set_servers(by_service.get(name.as_str()).map_or(&[], Vec::as_slice), now);
             pool.set_halls(evacuations, &self.regions, now);
+            pool.set_notices(&self.notices);
         }
     }
 
+    /// This life said that it leaves: it gets nothing any more. `listed` is what its entry says of that, if there is one. True
+    /// when it wasn't known.
+    pub fn leaves(&mut self, life: &str, listed: Option<bool>, now: Millis) -> bool {
+        let news = self.notices.leaves(life, listed, now);
+        if news {
+            self.pools.values_mut().for_each(|pool| pool.set_notices(&self.notices));
+        }
+        news
+    }
+
+    /// This life wants nothing from this box until then.
+    pub fn rests(&mut self, life: &str, until: Millis) {
+        self.notices.rests(life, until);
+        self.pools.values_mut().for_each(|pool| pool.set_notices(&self.notices));
+    }
+
+    /// Lives that are listed and leave though their entries don't say so.
+    #[must_use]
+    pub fn leaving(&self) -> Vec<String> {
+        self.notices.unpublished().iter().cloned().collect()
+    }
+
+    /// Equal for boxes that know the same of such lives.
+    #[must_use]
+    pub fn leaving_digest(&self) -> u64 {
+        self.notices.digest()
+    }
+
+    /// False where a request that was to go to this server must not leave this box any more: what was chosen a moment ago
+    /// may have said something of itself since, or have gone.
+    #[must_use]
+    pub fn may_send(&self, service: &str, id: &str, now: Millis) -> bool {
+        let Some(pool) = self.pools.get(service) else { return true };
+        pool.standing(id, now).is_some_and(|standing| !standing.shut())
+    }
+
     /// Takes how many boxes share the budget, this one included.
     pub fn set_boxes(&mut self, boxes: usize) {
         self.boxes = boxes.max(1);
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -4,6 +4,7 @@
 use crate::homes::homes;
 use crate::member::Member;
 use crate::need::{Need, Side};
+use crate::notices::Notices;
 use crate::order::positions;
 use crate::split::{self, Split};
 use crate::weigh::{Candidate, Scale, Source, FETCH_LEAST};
@@ -106,6 +107,19 @@
         }
     }
 
+    /// Takes what servers said of themselves.
+    pub(crate) fn set_notices(&mut self, notices: &Notices) {
+        for (life, member) in &mut self.members {
+            member.leaving = notices.leaving(life);
+            member.rest_until = notices.rest_until(life);
+        }
+    }
+
+    /// What is in force for a server; none where it isn't listed.
+    pub(crate) fn standing(&self, id: &str, now: Millis) -> Option<Standing> {
+        self.members.get(id).map(|member| member.standing(now))
+    }
+
     /// Takes which halls are evacuated, and the regions of halls.
     pub(crate) fn set_halls(&mut self, evacuations: &Evacuations, regions: &Regions, now: Millis) {
         for member in self.members.values_mut() {
@@ -236,7 +250,7 @@
                 Standing::Open => sound.push(member),
                 Standing::Cold if !self.full(member, ask) => sound.push(member),
                 Standing::Paused if !member.cold(ask.now) || !self.full(member, ask) => paused.push(member),
-                Standing::Cold | Standing::Paused | Standing::Evacuated | Standing::Leaving => {}
+                Standing::Cold | Standing::Paused | Standing::Resting | Standing::Evacuated | Standing::Leaving => {}
             }
         }
         if sound.is_empty() {
@@ -267,8 +281,8 @@
         self.admission.note(ask.urgency, ask.now);
         self.divide(ask.now);
         let among = self.among(ask);
-        if among.is_empty() && self.members.values().any(|m| !m.standing(ask.now).closed() && m.cold(ask.now)) {
-            return Err(Refusal::Cold);
+        if among.is_empty() {
+            return Err(self.nobody(ask));
         }
         let scale = self.scale(ask, hall, &among);
         let candidates = self.candidates(ask, &among, &scale);
@@ -295,6 +309,18 @@
         Ok(choice)
     }
 
+    /// Why there is no server to choose from.
+    fn nobody(&self, ask: &Ask<'_>) -> Refusal {
+        let home = self.members.values().filter(|member| ask.at_home(member.region.as_deref()));
+        let open = home.clone().filter(|member| !member.standing(ask.now).shut());
+        if open.clone().any(|member| member.cold(ask.now)) {
+            return Refusal::Cold;
+        }
+        let resting = home.filter(|member| member.standing(ask.now) == Standing::Resting);
+        let soonest = resting.map(|member| member.rest_until - ask.now).min();
+        soonest.map_or(Refusal::NoServer, |back_ms| Refusal::Resting { back_ms })
+    }
+
     /// The servers to compare, with their costs.
     ///
     /// A server whose owner wasn't heard looks idle: where some were heard that can have the request, only those are
@@ -375,7 +401,7 @@
 
 /// True when parts of the prompt may be fetched from a server.
 fn may_give(member: &Member, ask: &Ask<'_>) -> bool {
-    !member.paused(ask.now) && ask.at_home(member.region.as_deref())
+    !member.paused(ask.now) && member.rest_until <= ask.now && ask.at_home(member.region.as_deref())
 }
 
 /// Why none of the candidates is chosen.
--- a/crates/placement/src/standing.rs
+++ b/crates/placement/src/standing.rs
@@ -13,6 +13,8 @@
     Cold,
     /// Nothing while others are sound: it failed lately.
     Paused,
+    /// Nothing of this box: the server asked for rest.
+    Resting,
     /// Nothing: its hall is evacuated.
     Evacuated,
     /// Nothing: it is about to end.
@@ -20,19 +22,26 @@
 }
 
 impl Standing {
-    /// True where nothing may be sent, whatever else there is.
+    /// True where nothing may be sent by any box, whatever else there is.
     pub(crate) fn closed(self) -> bool {
         matches!(self, Self::Evacuated | Self::Leaving)
     }
+
+    /// True where this box may send nothing, whatever else there is.
+    pub(crate) fn shut(self) -> bool {
+        self.closed() || self == Self::Resting
+    }
 }
 
 impl Member {
     /// What is in force for it.
     pub(crate) fn standing(&self, now: Millis) -> Standing {
-        if self.server.draining {
+        if self.leaving {
             Standing::Leaving
         } else if self.evacuated {
             Standing::Evacuated
+        } else if now < self.rest_until {
+            Standing::Resting
         } else if self.paused(now) {
             Standing::Paused
         } else if self.cold(now) {
--- a/crates/relay/src/advisor.rs
+++ b/crates/relay/src/advisor.rs
@@ -23,6 +23,9 @@
     /// they were taken for ended.
     fn suspect(&self, records: Vec<Record>, signs: Vec<Sign>);
 
+    /// Tells all other boxes of a server that said that it leaves, by the id of its life.
+    fn leaves(&self, life: &str);
+
     /// True for the one box that may try a request that is held.
     fn ranks_first(&self, request: Fingerprint) -> bool;
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -26,8 +26,8 @@
     Unreached(String),
     /// The server says that it did not run the request.
     NotRun(String),
-    /// Nothing left this box, since the leave for it was too old by the time of a connection.
-    Expired,
+    /// Nothing left this box: by the time of a connection it was no longer allowed, for this reason.
+    Withdrawn(&'static str),
     /// Sent, and no usable answer: it may have run.
     Broken(String),
     /// The head of the answer.
@@ -162,6 +162,8 @@
     pub(crate) id: &'a str,
     pub(crate) parts: &'a request::Parts,
     pub(crate) body: &'a Bytes,
+    /// The service whose server it goes to.
+    pub(crate) service: &'a str,
     /// Until when it may leave this box, where a cold server's owner gave leave.
     pub(crate) leave_until: Option<Millis>,
 }
@@ -182,8 +184,8 @@
             Ok(connection) => connection,
             Err(why) => return Sent::Unreached(why.to_string()),
         };
-        if message.leave_until.is_some_and(|until| shared.now() > until) {
-            return Sent::Expired;
+        if let Some(why) = withdrawn(shared, server, message) {
+            return Sent::Withdrawn(why);
         }
         under_way.set(true);
         match connection.sender.try_send_request(request).await {
@@ -204,6 +206,17 @@
     Sent::Unreached("connections ended before use".to_owned())
 }
 
+/// Why a request that was chosen for this server must not leave any more; asked again right before its first byte does, since
+/// a connection may take seconds.
+fn withdrawn(shared: &Shared, server: &Server, message: &Message<'_>) -> Option<&'static str> {
+    let now = shared.now();
+    if message.leave_until.is_some_and(|until| now > until) {
+        return Some("no connection within the leave");
+    }
+    let may = shared.placement().may_send(message.service, &server.id, now);
+    (!may).then_some("the server takes nothing any more")
+}
+
 /// An error with what lies below it.
 fn cause(error: &hyper::Error) -> String {
     let source = std::error::Error::source(error).map(|s| format!(": {s}"));
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -22,6 +22,9 @@
 /// The same where all servers are cold: some of them are warm again within that, or their owners give leave.
 const COLD_LEAST: Duration = Duration::from_millis(600);
 
+/// By how much longer than the servers' rest some callers stay away, so that they don't come back in the same instant.
+const REST_SPREAD: f64 = 1.2;
+
 impl Exchange {
     pub(crate) fn not_sent(&mut self, why: &Withheld) -> Response<Body> {
         if self.may_have_run {
@@ -33,6 +36,11 @@
                 let after = COLD_LEAST.mul_f64(rand::rng().random_range(1.0..2.0));
                 self.refuse_until("all servers are cold", after)
             }
+            Withheld::Refused(Refusal::Resting { back_ms }) => {
+                let _ = write!(self.trail, "all rest, {back_ms} ms");
+                let wait = Duration::from_millis(back_ms).max(COME_BACK);
+                self.refuse_until("all servers rest", wait.mul_f64(rand::rng().random_range(1.0..REST_SPREAD)))
+            }
             Withheld::Late => self.refuse("its time is over"),
             Withheld::Held { back_ms } => {
                 self.trail.push_str("held");
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -167,7 +167,8 @@
             last_event,
         };
         let leave_until = self.leave_until;
-        let message = Message { id: &self.call.id, parts: &self.parts, body: &self.body, leave_until };
+        let service = &self.service;
+        let message = Message { id: &self.call.id, parts: &self.parts, body: &self.body, service, leave_until };
         attempt::send(&self.shared, &self.connections, &server, &message, &dispatch, &self.under_way).await
     }
 
@@ -214,7 +215,7 @@
             Sent::Unreached(why) => (Ending::Unreached, why),
             Sent::NotRun(why) => (Ending::NotRun, why),
             Sent::Broken(why) => (Ending::Broken, why),
-            Sent::Expired => (Ending::Left, "no connection within the leave".to_owned()),
+            Sent::Withdrawn(why) => (Ending::Left, why.to_owned()),
             Sent::Answer(_) => (Ending::Broken, "an answer out of place".to_owned()),
         };
         let _ = write!(self.trail, "={ending:?}({why})");
--- a/crates/relay/src/noticed.rs
+++ b/crates/relay/src/noticed.rs
@@ -1,19 +1,52 @@
 //! What this box makes of what servers say of themselves in their answers.
 
 use crate::{Notice, Shared};
+use rand::Rng;
 use routing::Server;
+use std::time::Duration;
 use telemetry::Event;
 
+/// By how much longer than it asked for a server is left alone at most, so that boxes which it turned away together don't come
+/// back in the same instant.
+const REST_SPREAD: f64 = 1.1;
+
 impl Shared {
-    /// Takes what the answer to the request `id` says of its server.
+    /// Takes what the answer to the request `id` says of its server. To be called as soon as the answer's head is there: a
+    /// stream may last longer than a leaving server may still get requests.
     pub(crate) fn noticed(&self, id: &str, server: &Server, notice: Notice) {
-        if notice.leaving {
-            let entry = self.view().directory.servers.get(&server.name).map(|listed| listed.draining);
-            let entry = entry.map_or("gone", |draining| if draining { "leaving" } else { "ready" });
-            telemetry::emit(Event::ServerLeaves, format_args!("id={id} server={} entry={entry}", server.id));
+        if notice.leaving && self.leaves(&server.id, format_args!("id={id}")) {
+            self.advisor.leaves(&server.id);
         }
         if let Some(rest) = notice.rest {
-            telemetry::emit(Event::ServerRests, format_args!("id={id} server={} ms={}", server.id, rest.as_millis()));
+            self.rests(id, server, rest);
         }
     }
+
+    /// Takes what another box heard of lives that leave.
+    pub fn hear_leaving(&self, lives: &[String]) {
+        for life in lives {
+            self.leaves(life, format_args!("from=Peer"));
+        }
+    }
+
+    /// A life leaves. True when this box didn't know.
+    fn leaves(&self, life: &str, source: std::fmt::Arguments<'_>) -> bool {
+        let view = self.view();
+        let listed = view.directory.servers.values().find(|server| server.id == life).map(|server| server.draining);
+        let news = self.placement().leaves(life, listed, self.now());
+        if news {
+            let entry = listed.map_or("gone", |draining| if draining { "leaving" } else { "ready" });
+            telemetry::emit(Event::ServerLeaves, format_args!("{source} server={life} entry={entry}"));
+        }
+        news
+    }
+
+    fn rests(&self, id: &str, server: &Server, rest: Duration) {
+        let spread = rest.mul_f64(rand::rng().random_range(1.0..REST_SPREAD));
+        let ms = u64::try_from(spread.as_millis()).unwrap_or(u64::MAX);
+        let now = self.now();
+        // Rounded up: a server is not asked again before it wants to be.
+        self.placement().rests(&server.id, now.saturating_add(ms).saturating_add(1));
+        telemetry::emit(Event::ServerRests, format_args!("id={id} server={} ms={ms}", server.id));
+    }
 }
