--- /dev/null
+++ b/crates/placement/tests/notices.rs
@@ -0,0 +1,203 @@
+//! What servers said of themselves holds for every way in which a server is chosen.
+
+mod common;
+
+use common::{server, service, update, MODEL};
+use placement::{Ask, Budget, Choice, Ending, Load, Opinion, Part, Placement, Prompt, Refusal};
+use routing::{Cold, Server, Table};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn table(cold: Option<Cold>) -> Table {
+    Table::new(1, Vec::new(), vec![service(64, 6, cold)])
+}
+
+fn servers(count: usize) -> Vec<Server> {
+    (0..count).map(|index| server(index, "hall")).collect()
+}
+
+fn placement(count: usize) -> Placement {
+    let mut placement = Placement::new("hall", Budget::new(0.2, 50.0, 10_000));
+    update(&mut placement, &table(None), servers(count), &[], 0);
+    // It has read the part that all prompts share.
+    placement.choose(&ask(None, &[], 0)).expect("a server");
+    placement.confirm(MODEL, "s1", &prompt(0));
+    placement
+}
+
+fn prompt(own: u64) -> Prompt {
+    let parts = vec![Part { id: 1, tokens: 6_000 }, Part { id: own, tokens: 1_000 }];
+    Prompt { model: "m".to_owned(), tokens: 7_000, out_most: 60, out_hint: None, parts }
+}
+
+fn ask<'a>(prompt: Option<&'a Prompt>, opinions: &'a [(String, Opinion)], now: u64) -> Ask<'a> {
+    Ask {
+        service: MODEL,
+        prompt,
+        aim: Duration::from_millis(2_000),
+        gap_aim: None,
+        urgency: 0,
+        bytes: 10_000,
+        tried: &[],
+        denied: &[],
+        homes: [None, None],
+        opinions,
+        now,
+    }
+}
+
+/// What came of choices of each kind.
+#[derive(Default)]
+struct Ways {
+    /// Ids of servers that were chosen, or whose owners are asked.
+    used: BTreeSet<String>,
+    /// Addresses of servers that others fetch from.
+    fetched: BTreeSet<SocketAddr>,
+}
+
+impl Ways {
+    fn note(&mut self, choice: Result<Choice, Refusal>) {
+        let choice = choice.expect("others serve");
+        self.used.insert(choice.server.id.clone());
+        self.fetched.extend(choice.fetch);
+    }
+}
+
+/// Requests with and without a prompt, with and without their owners' word, now.
+fn ways(placement: &mut Placement, now: u64) -> Ways {
+    let mut ways = Ways::default();
+    for own in 2..40 {
+        let prompt = prompt(own);
+        ways.note(placement.choose(&ask(Some(&prompt), &[], now)));
+        let planned = placement.plan(&ask(Some(&prompt), &[], now), 9);
+        // All but one have much to do, so that the one without the shared part is chosen now and then.
+        let opinion = |id: &str| if id == "s1" { busy() } else { Opinion::default() };
+        let opinions: Vec<_> = planned.iter().map(|server| (server.id.clone(), opinion(&server.id))).collect();
+        ways.note(placement.choose(&ask(Some(&prompt), &opinions, now)));
+        ways.note(placement.choose(&ask(None, &[], now)));
+        ways.used.extend(planned.iter().map(|server| server.id.clone()));
+    }
+    ways
+}
+
+/// What the owner of a server with all places taken says, which has read the shared part.
+fn busy() -> Opinion {
+    Opinion { load: Load { running: 64, ..Load::default() }, kept: 6_000, read: 6_000, ..Opinion::default() }
+}
+
+#[test]
+fn a_server_that_leaves_or_rests_is_chosen_in_no_way() {
+    let all = ways(&mut placement(3), 10);
+    let address = server(1, "hall").address;
+    assert!(["s0", "s1", "s2"].iter().all(|id| all.used.contains(*id)), "without a word each is used");
+    assert!(all.fetched.contains(&address), "and others fetch from it");
+    let mut leaving = placement(3);
+    assert!(leaving.leaves("s1", Some(false), 10));
+    assert!(!leaving.leaves("s1", Some(false), 11), "it is news once");
+    assert!(!ways(&mut leaving, 10).used.contains("s1"));
+    let mut resting = placement(3);
+    resting.rests("s1", 3_000);
+    for now in [10, 2_999] {
+        let ways = ways(&mut resting, now);
+        assert!(!ways.used.contains("s1") && !ways.fetched.contains(&address), "after {now} ms");
+    }
+    assert!(ways(&mut resting, 3_000).used.contains("s1"), "it is used again afterwards");
+}
+
+#[test]
+fn nothing_reopens_a_life_that_said_that_it_leaves() {
+    let mut placement = placement(2);
+    placement.leaves("s1", Some(false), 10);
+    let closed = |placement: &mut Placement, now| !ways(placement, now).used.contains("s1");
+    // Its entry is written again as it was, lapses, and comes back from an old copy.
+    for (now, count) in [(100, 2), (200, 1), (300, 2), (60_000, 1), (120_000, 2)] {
+        update(&mut placement, &table(None), servers(count), &[], now);
+        assert!(closed(&mut placement, now), "after {now} ms");
+    }
+    // What its entry said counts as well.
+    let mut entry = placement_with_draining_entry();
+    update(&mut entry, &table(None), servers(2), &[], 20);
+    assert!(closed(&mut entry, 20));
+    // A later life under its name is another server.
+    let later = Server { id: "s1@7".to_owned(), ..server(1, "hall") };
+    update(&mut placement, &table(None), vec![server(0, "hall"), later], &[], 130_000);
+    assert!(ways(&mut placement, 130_000).used.contains("s1@7"));
+}
+
+fn placement_with_draining_entry() -> Placement {
+    let mut placement = placement(2);
+    let draining = Server { draining: true, ..server(1, "hall") };
+    update(&mut placement, &table(None), vec![server(0, "hall"), draining], &[], 10);
+    placement
+}
+
+#[test]
+fn rest_outlasts_an_entry_that_lapses_and_a_shorter_wish() {
+    let mut placement = placement(2);
+    placement.rests("s1", 3_000);
+    placement.rests("s1", 1_000);
+    update(&mut placement, &table(None), servers(1), &[], 100);
+    update(&mut placement, &table(None), servers(2), &[], 200);
+    assert!(!placement.may_send(MODEL, "s1", 2_999));
+    assert!(placement.may_send(MODEL, "s1", 3_000));
+    placement.rests("s1", 9_000);
+    assert!(!placement.may_send(MODEL, "s1", 3_000), "a longer one counts");
+}
+
+#[test]
+fn a_request_that_was_chosen_before_the_word_does_not_leave_after_it() {
+    let mut placement = placement(3);
+    for id in ["s0", "s1", "s2"] {
+        assert!(placement.may_send(MODEL, id, 10));
+    }
+    placement.leaves("s0", Some(false), 10);
+    placement.rests("s1", 20);
+    for id in ["s0", "s1", "gone"] {
+        assert!(!placement.may_send(MODEL, id, 11), "{id}");
+    }
+    assert!(placement.may_send(MODEL, "s2", 11));
+}
+
+#[test]
+fn where_all_rest_callers_hear_when_the_first_returns() {
+    let mut placement = placement(2);
+    placement.rests("s0", 5_000);
+    placement.rests("s1", 3_000);
+    let refusal = placement.choose(&ask(None, &[], 1_000)).expect_err("all rest");
+    assert_eq!(refusal, Refusal::Resting { back_ms: 2_000 });
+    // One that failed lately doesn't get what a resting one would have got; it is the last resort of nobody else.
+    for now in [1_000, 1_001] {
+        placement.note(MODEL, "s1", Ending::Broken, now);
+    }
+    assert!(matches!(placement.choose(&ask(None, &[], 1_002)), Err(Refusal::Resting { .. })));
+    placement.leaves("s0", Some(false), 1_002);
+    placement.leaves("s1", Some(false), 1_002);
+    assert_eq!(placement.choose(&ask(None, &[], 1_002)).expect_err("all leave"), Refusal::NoServer);
+}
+
+#[test]
+fn a_cold_server_that_rests_is_not_what_callers_wait_for() {
+    let cold = Some(Cold { time: Duration::from_secs(10), per_s: 5.0 });
+    let mut placement = Placement::new("hall", Budget::new(0.2, 50.0, 10_000));
+    let cold_server = Server { cold_ms: 10_000, ..server(0, "hall") };
+    update(&mut placement, &table(cold), vec![cold_server], &[], 0);
+    assert!(placement.choose(&ask(None, &[], 10)).is_ok_and(|choice| choice.leave.is_some()));
+    placement.rests("s0", 3_000);
+    assert_eq!(placement.choose(&ask(None, &[], 10)).expect_err("rests"), Refusal::Resting { back_ms: 2_990 });
+}
+
+#[test]
+fn boxes_that_know_the_same_agree_and_published_words_are_not_told() {
+    let mut one = placement(3);
+    let mut other = placement(3);
+    one.leaves("s1", Some(false), 10);
+    assert_ne!(one.leaving_digest(), other.leaving_digest());
+    other.leaves("s1", Some(false), 900);
+    assert_eq!(one.leaving_digest(), other.leaving_digest());
+    assert_eq!(one.leaving(), ["s1"]);
+    let draining = Server { draining: true, ..server(1, "hall") };
+    update(&mut one, &table(None), vec![server(0, "hall"), draining], &[], 1_000);
+    assert!(one.leaving().is_empty(), "its entry says so now");
+    assert_eq!(one.leaving_digest(), placement(3).leaving_digest());
+}
