--- a/crates/cleatshelf/src/router/operators.rs
+++ b/crates/cleatshelf/src/router/operators.rs
@@ -85,6 +85,7 @@
         let directory = self.knowledge.directory();
         let servers: Vec<_> = directory.servers.values().collect();
         let held: Vec<String> = self.shared.quarantine().held().map(|request| request.to_string()).collect();
+        let resting = self.shared.placement().resting(self.shared.now());
         serde_json::json!({
             "ready": self.shared.ready(),
             "stopping": self.shared.stopping(),
@@ -92,6 +93,8 @@
             "servers_revision": holding.directory,
             "view_age_ms": self.knowledge.age().as_millis() as u64,
             "requests_held": held,
+            "servers_leaving": self.shared.placement().leaving(),
+            "servers_resting": resting,
             "running": self.shared.running.load(Ordering::Relaxed),
             "servers": servers,
         })
--- a/crates/placement/src/notices.rs
+++ b/crates/placement/src/notices.rs
@@ -6,7 +6,7 @@
 
 use crate::Millis;
 use routing::{rank, Directory};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// How long it is known of a life that it leaves after its entry has gone: longer than an entry can come back that lapsed, or
 /// that was read from an old copy.
@@ -49,6 +49,12 @@
         self.resting.get(life).copied().unwrap_or_default()
     }
 
+    /// Lives that want nothing from this box, each with the milliseconds left.
+    pub(crate) fn resting(&self, now: Millis) -> BTreeMap<String, Millis> {
+        let left = |(life, until): (&String, &Millis)| (now < *until).then(|| (life.clone(), until - now));
+        self.resting.iter().filter_map(left).collect()
+    }
+
     /// Lives that leave though their entries don't say so.
     pub(crate) fn unpublished(&self) -> &BTreeSet<String> {
         &self.unpublished
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -4,7 +4,7 @@
 use crate::pool::Pool;
 use crate::{Allowance, Ask, Budget, Choice, Ending, Millis, Opinion, Prompt, Refusal, Work};
 use routing::{Directory, Evacuations, Regions, Server, Table};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 /// Boxes that are assumed before others were heard of: as many as a small deployment has, so that a box
@@ -113,6 +113,12 @@
         self.notices.unpublished().iter().cloned().collect()
     }
 
+    /// Lives that want nothing from this box, each with the milliseconds left.
+    #[must_use]
+    pub fn resting(&self, now: Millis) -> BTreeMap<String, Millis> {
+        self.notices.resting(now)
+    }
+
     /// Equal for boxes that know the same of such lives.
     #[must_use]
     pub fn leaving_digest(&self) -> u64 {
