--- a/crates/cleatshelf/src/router/follow.rs
+++ b/crates/cleatshelf/src/router/follow.rs
@@ -2,7 +2,7 @@
 
 use super::knowledge::{Knowledge, Origin};
 use rand::Rng;
-use routing::{Change, Freshness, Publisher, Subject, Trouble};
+use routing::{Change, Freshness, Position, Publisher, Subject, Trouble};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -132,10 +132,10 @@
                 _ = watching.wait_for(|watching| !*watching) => continue,
             };
             match step {
-                Ok(revision) => {
+                Ok(position) => {
                     self.calm();
                     pause = PAUSE_LEAST;
-                    since = Some(revision);
+                    since = Some(position);
                     wait = WAIT;
                 }
                 Err(Trouble::Forgotten) => since = None,
@@ -189,8 +189,8 @@
     fn told(&self) -> bool {
         let holding = self.knowledge.holding();
         match self.subject {
-            Subject::Orders => holding.table > 0 && holding.evacuations.revision > 0,
-            Subject::Directory => holding.directory > 0,
+            Subject::Orders => holding.table > 0 && holding.evacuations.position.is_known(),
+            Subject::Directory => holding.directory.is_known(),
         }
     }
 
@@ -208,63 +208,78 @@
         }
     }
 
-    /// The revision up to which everything is known without asking; none where only a read can tell.
-    fn known(&self) -> Option<u64> {
+    /// Up to where everything is known without asking; none where only a read can tell.
+    fn known(&self) -> Option<Position> {
         let holding = self.knowledge.holding();
-        let revision = match self.subject {
+        let position = match self.subject {
             // What one of both lacks, the watch tells again.
-            Subject::Orders => holding.table_until.min(holding.evacuations.revision),
+            Subject::Orders => holding.table_until.min(holding.evacuations.position),
             Subject::Directory => holding.directory,
         };
-        Some(revision).filter(|revision| *revision > 0)
+        Some(position).filter(|position| position.is_known())
     }
 
-    async fn step(&self, since: Option<u64>, wait: Duration) -> Result<u64, Trouble> {
+    async fn step(&self, since: Option<Position>, wait: Duration) -> Result<Position, Trouble> {
         match since {
             None => self.read(Freshness::Newest).await,
             Some(since) => self.watch(since, wait).await,
         }
     }
 
-    async fn read(&self, freshness: Freshness) -> Result<u64, Trouble> {
+    async fn read(&self, freshness: Freshness) -> Result<Position, Trouble> {
         match self.subject {
             Subject::Orders => {
                 let orders = self.publisher.orders(freshness).await?;
-                let revision = orders.evacuations.revision;
+                let position = orders.evacuations.position;
+                self.refuse_former(position)?;
                 self.knowledge.offer_evacuations(orders.evacuations, Origin::Publisher);
                 let bytes = orders.table.ok_or(Trouble::Absent)?;
-                self.take_table(Some(&bytes), revision);
-                Ok(revision)
+                self.take_table(Some(&bytes), position);
+                Ok(position)
             }
             Subject::Directory => {
                 let directory = self.publisher.directory(freshness).await?;
-                let revision = directory.revision;
+                let position = directory.position;
+                self.refuse_former(position)?;
                 self.knowledge.offer_directory(directory, Origin::Publisher, self.troubles.away_lately());
-                Ok(revision)
+                Ok(position)
             }
         }
     }
 
-    async fn watch(&self, since: u64, wait: Duration) -> Result<u64, Trouble> {
+    async fn watch(&self, since: Position, wait: Duration) -> Result<Position, Trouble> {
         let update = self.publisher.watch(self.subject, since, wait).await?;
         if self.subject == Subject::Orders {
-            self.take_table(update.table.as_deref(), update.revision);
-            self.knowledge.change_evacuations(update.evacuations, update.revision);
+            self.take_table(update.table.as_deref(), update.position);
+            self.knowledge.change_evacuations(update.evacuations, update.position);
         }
         if !update.changes.is_empty() {
             let away = self.troubles.away_lately();
             let changes = update.changes.into_iter().map(|change| if away { lapsed(change) } else { change }).collect();
-            self.knowledge.offer_changes(changes, update.revision, Origin::Publisher);
+            self.knowledge.offer_changes(changes, update.position, Origin::Publisher);
             self.calm();
             actix_rt::time::sleep(GATHER).await;
         }
-        Ok(update.revision)
+        Ok(update.position)
     }
 
-    /// Takes the configuration that the publisher has at `revision`; none when it is the one known already.
-    fn take_table(&self, bytes: Option<&[u8]>, revision: u64) {
+    /// What was read in an era before the one that is known is over: a late answer, or a replica's that is behind.
+    fn refuse_former(&self, read: Position) -> Result<(), Trouble> {
+        let holding = self.knowledge.holding();
+        let known = match self.subject {
+            Subject::Orders => holding.evacuations.position,
+            Subject::Directory => holding.directory,
+        };
+        if read.era < known.era {
+            return Err(Trouble::Garbled(format!("read at {read}, known at {known}")));
+        }
+        Ok(())
+    }
+
+    /// Takes the configuration that the publisher has at `position`; none when it is the one known already.
+    fn take_table(&self, bytes: Option<&[u8]>, position: Position) {
         if bytes.is_none_or(|bytes| self.knowledge.offer_table(bytes, Origin::Publisher)) {
-            self.knowledge.table_stands(revision);
+            self.knowledge.table_stands(position);
         }
     }
 
--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -5,7 +5,7 @@
 use flate2::Compression;
 use peers::{Holding, Millis};
 use relay::{Shared, View};
-use routing::{Change, Digests, Directory, Evacuations, Excerpt, Publisher, Table};
+use routing::{Change, Digests, Directory, Evacuations, Excerpt, Position, Publisher, Subject, Table};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use std::cell::RefCell;
@@ -24,6 +24,15 @@
 /// within about 2 s of its return; on the strictest of the users' sites a server that has left must get nothing after 2 s.
 const LAPSED_MOST: Millis = 1_500;
 
+/// How long an evacuation holds of which the publisher, back from an older copy, says something else: operators write again what
+/// was lost as soon as the publisher takes it. Given up too early, an evacuated hall gets requests; too late, one that was given
+/// back stands idle.
+const HELD_MOST: Millis = 10_000;
+
+/// How long a server isn't used while others are that only an older copy of the list brings back: its entry ends after three
+/// heartbeats that are missing, each 1.2 s on the users' deployments.
+const DOUBT: Millis = 4_000;
+
 /// Where news came from, for the log.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Origin {
@@ -39,8 +48,8 @@
     /// A first list of servers: heartbeats say that it is there.
     Directory,
     Changes {
-        since: u64,
-        until: u64,
+        since: Position,
+        until: Position,
         changes: Vec<Change>,
     },
 }
@@ -58,12 +67,16 @@
 struct State {
     /// The configuration in force, and as it was published, packed for peers.
     table: Option<(Arc<Table>, Rc<Vec<u8>>)>,
-    /// Revision of the publisher at which that configuration was still the newest; 0 when this is not known.
-    table_until: u64,
+    /// Where in the publisher's history that configuration was still the newest; none when this is not known.
+    table_until: Position,
     directory: Directory,
     /// What a list with these digests lacks of the list above, packed; none once that has changed.
     excerpt: Option<(Digests, Rc<Vec<u8>>)>,
     evacuations: Evacuations,
+    /// When some of them began to be held against the publisher's word; none while none are.
+    held: Option<Millis>,
+    /// Era of the publisher up to which nothing is held any more.
+    released: u64,
     /// When each of the lapsed servers was noticed.
     lapsed: HashMap<String, Millis>,
     /// What others have not been told yet, in order.
@@ -108,16 +121,16 @@
             format_args!("version={} routes={} from={origin:?}", table.version, table.len()),
         );
         state.table = Some((Arc::new(table), Rc::new(pack(bytes))));
-        state.table_until = 0;
+        state.table_until = Position::NONE;
         self.put_in_force(&state);
         self.tell(&mut state, News::Table);
         true
     }
 
-    /// The configuration in force was still the newest at this revision of the publisher.
-    pub(super) fn table_stands(&self, revision: u64) {
+    /// The configuration in force was still the newest at this position of the publisher.
+    pub(super) fn table_stands(&self, position: Position) {
         let mut state = self.state.borrow_mut();
-        state.table_until = state.table_until.max(revision);
+        state.table_until = state.table_until.max(position);
     }
 
     /// Takes a configuration as another box packed it.
@@ -128,47 +141,85 @@
         }
     }
 
-    /// Takes which halls are evacuated, unless that is known of a later revision.
-    pub(super) fn offer_evacuations(&self, evacuations: Evacuations, origin: Origin) {
+    /// Takes which halls are evacuated, unless that is known of a later position. What an older copy of the publisher lacks, or has
+    /// still, is held as it was known until the operator has written again.
+    pub(super) fn offer_evacuations(&self, mut evacuations: Evacuations, origin: Origin) {
+        let mut state = self.state.borrow_mut();
+        if evacuations.position.era <= state.released {
+            // This box has waited long enough, whatever others do.
+            evacuations.held.clear();
+        }
+        let former = state.evacuations.position;
+        let changed = state.evacuations.take(evacuations);
+        if state.evacuations.position.restored_since(former) {
+            let held = format!("held={:?}", state.evacuations.held);
+            let heard = state.heard;
+            self.log_restored(Subject::Orders, (former, heard), state.evacuations.position, &held);
+        }
+        self.evacuations_changed(&mut state, changed, origin);
+    }
+
+    /// Takes which evacuations began (true) or ended up to a position of the publisher, on top of what is known.
+    pub(super) fn change_evacuations(&self, changes: Vec<(String, bool)>, position: Position) {
         let mut state = self.state.borrow_mut();
-        if !state.evacuations.take(evacuations) {
+        let changed = state.evacuations.change(changes, position);
+        self.evacuations_changed(&mut state, changed, Origin::Publisher);
+    }
+
+    fn evacuations_changed(&self, state: &mut State, changed: bool, origin: Origin) {
+        let holds = !state.evacuations.held.is_empty();
+        state.held = if holds { state.held.or(Some(self.shared.now())) } else { None };
+        if !changed {
             return;
         }
-        let Evacuations { revision, halls } = &state.evacuations;
-        telemetry::emit(Event::HallsEvacuated, format_args!("revision={revision} halls={halls:?} from={origin:?}"));
-        self.put_in_force(&state);
+        let (position, halls) = (state.evacuations.position, state.evacuations.evacuated());
+        telemetry::emit(Event::HallsEvacuated, format_args!("position={position} halls={halls:?} from={origin:?}"));
+        self.put_in_force(state);
         // The next heartbeat carries them, and is due at once.
         self.told.notify_one();
     }
 
-    /// Takes which evacuations began (true) or ended up to a revision of the publisher, on top of what is known.
-    pub(super) fn change_evacuations(&self, changes: Vec<(String, bool)>, revision: u64) {
-        let mut halls = self.state.borrow().evacuations.halls.clone();
-        for (hall, lasts) in changes {
-            if lasts {
-                halls.insert(hall);
-            } else {
-                halls.remove(&hall);
-            }
+    /// Gives up what is held against the publisher's word for too long.
+    fn release(&self) {
+        let mut state = self.state.borrow_mut();
+        let now = self.shared.now();
+        if state.held.is_none_or(|since| now < since + HELD_MOST) {
+            return;
         }
-        self.offer_evacuations(Evacuations { revision, halls }, Origin::Publisher);
+        state.released = state.evacuations.position.era;
+        let changed = state.evacuations.release();
+        self.evacuations_changed(&mut state, changed, Origin::Lapse);
+    }
+
+    /// Logs that the publisher came back from an older copy.
+    fn log_restored(&self, subject: Subject, known: (Position, Option<Millis>), to: Position, kept: &str) {
+        let (from, heard) = known;
+        let age_ms = heard.map_or(0, |at| self.shared.now().saturating_sub(at));
+        telemetry::emit(
+            Event::StoreRestored,
+            format_args!("subject={subject:?} from={from} to={to} heard_ms_ago={age_ms} {kept}"),
+        );
     }
 
     /// Takes a whole list of servers, unless a newer one is known. Right after the publisher was away, what the list lacks
     /// may have only lapsed.
     pub(super) fn offer_directory(&self, mut directory: Directory, origin: Origin, was_away: bool) {
         let mut state = self.state.borrow_mut();
-        if directory.revision < state.directory.revision {
+        if directory.position < state.directory.position {
             return;
         }
+        let restored = directory.position.restored_since(state.directory.position);
         // What this box has let go, or never had, doesn't come back for having lapsed.
         let lapsed: Vec<String> = directory.lapsed.iter().cloned().collect();
         for id in lapsed.iter().filter(|id| !state.directory.servers.contains_key(*id)) {
             directory.expire(id);
         }
-        if was_away {
+        if was_away || restored {
             directory.lapse_missing(&state.directory);
         }
+        if restored {
+            self.doubt(&directory, &state);
+        }
         let changed = directory.servers != state.directory.servers;
         let former = std::mem::replace(&mut state.directory, directory);
         state.excerpt = None;
@@ -177,15 +228,25 @@
             return;
         }
         self.servers_changed(&state, origin);
-        let news = if former.revision == 0 {
+        // Of another era others ask for all that differs.
+        let news = if restored || !former.position.is_known() {
             News::Directory
         } else {
-            let (since, until) = (former.revision, state.directory.revision);
+            let (since, until) = (former.position, state.directory.position);
             News::Changes { since, until, changes: state.directory.since(&former) }
         };
         self.tell(&mut state, news);
     }
 
+    /// Lives that only an older copy of the list has may have ended: they wait until their entries have had the time to go.
+    fn doubt(&self, copy: &Directory, state: &State) {
+        let former = &state.directory;
+        let doubted = copy.lives_beyond(former);
+        let kept = format!("lapsed={:?} doubted={doubted:?}", copy.lapsed);
+        self.log_restored(Subject::Directory, (former.position, state.heard), copy.position, &kept);
+        self.shared.placement().doubt(&doubted, self.shared.now() + DOUBT);
+    }
+
     /// What the list of servers with these digests lacks of this box's, packed; none where this box's isn't newer.
     /// Many boxes that have just started ask the same, and get the same.
     pub(super) fn excerpt(&self, theirs: &Digests) -> Option<Rc<Vec<u8>>> {
@@ -199,7 +260,7 @@
     }
 
     /// Takes what became of servers, as another box packed it.
-    pub(super) fn offer_packed_changes(&self, packed: &[u8], until: u64) {
+    pub(super) fn offer_packed_changes(&self, packed: &[u8], until: Position) {
         match decode(packed) {
             Ok(changes) => self.offer_changes(changes, until, Origin::Peer),
             Err(why) => telemetry::emit(Event::ReleaseRefused, format_args!("from=Peer why=\"{why}\"")),
@@ -219,10 +280,15 @@
         }
     }
 
-    /// Takes what became of servers up to revision `until`.
-    pub(super) fn offer_changes(&self, changes: Vec<Change>, until: u64, origin: Origin) {
+    /// Takes what became of servers up to `until`.
+    pub(super) fn offer_changes(&self, changes: Vec<Change>, until: Position, origin: Origin) {
         let mut state = self.state.borrow_mut();
-        let since = state.directory.revision;
+        let since = state.directory.position;
+        if until.era != since.era {
+            // On top of another era's list they would be another list.
+            return;
+        }
+        self.trust(&changes);
         let changes = state.directory.news_of(changes);
         let changed = state.directory.apply(changes.clone(), until);
         state.excerpt = None;
@@ -233,8 +299,19 @@
         self.tell(&mut state, News::Changes { since, until, changes });
     }
 
-    /// Takes servers for gone that lapsed and did not come back in time.
+    /// A server that writes its entry lives.
+    fn trust(&self, changes: &[Change]) {
+        let mut placement = self.shared.placement();
+        for change in changes {
+            if let Change::Present(server) = change {
+                placement.trust(&server.id);
+            }
+        }
+    }
+
+    /// Takes servers for gone that lapsed and did not come back in time, and gives up what was held for too long.
     pub(super) fn expire(&self) {
+        self.release();
         let now = self.shared.now();
         let mut state = self.state.borrow_mut();
         let over: Vec<String> =
@@ -265,7 +342,7 @@
         let draining = state.directory.servers.values().filter(|s| s.draining).count();
         telemetry::emit(
             Event::ServersChanged,
-            format_args!("revision={} servers={servers} draining={draining} from={origin:?}", state.directory.revision),
+            format_args!("position={} servers={servers} draining={draining} from={origin:?}", state.directory.position),
         );
         self.put_in_force(state);
     }
@@ -293,7 +370,7 @@
         let evacuations = state.evacuations.clone();
         let suspects = self.shared.quarantine().digest(self.shared.now());
         let leaving = self.shared.placement().leaving_digest();
-        let directory = state.directory.revision;
+        let directory = state.directory.position;
         Holding { table, table_until: state.table_until, directory, evacuations, suspects, leaving }
     }
 
--- a/crates/cleatshelf/src/router/operators.rs
+++ b/crates/cleatshelf/src/router/operators.rs
@@ -72,7 +72,8 @@
     fn metrics(&self) -> String {
         let holding = self.knowledge.holding();
         metrics::gauge!("cleatshelf_configuration_version").set(holding.table as f64);
-        metrics::gauge!("cleatshelf_servers_revision").set(holding.directory as f64);
+        metrics::gauge!("cleatshelf_servers_revision").set(holding.directory.revision as f64);
+        metrics::gauge!("cleatshelf_store_era").set(holding.directory.era as f64);
         metrics::gauge!("cleatshelf_view_age_seconds").set(self.knowledge.age().as_secs_f64());
         metrics::gauge!("cleatshelf_requests_running").set(self.shared.running.load(Ordering::Relaxed) as f64);
         metrics::gauge!("cleatshelf_requests_held").set(self.shared.quarantine().held().count() as f64);
@@ -90,7 +91,7 @@
             "ready": self.shared.ready(),
             "stopping": self.shared.stopping(),
             "configuration": holding.table,
-            "servers_revision": holding.directory,
+            "servers_position": holding.directory.to_string(),
             "view_age_ms": self.knowledge.age().as_millis() as u64,
             "requests_held": held,
             "servers_leaving": self.shared.placement().leaving(),
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -185,7 +185,7 @@
                     self.watching.send_replace(watching);
                 }
                 Action::Table(packed) => self.knowledge.offer_packed(&packed),
-                Action::TableUntil(revision) => self.knowledge.table_stands(revision),
+                Action::TableUntil(position) => self.knowledge.table_stands(position),
                 Action::Evacuations(evacuations) => self.knowledge.offer_evacuations(evacuations, Origin::Peer),
                 Action::Excerpt(packed) => self.knowledge.offer_excerpt(&packed),
                 Action::Changes(packed, until) => self.knowledge.offer_packed_changes(&packed, until),
--- a/crates/cleatshelf/tests/eras.rs
+++ b/crates/cleatshelf/tests/eras.rs
@@ -38,6 +38,14 @@
     store.set(Mood::Well);
 }
 
+/// All boxes have seen that the store came back from a copy, and their logs tell of it.
+fn noticed(boxes: &[Process]) {
+    for one in boxes {
+        soon("the log tells of it", || one.log().contains("\"name\":\"StoreRestored\",\"subject\":\"Directory\""));
+        soon("of orders, too", || one.log().contains("\"name\":\"StoreRestored\",\"subject\":\"Orders\""));
+    }
+}
+
 fn all_get(boxes: &[Process], path: &str, status: u16, body: &str) -> bool {
     boxes.iter().all(|one| {
         let (got, text) = one.get(path);
@@ -65,9 +73,7 @@
     soon("news of servers are everywhere", || all_get(&boxes, "/y/1", 200, "second"));
     store.put("op/config", &config(7, "/z/"));
     soon("a newer configuration is everywhere", || all_get(&boxes, "/z/1", 200, "second"));
-    for one in &boxes {
-        assert!(one.log().contains("\"name\":\"StoreRestored\""), "the log tells of it");
-    }
+    noticed(&boxes);
 }
 
 #[test]
@@ -85,6 +91,7 @@
         assert!(all_get(&boxes, "/x/1", 200, "second"), "a life that said that it leaves got a request");
         std::thread::sleep(Duration::from_millis(100));
     }
+    noticed(&boxes);
 }
 
 #[test]
@@ -108,6 +115,7 @@
         std::thread::sleep(Duration::from_millis(100));
     }
     written_again.join().expect("written");
+    noticed(&boxes);
 }
 
 #[test]
@@ -127,6 +135,7 @@
     std::thread::sleep(Duration::from_secs(1));
     assert!(all_get(&boxes, "/x/1", 200, "second"));
     store.remove("op/evacuate/hall");
+    noticed(&boxes);
     soon("given back", || boxes.iter().any(|one| one.get("/x/1").1 == "first"));
 }
 
--- a/crates/peers/src/action.rs
+++ b/crates/peers/src/action.rs
@@ -1,7 +1,7 @@
 //! What the state machine asks for.
 
 use crate::Message;
-use routing::{Digests, Evacuations};
+use routing::{Digests, Evacuations, Position};
 use std::net::SocketAddr;
 
 /// Something to carry out.
@@ -23,12 +23,12 @@
     Watch(bool),
     /// A peer sent a configuration.
     Table(Vec<u8>),
-    /// A watcher says that the configuration which this box has was still the newest at this revision.
-    TableUntil(u64),
+    /// A watcher says that the configuration which this box has was still the newest there.
+    TableUntil(Position),
     /// A peer told which halls are evacuated.
     Evacuations(Evacuations),
     /// A peer sent what this box's list of servers lacked, packed.
     Excerpt(Vec<u8>),
-    /// A peer told what became of servers, packed, on top of the revision that this box has.
-    Changes(Vec<u8>, u64),
+    /// A peer told what became of servers, packed, on top of the position that this box has.
+    Changes(Vec<u8>, Position),
 }
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -1,7 +1,7 @@
 //! What boxes say to each other.
 
 use crate::Roster;
-use routing::{Digests, Evacuations};
+use routing::{Digests, Evacuations, Position};
 use serde::{Deserialize, Serialize};
 
 /// What may be asked for.
@@ -28,10 +28,10 @@
     pub watches: bool,
     /// Version of the configuration that it has; 0 for none.
     pub table: u64,
-    /// Revision of the publisher at which that was still the newest; 0 when it doesn't know.
-    pub table_until: u64,
-    /// Revision of its list of servers.
-    pub directory: u64,
+    /// Where in the publisher's history that was still the newest; none when it doesn't know.
+    pub table_until: Position,
+    /// Position of its list of servers.
+    pub directory: Position,
     /// The evacuated halls that it knows of.
     pub evacuations: Evacuations,
     /// Digest of the boxes that it knows.
@@ -65,8 +65,8 @@
     Welcome {
         /// Version of the sender's configuration; 0 for none.
         table: u64,
-        /// Revision of its list of servers.
-        directory: u64,
+        /// Position of its list of servers.
+        directory: Position,
         /// The evacuated halls that it knows of.
         evacuations: Evacuations,
     },
@@ -82,12 +82,12 @@
     Lacking(Digests),
     /// The answer, packed: parts of a list of servers.
     Excerpt(Vec<u8>),
-    /// What became of servers after revision `since`, up to `until`.
+    /// What became of servers after `since`, up to `until`: both of one era.
     Changes {
-        /// Revision that these changes build upon.
-        since: u64,
-        /// Revision of the list with these changes.
-        until: u64,
+        /// Position that these changes build upon.
+        since: Position,
+        /// Position of the list with these changes.
+        until: Position,
         /// The changes in order, packed.
         packed: Vec<u8>,
     },
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::member::Member;
 use crate::{Action, Heartbeat, Message, Millis, Profile, Roster, Subject};
-use routing::{rank_address, Evacuations};
+use routing::{rank_address, Evacuations, Position};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -74,10 +74,10 @@
 pub struct Holding {
     /// Version of the configuration; 0 for none.
     pub table: u64,
-    /// Revision of the publisher at which that was still the newest; 0 when this is not known.
-    pub table_until: u64,
-    /// Revision of the list of servers.
-    pub directory: u64,
+    /// Where in the publisher's history that was still the newest; none when this is not known.
+    pub table_until: Position,
+    /// Position of the list of servers.
+    pub directory: Position,
     /// The evacuated halls.
     pub evacuations: Evacuations,
     /// Digest of the requests that end servers.
@@ -184,7 +184,7 @@
 
     /// Notes how new this box's knowledge is.
     pub fn hold(&mut self, holding: Holding) {
-        if self.holding.evacuations.halls != holding.evacuations.halls {
+        if self.holding.evacuations.evacuated() != holding.evacuations.evacuated() {
             // Heartbeats carry them.
             self.tell_all();
         }
@@ -265,7 +265,7 @@
 
     /// Servers changed: the hall's others are told if this box watches for them.
     #[must_use]
-    pub fn spread_changes(&self, since: u64, until: u64, packed: &[u8]) -> Vec<Action> {
+    pub fn spread_changes(&self, since: Position, until: Position, packed: &[u8]) -> Vec<Action> {
         let message = Message::Changes { since, until, packed: packed.to_vec() };
         self.hall_members().map(|to| Action::Send(to, message.clone())).collect()
     }
@@ -434,7 +434,14 @@
     }
 
     /// Asks for what another box knows and this one doesn't.
-    fn take_holdings(&mut self, from: SocketAddr, table: u64, directory: u64, now: Millis, actions: &mut Vec<Action>) {
+    fn take_holdings(
+        &mut self,
+        from: SocketAddr,
+        table: u64,
+        directory: Position,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) {
         if table > self.holding.table {
             self.want(from, Subject::Table, now, actions);
         }
@@ -448,7 +455,7 @@
         if let Some(member) = self.members.get_mut(&from) {
             member.tried = Some(now);
             member.watched = beat.watches.then_some(now);
-            member.begins = if beat.directory == 0 { member.begins.or(Some(now)) } else { None };
+            member.begins = if !beat.directory.is_known() { member.begins.or(Some(now)) } else { None };
         }
         self.take_holdings(from, beat.table, beat.directory, now, actions);
         if beat.table == self.holding.table && beat.table_until > self.holding.table_until {
@@ -475,7 +482,9 @@
     }
 
     fn take_evacuations(&self, evacuations: Evacuations, actions: &mut Vec<Action>) {
-        if evacuations.revision > self.holding.evacuations.revision {
+        let known = &self.holding.evacuations;
+        let more = evacuations.position == known.position && evacuations.held != known.held;
+        if evacuations.position > known.position || more {
             actions.push(Action::Evacuations(evacuations));
         }
     }
@@ -484,7 +493,7 @@
         let last = self.wanted.get(&(subject as u8)).copied();
         let pause = match subject {
             Subject::Members => MEMBERS_EVERY,
-            Subject::Directory if self.holding.directory == 0 => FIRST_LIST_EVERY,
+            Subject::Directory if !self.holding.directory.is_known() => FIRST_LIST_EVERY,
             Subject::Directory | Subject::Table => WANT_EVERY,
             Subject::Suspects | Subject::Leaving => TOLD_EVERY,
         };
@@ -521,8 +530,8 @@
     fn take_changes(
         &mut self,
         from: SocketAddr,
-        since: u64,
-        until: u64,
+        since: Position,
+        until: Position,
         packed: Vec<u8>,
         now: Millis,
         actions: &mut Vec<Action>,
--- a/crates/peers/tests/heartbeat.rs
+++ b/crates/peers/tests/heartbeat.rs
@@ -1,18 +1,22 @@
 //! What a box takes from a watcher's heartbeat.
 
 use peers::{Action, Heartbeat, Holding, Message, Peers, Profile, Subject};
-use routing::Evacuations;
+use routing::{Evacuations, Position};
 use std::net::SocketAddr;
 
 fn address(index: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, index], 8000))
 }
 
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
 fn profile() -> Profile {
     Profile { hall: "here".to_owned(), capacity: 250 }
 }
 
-fn heard(holding: &Holding, table: u64, table_until: u64) -> Vec<Action> {
+fn heard(holding: &Holding, table: u64, table_until: Position) -> Vec<Action> {
     let mut peers = Peers::new(address(1), profile(), &[]);
     peers.hold(holding.clone());
     let beat = Heartbeat {
@@ -31,23 +35,23 @@
 
 #[test]
 fn a_box_learns_until_when_its_configuration_was_the_newest() {
-    let holding = Holding { table: 5, table_until: 40, directory: 60, ..Holding::default() };
-    assert!(heard(&holding, 5, 55).contains(&Action::TableUntil(55)));
-    assert!(!heard(&holding, 5, 40).iter().any(|action| matches!(action, Action::TableUntil(_))));
+    let holding = Holding { table: 5, table_until: at(40), directory: at(60), ..Holding::default() };
+    assert!(heard(&holding, 5, at(55)).contains(&Action::TableUntil(at(55))));
+    assert!(!heard(&holding, 5, at(40)).iter().any(|action| matches!(action, Action::TableUntil(_))));
 }
 
 #[test]
 fn what_holds_of_another_configuration_does_not_hold_of_the_own() {
-    let holding = Holding { table: 5, table_until: 40, directory: 60, ..Holding::default() };
-    let newer = heard(&holding, 6, 55);
+    let holding = Holding { table: 5, table_until: at(40), directory: at(60), ..Holding::default() };
+    let newer = heard(&holding, 6, at(55));
     assert!(!newer.iter().any(|action| matches!(action, Action::TableUntil(_))));
     assert!(newer.contains(&Action::Send(address(2), Message::Want(Subject::Table))));
-    assert!(!heard(&holding, 4, 55).iter().any(|action| matches!(action, Action::TableUntil(_))));
+    assert!(!heard(&holding, 4, at(55)).iter().any(|action| matches!(action, Action::TableUntil(_))));
 }
 
 fn knowing(capacity: u32) -> Peers {
     let mut peers = Peers::new(address(1), Profile { capacity, ..profile() }, &[]);
-    peers.hold(Holding { table: 7, table_until: 7, directory: 9, ..Holding::default() });
+    peers.hold(Holding { table: 7, table_until: at(7), directory: at(9), ..Holding::default() });
     peers
 }
 
@@ -60,12 +64,12 @@
     let told = knowing(1_000).handle(address(2), Message::Hello { profile: profile(), members: 0 }, 0);
     assert!(told.contains(&Action::Send(
         address(2),
-        Message::Welcome { table: 7, directory: 9, evacuations: Evacuations::default() }
+        Message::Welcome { table: 7, directory: at(9), evacuations: Evacuations::default() }
     )));
     let mut newcomer = Peers::new(address(2), profile(), &[address(1)]);
     let asks = newcomer.handle(
         address(1),
-        Message::Welcome { table: 7, directory: 9, evacuations: Evacuations::default() },
+        Message::Welcome { table: 7, directory: at(9), evacuations: Evacuations::default() },
         10,
     );
     assert!(asks.contains(&Action::Send(address(1), Message::Want(Subject::Table))), "{asks:?}");
@@ -100,7 +104,7 @@
 #[test]
 fn a_box_that_reads_its_first_list_is_waited_for_and_one_that_is_turned_away_is_not() {
     // With a list, and without one.
-    for (directory, waits) in [(9, false), (0, true)] {
+    for (directory, waits) in [(at(9), false), (Position::NONE, true)] {
         let mut peers = Peers::new(address(1), profile(), &[address(2)]);
         let mut watches = |now: u64, beat: bool| {
             let holding = Holding { directory, ..Holding::default() };
@@ -109,7 +113,7 @@
                     profile: profile(),
                     watches: false,
                     table: 0,
-                    table_until: 0,
+                    table_until: Position::NONE,
                     directory: holding.directory,
                     evacuations: Evacuations::default(),
                     members: 0,
@@ -129,16 +133,16 @@
 
 #[test]
 fn a_first_list_is_asked_for_once_while_it_may_be_on_its_way_and_differences_soon_again() {
-    for (directory, most) in [(0, 1), (5, 7)] {
+    for (directory, most) in [(Position::NONE, 1), (at(5), 7)] {
         let mut peers = Peers::new(address(1), profile(), &[address(2)]);
         peers.hold(Holding { directory, ..Holding::default() });
         let mut asked = 0;
         for now in (0..2_000).step_by(100) {
-            let welcome = Message::Welcome { table: 0, directory: 9, evacuations: Evacuations::default() };
+            let welcome = Message::Welcome { table: 0, directory: at(9), evacuations: Evacuations::default() };
             let actions = peers.handle(address(2), welcome, now);
             asked += actions.iter().filter(|action| matches!(action, Action::AskDirectory(_))).count();
         }
-        assert_eq!(asked, most, "in two seconds, from revision {directory}");
+        assert_eq!(asked, most, "in two seconds, from {directory}");
     }
 }
 
@@ -163,3 +167,22 @@
     assert!(other.settled(), "by the watcher's heartbeats");
     assert!(watcher.settled(), "by what the other says");
 }
+
+#[test]
+fn what_is_of_a_later_era_is_newer_though_its_revision_is_lower() {
+    let later = Position::new(1, 30);
+    let holding = Holding { table: 5, table_until: at(40), directory: at(60), ..Holding::default() };
+    assert!(heard(&holding, 5, later).contains(&Action::TableUntil(later)));
+    let mut peers = Peers::new(address(1), profile(), &[]);
+    peers.hold(holding.clone());
+    let welcome = Message::Welcome { table: 5, directory: later, evacuations: Evacuations::default() };
+    assert!(peers.handle(address(2), welcome, 0).contains(&Action::AskDirectory(address(2))));
+    // On top of a list of the former era the changes make no list.
+    let changes = |since, until| Message::Changes { since, until, packed: vec![1] };
+    let asks = peers.handle(address(3), changes(later, Position::new(1, 31)), 5_000);
+    assert!(asks.contains(&Action::AskDirectory(address(3))) && asks.len() == 1, "{asks:?}");
+    peers.hold(Holding { directory: later, ..holding });
+    assert!(peers.handle(address(3), changes(at(60), at(61)), 10_000).is_empty(), "what is of a former era is over");
+    let taken = peers.handle(address(3), changes(later, Position::new(1, 31)), 10_000);
+    assert_eq!(taken, [Action::Changes(vec![1], Position::new(1, 31))]);
+}
--- a/crates/peers/tests/world.rs
+++ b/crates/peers/tests/world.rs
@@ -3,7 +3,7 @@
 use peers::{Action, Holding, Message, Peers, Profile};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use routing::{Directory, Evacuations};
+use routing::{Directory, Evacuations, Position};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 
@@ -29,14 +29,23 @@
 struct World {
     boxes: BTreeMap<SocketAddr, Box>,
     mail: Vec<(u64, SocketAddr, SocketAddr, Message)>,
-    published: u64,
+    /// The publisher's position, and the version of its configuration there.
+    published: Position,
+    version: u64,
+    /// Versions of the configuration by position.
+    versions: BTreeMap<Position, u64>,
     now: u64,
     rng: ChaCha8Rng,
     /// Halls that are cut off from the others.
     cut: HashSet<String>,
     calls: u64,
+    /// Bytes of all messages that were sent, but for what lists of servers hold.
+    bytes: usize,
 }
 
+/// What a box may send on average within [`CONTACT`] after a drill, in bytes: 4 kB a second, as for all its control.
+const BYTES_MOST: usize = 12_000;
+
 /// How long what is known may take to reach a box that nothing disturbs, in milliseconds.
 const CONTACT: u64 = 3_000;
 
@@ -44,9 +53,19 @@
     SocketAddr::from(([10, hall as u8, 0, index as u8], 8000))
 }
 
-/// The halls that are evacuated at a revision: others at each.
-fn evacuations(revision: u64) -> Evacuations {
-    Evacuations { revision, halls: [format!("evacuated-{revision}")].into() }
+/// The halls that are evacuated at a position: others at each.
+fn evacuations(position: Position) -> Evacuations {
+    Evacuations::new(position, [format!("evacuated-{position}")].into())
+}
+
+fn text(position: Position) -> Vec<u8> {
+    position.to_string().into_bytes()
+}
+
+fn position(text: Vec<u8>) -> Position {
+    let text = String::from_utf8(text).expect("text");
+    let (era, revision) = text.split_once(':').expect("a position");
+    Position::new(era.parse().expect("an era"), revision.parse().expect("a revision"))
 }
 
 fn hall_of(address: &SocketAddr) -> String {
@@ -73,14 +92,31 @@
         Self {
             boxes: boxes.collect(),
             mail: Vec::new(),
-            published: 1,
+            published: Position::new(0, 1),
+            version: 1,
+            versions: BTreeMap::from([(Position::new(0, 1), 1)]),
             now: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             cut: HashSet::new(),
             calls: 0,
+            bytes: 0,
         }
     }
 
+    /// Another configuration, other servers and other evacuations are published.
+    fn publish(&mut self) {
+        self.published.revision += 1;
+        self.version += 1;
+        self.versions.insert(self.published, self.version);
+    }
+
+    /// The publisher comes back from an older copy, and all is written again.
+    fn restore(&mut self) {
+        let lost = self.rng.random_range(0..=5).min(self.published.revision - 1);
+        self.published = Position::new(self.published.era + 1, self.published.revision - lost);
+        self.versions.insert(self.published, self.version);
+    }
+
     fn run(&mut self, ms: u64) {
         let end = self.now + ms;
         while self.now < end {
@@ -98,12 +134,13 @@
         for one in self.boxes.values_mut().filter(|b| b.watching && b.reached && !b.frozen) {
             if one.holding.directory < self.published {
                 self.calls += 1;
-                let evacuations = evacuations(self.published);
+                let mut known = one.holding.evacuations.clone();
+                known.take(evacuations(self.published));
                 one.holding = Holding {
-                    table: self.published,
+                    table: self.version,
                     table_until: self.published,
                     directory: self.published,
-                    evacuations,
+                    evacuations: known,
                     suspects: one.holding.suspects,
                     leaving: one.holding.leaving,
                 };
@@ -149,10 +186,10 @@
         for action in actions {
             let one = self.boxes.get_mut(&me).expect("a box");
             match action {
-                Action::TableUntil(revision) => {
-                    one.holding.table_until = one.holding.table_until.max(revision);
-                    // Versions and revisions are the same numbers here.
-                    assert!(one.holding.table_until <= one.holding.table, "{me} would miss a configuration");
+                Action::TableUntil(until) => {
+                    one.holding.table_until = one.holding.table_until.max(until);
+                    let newest = self.versions[&one.holding.table_until];
+                    assert!(newest <= one.holding.table, "{me} would miss a configuration");
                 }
                 Action::Send(to, message) => self.post(me, to, message),
                 Action::SendTable(to) => {
@@ -160,13 +197,13 @@
                     self.post(me, to, Message::Table(version));
                 }
                 Action::AskDirectory(to) => {
-                    let list = Directory { revision: one.holding.directory, ..Directory::default() };
+                    let list = Directory { position: one.holding.directory, ..Directory::default() };
                     self.post(me, to, Message::Lacking(list.digests()));
                 }
                 Action::SendDirectory(to, digests) => {
-                    let revision = one.holding.directory;
-                    if revision > digests.revision {
-                        self.post(me, to, Message::Excerpt(revision.to_string().into_bytes()));
+                    let position = one.holding.directory;
+                    if position > digests.position {
+                        self.post(me, to, Message::Excerpt(text(position)));
                     }
                 }
                 Action::ShareSuspects(to) => self.share(me, to, suspects),
@@ -177,8 +214,7 @@
                     one.holding.table = one.holding.table.max(version);
                 }
                 Action::Excerpt(bytes) => {
-                    let revision: u64 = String::from_utf8(bytes).expect("text").parse().expect("a revision");
-                    one.holding.directory = one.holding.directory.max(revision);
+                    one.holding.directory = one.holding.directory.max(position(bytes));
                 }
                 Action::Evacuations(newer) => drop(one.holding.evacuations.take(newer)),
                 Action::Changes(_, until) => one.holding.directory = one.holding.directory.max(until),
@@ -199,6 +235,7 @@
     }
 
     fn post(&mut self, from: SocketAddr, to: SocketAddr, message: Message) {
+        self.bytes += bincode::serde::encode_to_vec(&message, bincode::config::standard()).expect("bytes").len();
         let delay = self.rng.random_range(1..=DELAY_MOST);
         self.mail.push((self.now + delay, from, to, message));
     }
@@ -210,7 +247,7 @@
     fn behind(&self) -> Vec<SocketAddr> {
         let behind = |b: &Box| {
             let evacuated = b.holding.evacuations.halls == evacuations(self.published).halls;
-            !b.frozen && (b.holding.directory < self.published || b.holding.table < self.published || !evacuated)
+            !b.frozen && (b.holding.directory < self.published || b.holding.table < self.version || !evacuated)
         };
         self.boxes.iter().filter(|(_, b)| behind(b)).map(|(a, _)| *a).collect()
     }
@@ -233,7 +270,7 @@
         world.run(9_000);
         for _ in 0..8 {
             disturb(&mut world);
-            world.published += 1;
+            world.publish();
             world.run(NEWS_BOUND);
             assert_eq!(world.behind(), Vec::<SocketAddr>::new(), "seed {seed} at {} ms", world.now);
             calm(&mut world);
@@ -271,6 +308,61 @@
     }
 }
 
+#[test]
+fn boxes_of_different_eras_come_together_once_they_meet() {
+    drills(2, 2, 20, 3);
+    drills(4, 10, 3, 3);
+}
+
+#[test]
+fn boxes_of_different_eras_come_together_at_size() {
+    drills(3, 100, 1, 1);
+}
+
+/// Drills, two in a row among them, within a cut, a freeze or while the publisher turns boxes away.
+fn drills(halls: usize, each: usize, seeds: u64, drills: usize) {
+    for seed in 0..seeds {
+        let mut world = World::new(seed, halls, each);
+        world.run(4_000);
+        (0..8).for_each(|_| world.publish());
+        for drill in 0..drills {
+            cut_off(&mut world, halls);
+            world.restore();
+            world.run(700);
+            if drill == 1 {
+                world.restore();
+                world.run(300);
+            }
+            world.publish();
+            calm(&mut world);
+            let bytes = world.bytes;
+            world.run(CONTACT);
+            let behind = world.behind();
+            assert_eq!(behind, Vec::<SocketAddr>::new(), "{halls} halls of {each}, seed {seed}, drill {drill}");
+            let sent = (world.bytes - bytes) / (halls * each);
+            assert!(sent < BYTES_MOST, "{sent} bytes a box, {halls} halls of {each}");
+        }
+    }
+}
+
+/// One hall, or some boxes, don't hear of a drill.
+fn cut_off(world: &mut World, halls: usize) {
+    let hall = format!("hall-{}", world.rng.random_range(0..halls));
+    let way = world.rng.random_range(0..3);
+    if way == 0 {
+        world.cut.insert(hall.clone());
+    }
+    for address in world.boxes.keys().copied().collect::<Vec<_>>() {
+        let unlucky = match way {
+            0 => hall_of(&address) == hall,
+            _ => world.rng.random_bool(0.4),
+        };
+        let one = world.boxes.get_mut(&address).expect("a box");
+        one.reached &= way == 1 || !unlucky;
+        one.frozen |= way == 1 && unlucky;
+    }
+}
+
 /// Freezes a watcher, turns some boxes away from the publisher, or cuts a hall off, one of them at a time.
 fn disturb(world: &mut World) {
     let addresses: Vec<SocketAddr> = world.boxes.keys().copied().collect();
@@ -331,7 +423,7 @@
     let actions = world.boxes[&leaver].peers.leave();
     world.carry_out(leaver, actions);
     world.boxes.get_mut(&leaver).expect("a box").frozen = true;
-    world.published += 1;
+    world.publish();
     world.run(900);
     assert_eq!(world.behind(), Vec::<SocketAddr>::new());
 }
--- a/crates/placement/src/member.rs
+++ b/crates/placement/src/member.rs
@@ -29,6 +29,8 @@
     pub(crate) leaving: bool,
     /// Until when it wants nothing from this box; not in the future where it doesn't say so.
     pub(crate) rest_until: Millis,
+    /// Until when only an older copy of the list has it, and it may have ended; not in the future where it is certain.
+    pub(crate) doubted_until: Millis,
     /// Region of its hall, where that is known.
     pub(crate) region: Option<String>,
     /// What its service says of cold servers.
@@ -52,6 +54,7 @@
             evacuated: false,
             leaving: false,
             rest_until: 0,
+            doubted_until: 0,
             region: None,
             cold: None,
             cold_until: now + Millis::from(server.cold_ms),
--- a/crates/placement/src/notices.rs
+++ b/crates/placement/src/notices.rs
@@ -19,6 +19,8 @@
     leaving: HashMap<String, Millis>,
     /// Those of them whose listed entry says nothing of it: what other boxes may not know.
     unpublished: BTreeSet<String>,
+    /// Until when it is doubted that a life has not ended: only an older copy of the list has it.
+    doubted: HashMap<String, Millis>,
     /// Until when a life wants nothing from this box. Holds between the two: other boxes have their own.
     resting: HashMap<String, Millis>,
 }
@@ -39,6 +41,21 @@
         *known = until.max(*known);
     }
 
+    /// It is doubted until then that these lives have not ended.
+    pub(crate) fn doubt(&mut self, lives: &[String], until: Millis) {
+        self.doubted.extend(lives.iter().map(|life| (life.clone(), until)));
+    }
+
+    /// This life has not ended. True where that was doubted.
+    pub(crate) fn trust(&mut self, life: &str) -> bool {
+        self.doubted.remove(life).is_some()
+    }
+
+    /// Until when a life is doubted; 0 where it isn't.
+    pub(crate) fn doubted_until(&self, life: &str) -> Millis {
+        self.doubted.get(life).copied().unwrap_or_default()
+    }
+
     /// True where a life leaves.
     pub(crate) fn leaving(&self, life: &str) -> bool {
         self.leaving.contains_key(life)
@@ -76,5 +93,6 @@
         self.unpublished = silent.map(|server| server.id.clone()).collect();
         self.leaving.retain(|_, seen| now < *seen + KEPT);
         self.resting.retain(|_, until| now < *until);
+        self.doubted.retain(|_, until| now < *until);
     }
 }
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -107,6 +107,20 @@
         self.pools.values_mut().for_each(|pool| pool.set_notices(&self.notices));
     }
 
+    /// Only an older copy of the list has these lives, so that they may have ended: until then they get something only where
+    /// no other server takes requests.
+    pub fn doubt(&mut self, lives: &[String], until: Millis) {
+        self.notices.doubt(lives, until);
+        self.pools.values_mut().for_each(|pool| pool.set_notices(&self.notices));
+    }
+
+    /// This life has not ended: it has written its entry.
+    pub fn trust(&mut self, life: &str) {
+        if self.notices.trust(life) {
+            self.pools.values_mut().for_each(|pool| pool.set_notices(&self.notices));
+        }
+    }
+
     /// Lives that are listed and leave though their entries don't say so.
     #[must_use]
     pub fn leaving(&self) -> Vec<String> {
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -112,6 +112,7 @@
         for (life, member) in &mut self.members {
             member.leaving = notices.leaving(life);
             member.rest_until = notices.rest_until(life);
+            member.doubted_until = notices.doubted_until(life);
         }
     }
 
@@ -123,7 +124,7 @@
     /// Takes which halls are evacuated, and the regions of halls.
     pub(crate) fn set_halls(&mut self, evacuations: &Evacuations, regions: &Regions, now: Millis) {
         for member in self.members.values_mut() {
-            member.evacuate(evacuations.halls.contains(&member.server.hall), now);
+            member.evacuate(evacuations.evacuates(&member.server.hall), now);
             let region = regions.get(&member.server.hall);
             if member.region.as_ref() != region {
                 member.region = region.cloned();
@@ -244,19 +245,25 @@
 
     fn among(&self, ask: &Ask<'_>) -> Vec<&Member> {
         let mut sound = Vec::with_capacity(self.members.len());
-        let mut paused = Vec::new();
+        let (mut doubted, mut paused) = (Vec::new(), Vec::new());
         for member in self.members.values().filter(|member| self.may_have(member, ask)) {
             match member.standing(ask.now) {
                 Standing::Open => sound.push(member),
                 Standing::Cold if !self.full(member, ask) => sound.push(member),
+                Standing::Doubted if !member.cold(ask.now) || !self.full(member, ask) => doubted.push(member),
                 Standing::Paused if !member.cold(ask.now) || !self.full(member, ask) => paused.push(member),
-                Standing::Cold | Standing::Paused | Standing::Resting | Standing::Evacuated | Standing::Leaving => {}
+                Standing::Cold
+                | Standing::Doubted
+                | Standing::Paused
+                | Standing::Resting
+                | Standing::Evacuated
+                | Standing::Leaving => {}
             }
         }
-        if sound.is_empty() {
-            soonest(&paused)
-        } else {
-            sound
+        match (sound.is_empty(), doubted.is_empty()) {
+            (false, _) => sound,
+            (true, false) => doubted,
+            (true, true) => soonest(&paused),
         }
     }
 
--- a/crates/placement/src/standing.rs
+++ b/crates/placement/src/standing.rs
@@ -11,6 +11,8 @@
     /// A few requests a second of all boxes together, each with its owner's leave: it has just started, or turned cold
     /// again.
     Cold,
+    /// Nothing while others are sound: the publisher is back from an older copy, which alone has it, and it may have ended.
+    Doubted,
     /// Nothing while others are sound: it failed lately.
     Paused,
     /// Nothing of this box: the server asked for rest.
@@ -42,6 +44,8 @@
             Standing::Evacuated
         } else if now < self.rest_until {
             Standing::Resting
+        } else if now < self.doubted_until {
+            Standing::Doubted
         } else if self.paused(now) {
             Standing::Paused
         } else if self.cold(now) {
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use placement::{InForce, Placement};
-use routing::{Change, Cold, Directory, Engine, Evacuations, Kind, Route, Server, Service, Share, Table};
+use routing::{Change, Cold, Directory, Engine, Evacuations, Kind, Position, Route, Server, Service, Share, Table};
 use std::time::Duration;
 
 pub const MODEL: &str = "model";
@@ -49,8 +49,8 @@
 /// Puts servers in force, these halls being evacuated.
 pub fn update(placement: &mut Placement, table: &Table, servers: Vec<Server>, evacuated: &[&str], now: u64) {
     let mut directory = Directory::default();
-    directory.apply(servers.into_iter().map(Change::Present).collect(), 1);
+    directory.apply(servers.into_iter().map(Change::Present).collect(), Position::new(0, 1));
     let halls = evacuated.iter().map(|hall| (*hall).to_owned()).collect();
-    let evacuations = Evacuations { revision: 1, halls };
+    let evacuations = Evacuations::new(Position::new(0, 1), halls);
     placement.update(&InForce { table, directory: &directory, evacuations: &evacuations }, now);
 }
--- a/crates/placement/tests/notices.rs
+++ b/crates/placement/tests/notices.rs
@@ -201,3 +201,20 @@
     assert!(one.leaving().is_empty(), "its entry says so now");
     assert_eq!(one.leaving_digest(), placement(3).leaving_digest());
 }
+
+#[test]
+fn a_life_that_only_an_older_copy_has_gets_nothing_while_others_do() {
+    let mut placement = placement(3);
+    placement.doubt(&["s1".to_owned(), "s2".to_owned()], 4_000);
+    assert_eq!(ways(&mut placement, 10).used, BTreeSet::from(["s0".to_owned()]));
+    placement.trust("s2");
+    assert!(!ways(&mut placement, 10).used.contains("s1"));
+    assert!(ways(&mut placement, 10).used.contains("s2"), "it has written its entry");
+    assert!(ways(&mut placement, 4_000).used.contains("s1"), "its entry has not gone");
+    // Where there is no other, it is better than none.
+    placement.doubt(&["s1".to_owned(), "s2".to_owned()], 9_000);
+    placement.leaves("s0", Some(false), 5_000);
+    let used = ways(&mut placement, 5_000).used;
+    assert!(used.contains("s1") && used.contains("s2"));
+    assert!(placement.may_send(MODEL, "s1", 5_000));
+}
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -1,11 +1,11 @@
 //! The servers that may be used.
 
-use crate::Server;
+use crate::{Position, Server};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
 
-/// One difference between two revisions of a directory.
+/// One difference between a directory at two positions of its publisher.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// The server is there, as given.
@@ -30,11 +30,11 @@
     }
 }
 
-/// All servers, at one revision of the publisher. A copy is cheap: copies share the servers until one of them changes.
+/// All servers, at one position of the publisher. A copy is cheap: copies share the servers until one of them changes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Directory {
-    /// The publisher's revision; never falls within a life of the process.
-    pub revision: u64,
+    /// Where the publisher said so; never falls within a life of the process.
+    pub position: Position,
     /// Servers by name: one life of each.
     pub servers: Arc<BTreeMap<String, Arc<Server>>>,
     /// Names of entries that say of no server that it may be used. None of them is in `servers`.
@@ -44,8 +44,8 @@
 }
 
 impl Directory {
-    /// Takes in changes up to `revision`. True when a server is different now.
-    pub fn apply(&mut self, changes: Vec<Change>, revision: u64) -> bool {
+    /// Takes in changes up to `position`. True when a server is different now.
+    pub fn apply(&mut self, changes: Vec<Change>, position: Position) -> bool {
         let mut changed = false;
         for change in changes {
             changed |= match change {
@@ -55,15 +55,15 @@
                 Change::Lapsed(name) => self.lapse(name),
             };
         }
-        self.revision = self.revision.max(revision);
+        self.position = self.position.max(position);
         changed
     }
 
     /// Those of these changes that others are to hear of: a server that is cold for less time than it was is just as cold, and
     /// each such entry is written anew with every heartbeat of its server.
     ///
-    /// All else is told, also what is known here: a list that was read in pages may be ahead of its revision, and another
-    /// box at that revision is not.
+    /// All else is told, also what is known here: a list that was read in pages may be ahead of its position, and another
+    /// box at that position is not.
     #[must_use]
     pub fn news_of(&self, changes: Vec<Change>) -> Vec<Change> {
         // What is known here says nothing of a server once an earlier one of these changes has made it another.
@@ -112,6 +112,16 @@
         put.chain(lapsed).chain(foreign).chain(gone.map(|name| Change::Gone(name.clone()))).collect()
     }
 
+    /// The ids of lives that `former` hasn't, other than those that lapsed.
+    #[must_use]
+    pub fn lives_beyond(&self, former: &Self) -> Vec<String> {
+        let known = former.lives();
+        let new = |(name, server): &(&String, &Arc<Server>)| {
+            !known.contains(server.id.as_str()) && !self.lapsed.contains(*name)
+        };
+        self.servers.iter().filter(new).map(|(_, server)| server.id.clone()).collect()
+    }
+
     /// The ids of all lives that are listed.
     #[must_use]
     pub fn lives(&self) -> HashSet<&str> {
--- a/crates/routing/src/excerpt.rs
+++ b/crates/routing/src/excerpt.rs
@@ -4,7 +4,7 @@
 //! hall asks for it. Both lists are cut into parts by a hash of the servers' names; the one that asks tells a digest of
 //! each part, and gets just the parts that differ.
 
-use crate::{rank, Directory, Server};
+use crate::{rank, Directory, Position, Server};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -15,19 +15,19 @@
 /// What a list says, in brief: equal for equal lists, and unequal in the parts that differ.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digests {
-    /// Revision of the list.
-    pub revision: u64,
+    /// Position of the list.
+    pub position: Position,
     /// One for each part.
     parts: Vec<u32>,
 }
 
-/// Parts of a list as they are at one revision, for a list that is otherwise the same.
+/// Parts of a list as they are at one position of the publisher, for a list that is otherwise the same.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Excerpt {
-    /// Revision of the list that asked: only while it is that, the excerpt makes it whole.
-    pub base: u64,
-    /// Revision of the list that this is taken from; above `base`.
-    pub revision: u64,
+    /// Position of the list that asked: only while it is that, the excerpt makes it whole.
+    pub base: Position,
+    /// Position of the list that this is taken from; above `base`.
+    pub position: Position,
     /// Which parts these are.
     parts: BTreeSet<u8>,
     servers: Vec<Server>,
@@ -59,13 +59,13 @@
         self.servers.iter().for_each(|(name, server)| note(name, digest("server", name, Some(server))));
         self.foreign.iter().for_each(|name| note(name, digest("foreign", name, None)));
         self.lapsed.iter().for_each(|name| note(name, digest("lapsed", name, None)));
-        Digests { revision: self.revision, parts }
+        Digests { position: self.position, parts }
     }
 
     /// What the list with these digests lacks of this one; none where that isn't older.
     #[must_use]
     pub fn excerpt(&self, theirs: &Digests) -> Option<Excerpt> {
-        if theirs.revision >= self.revision {
+        if theirs.position >= self.position {
             return None;
         }
         let mine = self.digests().parts;
@@ -73,8 +73,8 @@
         let parts: BTreeSet<u8> = (0..PARTS as u8).filter(differs).collect();
         let within = |name: &&String| parts.contains(&part(name));
         Some(Excerpt {
-            base: theirs.revision,
-            revision: self.revision,
+            base: theirs.position,
+            position: self.position,
             servers: self.servers.iter().filter(|(name, _)| within(name)).map(|(_, s)| Server::clone(s)).collect(),
             foreign: self.foreign.iter().filter(within).cloned().collect(),
             lapsed: self.lapsed.iter().filter(within).cloned().collect(),
@@ -82,10 +82,10 @@
         })
     }
 
-    /// This list with an excerpt put in; none where it was made for another revision of it.
+    /// This list with an excerpt put in; none where it was made for another position of it.
     #[must_use]
     pub fn with(&self, excerpt: Excerpt) -> Option<Self> {
-        if excerpt.base != self.revision {
+        if excerpt.base != self.position {
             return None;
         }
         let mut list = self.clone();
@@ -97,7 +97,7 @@
         list.lapsed.retain(&stays);
         list.foreign.extend(excerpt.foreign);
         list.lapsed.extend(excerpt.lapsed);
-        list.revision = excerpt.revision;
+        list.position = excerpt.position;
         Some(list)
     }
 }
--- a/crates/routing/src/publisher.rs
+++ b/crates/routing/src/publisher.rs
@@ -1,6 +1,6 @@
 //! The border towards whatever publishes the configuration and the servers.
 
-use crate::{Change, Directory, Evacuations, Table};
+use crate::{Change, Directory, Evacuations, Position, Table};
 use async_trait::async_trait;
 use std::time::Duration;
 
@@ -27,15 +27,15 @@
 pub struct Orders {
     /// The configuration as published; none while there is none.
     pub table: Option<Vec<u8>>,
-    /// The evacuated halls, and the publisher's revision at which all this was the newest.
+    /// The evacuated halls, and where all this was the newest.
     pub evacuations: Evacuations,
 }
 
 /// What a watch brought.
 #[derive(Clone, Debug, Default)]
 pub struct Update {
-    /// Revision up to which everything is told; the next watch goes on from here.
-    pub revision: u64,
+    /// Up to where everything is told; the next watch goes on from here.
+    pub position: Position,
     /// The newest configuration as published, if it changed.
     pub table: Option<Vec<u8>>,
     /// Halls that are evacuated from now on (true) or no more, in order.
@@ -51,7 +51,7 @@
     Unreachable(String),
     /// It answers, and has no configuration yet.
     Absent,
-    /// It has forgotten the history since the revision asked for; a full read is needed.
+    /// It doesn't have the history since the position asked for, or came back from a copy meanwhile; a full read is needed.
     Forgotten,
     /// It answered something that makes no sense.
     Garbled(String),
@@ -85,11 +85,11 @@
     /// [`Trouble`] when nothing usable came.
     async fn directory(&self, freshness: Freshness) -> Result<Directory, Trouble>;
 
-    /// Waits up to `wait` for news of `subject` after revision `since`.
+    /// Waits up to `wait` for news of `subject` after `since`.
     ///
     /// # Errors
     /// [`Trouble`] when nothing usable came; [`Trouble::Forgotten`] asks for a full read.
-    async fn watch(&self, subject: Subject, since: u64, wait: Duration) -> Result<Update, Trouble>;
+    async fn watch(&self, subject: Subject, since: Position, wait: Duration) -> Result<Update, Trouble>;
 
     /// Reads a configuration as published.
     ///
--- a/crates/routing/tests/directory.rs
+++ b/crates/routing/tests/directory.rs
@@ -1,6 +1,11 @@
 //! What becomes of the list of servers.
 
-use routing::{Change, Directory, Evacuations, Server};
+use routing::{Change, Directory, Evacuations, Position, Server};
+
+/// A revision of the first era.
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
 
 fn server(id: &str, draining: bool) -> Change {
     Change::Present(Server {
@@ -18,22 +23,22 @@
 #[test]
 fn changes_are_taken_in_order_and_the_revision_never_falls() {
     let mut directory = Directory::default();
-    assert!(directory.apply(vec![server("a", false), server("b", false)], 5));
-    assert!(directory.apply(vec![server("a", true), Change::Gone("b".to_owned())], 7));
+    assert!(directory.apply(vec![server("a", false), server("b", false)], at(5)));
+    assert!(directory.apply(vec![server("a", true), Change::Gone("b".to_owned())], at(7)));
     assert!(directory.servers["a"].draining);
     assert_eq!(directory.servers.len(), 1);
-    assert!(!directory.apply(vec![server("a", true), Change::Gone("b".to_owned())], 6));
-    assert_eq!(directory.revision, 7);
+    assert!(!directory.apply(vec![server("a", true), Change::Gone("b".to_owned())], at(6)));
+    assert_eq!(directory.position, at(7));
 }
 
 #[test]
 fn what_lapsed_stays_until_it_is_back_or_expires() {
     let mut directory = Directory::default();
-    directory.apply(vec![server("a", false), server("b", false), server("c", true)], 5);
+    directory.apply(vec![server("a", false), server("b", false), server("c", true)], at(5));
     let lapsed = ["a", "b", "c", "d"].map(|id| Change::Lapsed(id.to_owned()));
-    assert!(directory.apply(lapsed.into(), 6), "the draining one is gone");
+    assert!(directory.apply(lapsed.into(), at(6)), "the draining one is gone");
     assert_eq!(directory.servers.keys().collect::<Vec<_>>(), ["a", "b"]);
-    directory.apply(vec![server("a", false)], 7);
+    directory.apply(vec![server("a", false)], at(7));
     assert!(!directory.expire("a"), "it is back");
     assert!(directory.expire("b"));
     assert!(!directory.expire("b"));
@@ -44,43 +49,43 @@
 #[test]
 fn a_list_read_after_an_outage_keeps_what_it_lacks_for_a_while() {
     let mut former = Directory::default();
-    former.apply(vec![server("a", false), server("b", true)], 5);
+    former.apply(vec![server("a", false), server("b", true)], at(5));
     let mut read = Directory::default();
-    read.apply(vec![server("z", false)], 9);
+    read.apply(vec![server("z", false)], at(9));
     read.lapse_missing(&former);
     assert_eq!(read.servers.keys().collect::<Vec<_>>(), ["a", "z"], "the draining one is gone");
     assert_eq!(read.lapsed.iter().collect::<Vec<_>>(), ["a"]);
-    read.apply(vec![Change::Gone("a".to_owned())], 10);
+    read.apply(vec![Change::Gone("a".to_owned())], at(10));
     assert_eq!((read.servers.len(), read.lapsed.len()), (1, 0));
 }
 
 #[test]
 fn a_foreign_entry_ends_what_had_its_name_and_does_not_lapse() {
     let mut directory = Directory::default();
-    directory.apply(vec![server("a", false), server("b", false)], 5);
-    assert!(directory.apply(vec![Change::Foreign("a".to_owned())], 6));
+    directory.apply(vec![server("a", false), server("b", false)], at(5));
+    assert!(directory.apply(vec![Change::Foreign("a".to_owned())], at(6)));
     assert_eq!(directory.servers.keys().collect::<Vec<_>>(), ["b"]);
     let mut read = Directory::default();
-    read.apply(vec![Change::Foreign("b".to_owned())], 7);
+    read.apply(vec![Change::Foreign("b".to_owned())], at(7));
     read.lapse_missing(&directory);
     assert!(read.servers.is_empty(), "what is there in another's hand has not lapsed");
-    assert!(read.apply(vec![server("b", false)], 8));
+    assert!(read.apply(vec![server("b", false)], at(8)));
     assert!(read.foreign.is_empty());
 }
 
 #[test]
 fn the_changes_since_a_former_list_make_the_new_one_of_it() {
     let mut former = Directory::default();
-    former.apply(vec![server("a", false), server("b", false), server("c", false), server("d", false)], 5);
-    former.apply(vec![Change::Foreign("x".to_owned()), Change::Foreign("y".to_owned())], 5);
+    former.apply(vec![server("a", false), server("b", false), server("c", false), server("d", false)], at(5));
+    former.apply(vec![Change::Foreign("x".to_owned()), Change::Foreign("y".to_owned())], at(5));
     let mut newer = Directory::default();
-    newer.apply(vec![server("a", false), server("b", true), server("y", false)], 9);
-    newer.apply(vec![Change::Foreign("c".to_owned())], 9);
+    newer.apply(vec![server("a", false), server("b", true), server("y", false)], at(9));
+    newer.apply(vec![Change::Foreign("c".to_owned())], at(9));
     newer.lapse_missing(&former);
     assert_eq!(newer.lapsed.iter().collect::<Vec<_>>(), ["d"]);
     let changes = newer.since(&former);
     assert_eq!(changes.len(), 5, "what is the same isn't told: {changes:?}");
-    former.apply(changes, newer.revision);
+    former.apply(changes, newer.position);
     assert_eq!(former, newer);
 }
 
@@ -91,16 +96,15 @@
         Change::Present(Server { id: id.to_owned(), ..server })
     };
     let mut directory = Directory::default();
-    directory.apply(vec![life("a@1")], 5);
-    assert!(directory.apply(vec![life("a@2")], 6));
+    directory.apply(vec![life("a@1")], at(5));
+    assert!(directory.apply(vec![life("a@2")], at(6)));
     assert_eq!(directory.lives().into_iter().collect::<Vec<_>>(), ["a@2"]);
 }
 
 #[test]
 fn evacuations_of_an_older_revision_change_nothing() {
-    let halls = |revision: u64, halls: &[&str]| Evacuations {
-        revision,
-        halls: halls.iter().map(|hall| (*hall).to_owned()).collect(),
+    let halls = |revision: u64, halls: &[&str]| {
+        Evacuations::new(at(revision), halls.iter().map(|hall| (*hall).to_owned()).collect())
     };
     let mut known = Evacuations::default();
     assert!(known.take(halls(5, &["a", "b"])));
@@ -114,7 +118,7 @@
 /// A list of so many servers at a revision; those below `changed` are draining.
 fn list(count: usize, changed: usize, revision: u64) -> Directory {
     let mut list = Directory::default();
-    list.apply((0..count).map(|index| server(&format!("i-{index:010x}"), index < changed)).collect(), revision);
+    list.apply((0..count).map(|index| server(&format!("i-{index:010x}"), index < changed)).collect(), at(revision));
     list
 }
 
@@ -123,11 +127,11 @@
     for (known, changed) in [(0, 0), (3_000, 1), (2_900, 30), (3_000, 3_000), (3_100, 5)] {
         let older = list(known, 0, 5);
         let mut newer = list(3_000, changed, 9);
-        newer.apply(vec![Change::Foreign("odd".to_owned()), Change::Lapsed(format!("i-{:010x}", 2_999))], 9);
+        newer.apply(vec![Change::Foreign("odd".to_owned()), Change::Lapsed(format!("i-{:010x}", 2_999))], at(9));
         let excerpt = newer.excerpt(&older.digests()).expect("it is newer");
         assert_eq!(older.with(excerpt.clone()).expect("made for it"), newer);
         let mut moved_on = older.clone();
-        moved_on.apply(Vec::new(), 6);
+        moved_on.apply(Vec::new(), at(6));
         assert_eq!(moved_on.with(excerpt), None, "made for what it was before");
         assert_eq!(older.excerpt(&newer.digests()), None);
     }
@@ -143,13 +147,13 @@
         [(3_000, 1_800, false), (1_800, 0, true), (0, 3_000, true), (500, 3_000, true), (0, 0, true)]
     {
         let mut directory = Directory::default();
-        directory.apply(vec![cold(before)], 5);
+        directory.apply(vec![cold(before)], at(5));
         assert_eq!(directory.news_of(vec![cold(after)]).len(), usize::from(news), "{before} {after}");
     }
     let mut directory = Directory::default();
-    directory.apply(vec![cold(3_000)], 5);
+    directory.apply(vec![cold(3_000)], at(5));
     assert_eq!(directory.news_of(vec![server("a", true), Change::Gone("a".to_owned())]).len(), 2);
-    directory.apply(vec![Change::Lapsed("a".to_owned())], 6);
+    directory.apply(vec![Change::Lapsed("a".to_owned())], at(6));
     assert_eq!(directory.news_of(vec![cold(1_000)]).len(), 1, "it is back");
 }
 
@@ -161,9 +165,9 @@
         [vec![], vec![server("a", true)], vec![server("b", false)], vec![server("a", false), server("b", true)]]
     {
         let mut directory = Directory::default();
-        directory.apply(heard, 5);
+        directory.apply(heard, at(5));
         let news = directory.news_of(told());
-        directory.apply(news, 6);
+        directory.apply(news, at(6));
         assert!(directory.servers["a"].draining, "a leaving server is taken for one that stays");
         assert!(!directory.servers["b"].draining);
     }
@@ -173,9 +177,65 @@
 fn what_a_list_read_in_pages_knew_ahead_of_its_revision_is_told_to_others() {
     // The second page was newer than the first, whose revision counts.
     let mut ahead = Directory::default();
-    ahead.apply(vec![server("a", false), server("b", true)], 5);
+    ahead.apply(vec![server("a", false), server("b", true)], at(5));
     let mut other = Directory::default();
-    other.apply(vec![server("a", false), server("b", false)], 5);
-    other.apply(ahead.news_of(vec![server("b", true), server("c", false)]), 7);
+    other.apply(vec![server("a", false), server("b", false)], at(5));
+    other.apply(ahead.news_of(vec![server("b", true), server("c", false)]), at(7));
     assert!(other.servers["b"].draining);
 }
+
+#[test]
+fn a_position_of_a_later_era_is_newer_whatever_its_revision() {
+    let mut order = [Position::new(1, 3), at(900), Position::NONE, Position::new(2, 1), at(1)];
+    order.sort();
+    assert_eq!(order, [Position::NONE, at(1), at(900), Position::new(1, 3), Position::new(2, 1)]);
+    assert!(Position::new(1, 3).restored_since(at(900)));
+    assert!(!Position::new(1, 4).restored_since(Position::new(1, 3)));
+    assert!(!Position::new(1, 3).restored_since(Position::NONE), "the first that is heard follows nothing");
+}
+
+#[test]
+fn lists_of_two_eras_with_the_same_number_are_not_taken_for_one() {
+    let mut former = list(6, 0, 9);
+    let mut copy = list(4, 2, 9);
+    copy.position = Position::new(1, 9);
+    assert!(former.excerpt(&copy.digests()).is_none(), "the copy is newer");
+    let excerpt = copy.excerpt(&former.digests()).expect("it is newer");
+    assert_eq!(former.with(excerpt.clone()).expect("made for it"), copy);
+    // Made for revision 9 of the former era, and not for that of the later one.
+    assert!(copy.with(excerpt).is_none());
+    former.apply(Vec::new(), at(10));
+    assert_eq!(former.lives_beyond(&copy).len(), 2);
+    assert!(copy.lives_beyond(&former).is_empty());
+}
+
+#[test]
+fn evacuations_hold_through_a_restored_copy_until_they_are_written_again() {
+    let halls = |position, names: &[&str]| Evacuations::new(position, names.iter().map(|n| (*n).to_owned()).collect());
+    let copy = |revision| Position::new(1, revision);
+    // "a" was evacuated after the copy, "b" given back after it, "c" is as it was.
+    let mut known = Evacuations::default();
+    known.take(halls(at(50), &["a", "c"]));
+    assert!(!known.take(halls(copy(40), &["b", "c"])), "nothing else is evacuated than before");
+    assert_eq!(known.evacuated().into_iter().collect::<Vec<_>>(), ["a", "c"]);
+    assert!(!known.take(halls(at(51), &[])), "what was said before the drill is over");
+    // Another box that heard less holds nothing; the two agree by what the first holds.
+    let mut other = Evacuations::default();
+    other.take(halls(copy(40), &["b", "c"]));
+    assert!(other.take(known.clone()));
+    assert_eq!(other, known);
+    // The operator writes again: "a" is evacuated, and given back later; "b" is given back.
+    assert!(!known.change(vec![("a".to_owned(), true), ("b".to_owned(), false)], copy(42)));
+    assert!(known.held.is_empty());
+    assert!(known.change(vec![("a".to_owned(), false)], copy(43)));
+    assert_eq!(known.evacuated().into_iter().collect::<Vec<_>>(), ["c"]);
+    // Where the operator never writes again, the publisher's word counts after a while.
+    assert!(other.release());
+    assert_eq!(other.evacuated().into_iter().collect::<Vec<_>>(), ["b", "c"]);
+    // A second drill within the first: what holds goes on holding.
+    let mut twice = Evacuations::default();
+    twice.take(halls(at(50), &["a"]));
+    twice.take(halls(copy(40), &[]));
+    assert!(!twice.take(halls(Position::new(2, 39), &[])));
+    assert!(twice.evacuates("a"));
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -72,6 +72,8 @@
     SettingsRefused = 208, Error;
     /// Other halls are evacuated than before.
     HallsEvacuated = 209, Info;
+    /// The platform came back from an older copy of what it publishes.
+    StoreRestored = 210, Warn;
     /// A peer is reachable.
     PeerAlive = 300, Info;
     /// A peer does not answer probes.
