--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -152,7 +152,8 @@
         let former = state.evacuations.position;
         let changed = state.evacuations.take(evacuations);
         if state.evacuations.position.restored_since(former) {
-            let held = format!("held={:?}", state.evacuations.held);
+            let held = list(state.evacuations.held.iter().map(|(hall, evacuated)| format!("{hall}:{evacuated}")));
+            let held = format!("held={held}");
             let heard = state.heard;
             self.log_restored(Subject::Orders, (former, heard), state.evacuations.position, &held);
         }
@@ -172,8 +173,9 @@
         if !changed {
             return;
         }
-        let (position, halls) = (state.evacuations.position, state.evacuations.evacuated());
-        telemetry::emit(Event::HallsEvacuated, format_args!("position={position} halls={halls:?} from={origin:?}"));
+        let position = state.evacuations.position;
+        let halls = list(state.evacuations.evacuated().into_iter());
+        telemetry::emit(Event::HallsEvacuated, format_args!("position={position} halls={halls} from={origin:?}"));
         self.put_in_force(state);
         // The next heartbeat carries them, and is due at once.
         self.told.notify_one();
@@ -242,7 +244,7 @@
     fn doubt(&self, copy: &Directory, state: &State) {
         let former = &state.directory;
         let doubted = copy.lives_beyond(former);
-        let kept = format!("lapsed={:?} doubted={doubted:?}", copy.lapsed);
+        let kept = format!("lapsed={} doubted={}", list(copy.lapsed.iter().cloned()), list(doubted.iter().cloned()));
         self.log_restored(Subject::Directory, (former.position, state.heard), copy.position, &kept);
         self.shared.placement().doubt(&doubted, self.shared.now() + DOUBT);
     }
@@ -385,6 +387,16 @@
     }
 }
 
+/// Names for the log, where a field holds no blanks.
+fn list(names: impl Iterator<Item = String>) -> String {
+    let names: Vec<String> = names.collect();
+    if names.is_empty() {
+        "-".to_owned()
+    } else {
+        names.join(",")
+    }
+}
+
 /// A value as bytes for other boxes, packed: what becomes of a thousand servers is 120 KB as it is, for each of a hundred boxes.
 pub(super) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     // Plain values can be encoded.
--- a/crates/routing/src/evacuations.rs
+++ b/crates/routing/src/evacuations.rs
@@ -42,11 +42,14 @@
             return false;
         }
         let before = self.evacuated();
-        if newer.position.restored_since(self.position) {
+        let later_era = newer.position.restored_since(self.position);
+        if later_era {
             let differ = before.symmetric_difference(&newer.halls);
             self.held = differ.map(|hall| (hall.clone(), before.contains(hall))).collect();
         }
         if newer.position > self.position {
+            // A hall that was given back and is published at a later position may have been evacuated anew: rather nothing for it.
+            self.held.retain(|hall, evacuated| *evacuated || !newer.halls.contains(hall) || later_era);
             self.position = newer.position;
             self.halls = newer.halls;
         }
--- a/crates/routing/tests/directory.rs
+++ b/crates/routing/tests/directory.rs
@@ -239,3 +239,22 @@
     assert!(!twice.take(halls(Position::new(2, 39), &[])));
     assert!(twice.evacuates("a"));
 }
+
+#[test]
+fn a_hall_that_is_evacuated_anew_after_a_drill_is_not_held_for_given_back() {
+    let halls = |position, names: &[&str]| Evacuations::new(position, names.iter().map(|n| (*n).to_owned()).collect());
+    let copy = |revision| Position::new(1, revision);
+    // It was given back after the copy, which still has it.
+    let mut one = Evacuations::default();
+    one.take(halls(at(50), &[]));
+    one.take(halls(copy(40), &["a"]));
+    assert!(!one.evacuates("a"));
+    let mut other = one.clone();
+    // Then it is evacuated once more: a watcher sees the event, another box hears of it, and a third reads the list anew.
+    assert!(one.change(vec![("a".to_owned(), true)], copy(45)));
+    let mut reader = other.clone();
+    assert!(other.take(one.clone()), "by what another box says");
+    assert!(other.evacuates("a"));
+    assert!(reader.take(halls(copy(45), &["a"])), "by a list that was read");
+    assert!(reader.evacuates("a"));
+}
