A request that isn't suspected costs the same whatever else is; packing has a module of its own

Which box may try a held request was worked out over all boxes for each request while anything was suspected; now for held ones only.

--- a/crates/cleatshelf/src/router.rs
+++ b/crates/cleatshelf/src/router.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod knowledge;
 mod operators;
+mod packing;
 mod peering;
 mod reload;
 mod serve;
--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -1,25 +1,17 @@
 //! What this box knows of the configuration and the servers, and where it got it from.
 
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
-use flate2::Compression;
+use super::packing::{decode, encode, pack, unpack};
 use peers::{Holding, Millis};
 use relay::{Shared, View};
 use routing::{Change, Digests, Directory, Evacuations, Excerpt, Position, Publisher, Subject, Table};
-use serde::de::DeserializeOwned;
-use serde::Serialize;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::io::{Read, Write};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use telemetry::Event;
 use tokio::sync::Notify;
 
-/// Largest configuration that another box may send, unpacked: some more than a publisher's value holds.
-const PUBLISHED_MOST: u64 = 4 << 20;
-
 /// How long a server stays in use whose entry went while the publisher was away. The platform has those back that live
 /// within about 2 s of its return; on the strictest of the users' sites a server that has left must get nothing after 2 s.
 const LAPSED_MOST: Millis = 1_500;
@@ -396,31 +388,3 @@
         names.join(",")
     }
 }
-
-/// A value as bytes for other boxes, packed: what becomes of a thousand servers is 120 KB as it is, for each of a hundred boxes.
-pub(super) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    // Plain values can be encoded.
-    let bytes = bincode::serde::encode_to_vec(value, bincode::config::standard()).unwrap_or_default();
-    pack(&bytes)
-}
-
-fn decode<T: DeserializeOwned>(packed: &[u8]) -> Result<T, String> {
-    let bytes = unpack(packed).map_err(|why| why.to_string())?;
-    let read = bincode::serde::decode_from_slice(&bytes, bincode::config::standard());
-    read.map(|(value, _)| value).map_err(|why| why.to_string())
-}
-
-/// Packs a published configuration: some hundred routes are 100 kB of text, and a box with a slow link sends it to
-/// all others of its hall.
-fn pack(bytes: &[u8]) -> Vec<u8> {
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    // Writing to memory can't fail.
-    let _ = encoder.write_all(bytes);
-    encoder.finish().unwrap_or_default()
-}
-
-fn unpack(packed: &[u8]) -> std::io::Result<Vec<u8>> {
-    let mut bytes = Vec::new();
-    DeflateDecoder::new(packed).take(PUBLISHED_MOST).read_to_end(&mut bytes)?;
-    Ok(bytes)
-}
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -2,7 +2,8 @@
 
 use super::advice::{self, Advice};
 use super::follow::Troubles;
-use super::knowledge::{encode, Knowledge, News, Origin};
+use super::knowledge::{Knowledge, News, Origin};
+use super::packing::encode;
 use peers::{Action, Message, Peers};
 use placement::Sign;
 use relay::Shared;
--- a/crates/relay/src/choosing.rs
+++ b/crates/relay/src/choosing.rs
@@ -11,8 +11,8 @@
 use telemetry::Event;
 use tokio::time::Instant;
 
-/// How many servers' owners are asked for one request: the three that are to keep its parts first, and two cheap
-/// ones.
+/// How many servers' owners are asked for one request: eight that likely keep its parts, homes and those beyond
+/// them, and a cheap one; where it shares none, cheap ones only.
 const OWNERS_ASKED: usize = 9;
 
 /// Longest wait for owners. They are a few milliseconds away; a slow one must not make requests late.
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -75,8 +75,14 @@
 
     /// Whether a request may be sent, as far as servers ended under it.
     pub(crate) fn verdict(&self, request: Fingerprint) -> Verdict {
+        let now = self.now();
+        let verdict = self.quarantine().verdict(request, false, now);
+        if verdict == Verdict::Free {
+            // Which box may try a held request takes a look at all boxes: not for each request while any is suspected.
+            return verdict;
+        }
         let first = self.advisor.ranks_first(request);
-        self.quarantine().verdict(request, first, self.now())
+        self.quarantine().verdict(request, first, now)
     }
 
     /// A request that is held is being sent once after all.
