--- a/crates/cleatshelf/tests/eras.rs
+++ b/crates/cleatshelf/tests/eras.rs
@@ -139,6 +139,62 @@
     soon("given back", || boxes.iter().any(|one| one.get("/x/1").1 == "first"));
 }
 
+#[test]
+fn a_box_that_starts_in_a_drill_hears_from_others_what_the_copy_lacks() {
+    let (store, boxes) = world();
+    let copy = store.copy();
+    store.put("op/config", &config(5, "/y/"));
+    soon("the configuration is everywhere", || all_get(&boxes, "/y/1", 200, "first"));
+    drill(&store, &copy);
+    let seeds: Vec<SocketAddr> = boxes.iter().take(2).map(|one| one.boxes).collect();
+    let late = start(&store, "hall", free(), &seeds);
+    soon("it has what was in force", || late.get("/y/1") == (200, "first".to_owned()));
+    assert_eq!(late.get("/x/1").0, 404);
+    // Nothing was written again so far; what is written next is news to all.
+    store.put("op/config", &config(6, "/z/"));
+    soon("everywhere", || all_get(&boxes, "/z/1", 200, "first") && late.get("/z/1").0 == 200);
+}
+
+#[test]
+fn a_box_that_stood_still_through_a_drill_goes_on_with_the_others() {
+    let (store, boxes) = world();
+    let copy = store.copy();
+    for number in 0..20 {
+        store.put(&format!("servers/i-lost-{number}"), &entry(server("lost", 0), "draining"));
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    boxes[0].signal("-STOP");
+    boxes[3].signal("-STOP");
+    drill(&store, &copy);
+    store.put("servers/i-2", &entry(server("second", 0), "ready"));
+    store.put("servers/i-1", &entry(server("first", 0), "draining"));
+    store.put("op/config", &config(7, "/z/"));
+    std::thread::sleep(CONTACT);
+    boxes[0].signal("-CONT");
+    boxes[3].signal("-CONT");
+    soon("all are at the newest", || all_get(&boxes, "/z/1", 200, "second"));
+    noticed(&boxes);
+}
+
+#[test]
+fn a_server_that_went_without_a_word_is_not_used_since_the_copy_still_has_it() {
+    let (store, boxes) = world();
+    store.put("servers/i-2", &entry(server("second", 0), "ready"));
+    std::thread::sleep(Duration::from_secs(1));
+    let copy = store.copy();
+    store.remove("servers/i-1");
+    soon("only the other is used", || (0..4).all(|_| all_get(&boxes, "/x/1", 200, "second")));
+    drill(&store, &copy);
+    for _ in 0..25 {
+        assert!(all_get(&boxes, "/x/1", 200, "second"), "a life that only the copy has got a request");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    noticed(&boxes);
+    store.remove("servers/i-1");
+    std::thread::sleep(CONTACT);
+    assert!(all_get(&boxes, "/x/1", 200, "second"));
+}
+
 fn entry_in(hall: &str, address: SocketAddr) -> String {
     entry(address, "ready").replace("\"zone\":\"hall\"", &format!("\"zone\":\"{hall}\""))
 }
