--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -16,9 +16,9 @@
 /// within about 2 s of its return; on the strictest of the users' sites a server that has left must get nothing after 2 s.
 const LAPSED_MOST: Millis = 1_500;
 
-/// How long an evacuation holds of which the publisher, back from an older copy, says something else: operators write again what
-/// was lost as soon as the publisher takes it. Given up too early, an evacuated hall gets requests; too late, one that was given
-/// back stands idle.
+/// How long an evacuation holds that the publisher, back from an older copy, doesn't have: operators write again what was lost as
+/// soon as the publisher takes it. Given up too early, an evacuated hall gets requests; too late, one that was given back stands
+/// idle.
 const HELD_MOST: Millis = 10_000;
 
 /// How long a server isn't used while others are that only an older copy of the list brings back: its entry ends after three
@@ -133,8 +133,8 @@
         }
     }
 
-    /// Takes which halls are evacuated, unless that is known of a later position. What an older copy of the publisher lacks, or has
-    /// still, is held as it was known until the operator has written again.
+    /// Takes which halls are evacuated, unless that is known of a later position. What an older copy of the publisher lacks is
+    /// held until the operator has written again.
     pub(super) fn offer_evacuations(&self, mut evacuations: Evacuations, origin: Origin) {
         let mut state = self.state.borrow_mut();
         if evacuations.position.era <= state.released {
@@ -144,7 +144,7 @@
         let former = state.evacuations.position;
         let changed = state.evacuations.take(evacuations);
         if state.evacuations.position.restored_since(former) {
-            let held = list(state.evacuations.held.iter().map(|(hall, evacuated)| format!("{hall}:{evacuated}")));
+            let held = list(state.evacuations.held.iter().cloned());
             let held = format!("held={held}");
             let heard = state.heard;
             self.log_restored(Subject::Orders, (former, heard), state.evacuations.position, &held);
--- a/crates/routing/src/evacuations.rs
+++ b/crates/routing/src/evacuations.rs
@@ -2,7 +2,7 @@
 
 use crate::Position;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// The halls that are evacuated, as of one position of the publisher.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,29 +11,31 @@
     pub position: Position,
     /// Names of the halls, as published.
     pub halls: BTreeSet<String>,
-    /// Halls of which the publisher, back from an older copy, says something else than was known before: true where the hall
-    /// was evacuated. That holds until the operator has written again, and is given up after a while.
-    pub held: BTreeMap<String, bool>,
+    /// Halls that were evacuated before the publisher came back from an older copy, which doesn't say so. That holds until the
+    /// operator has written again, and is given up after a while.
+    pub held: BTreeSet<String>,
+    /// Halls of which the operator has written in this era: what it wrote counts, and nothing is held of them.
+    pub written: BTreeSet<String>,
 }
 
 impl Evacuations {
     /// These halls and no others, as published.
     #[must_use]
     pub fn new(position: Position, halls: BTreeSet<String>) -> Self {
-        Self { position, halls, held: BTreeMap::new() }
+        Self { position, halls, ..Self::default() }
     }
 
-    /// True while a hall is evacuated.
+    /// True while a hall is evacuated: as published, or as it was known. The publisher's word alone can't tell an evacuation that was
+    /// ended after its copy from one that was ordered while it was away, so that either counts.
     #[must_use]
     pub fn evacuates(&self, hall: &str) -> bool {
-        self.held.get(hall).copied().unwrap_or_else(|| self.halls.contains(hall))
+        self.halls.contains(hall) || self.held.contains(hall)
     }
 
     /// All evacuated halls.
     #[must_use]
     pub fn evacuated(&self) -> BTreeSet<String> {
-        let held = self.held.iter().filter(|(_, evacuated)| **evacuated).map(|(hall, _)| hall);
-        held.chain(&self.halls).filter(|hall| self.evacuates(hall)).cloned().collect()
+        self.halls.union(&self.held).cloned().collect()
     }
 
     /// Takes what is known of a later position, or held besides at the same. True when other halls are evacuated now.
@@ -42,24 +44,25 @@
             return false;
         }
         let before = self.evacuated();
-        let later_era = newer.position.restored_since(self.position);
-        if later_era {
-            let differ = before.symmetric_difference(&newer.halls);
-            self.held = differ.map(|hall| (hall.clone(), before.contains(hall))).collect();
+        if newer.position.restored_since(self.position) {
+            self.held.clone_from(&before);
+            self.written.clear();
         }
         if newer.position > self.position {
-            // A hall that was given back and is published at a later position may have been evacuated anew: rather nothing for it.
-            self.held.retain(|hall, evacuated| *evacuated || !newer.halls.contains(hall) || later_era);
             self.position = newer.position;
             self.halls = newer.halls;
         }
-        for (hall, evacuated) in newer.held {
-            // Where two boxes knew different things, one knew less: rather nothing for a hall than too much.
-            *self.held.entry(hall).or_default() |= evacuated;
-        }
+        self.held.extend(newer.held);
+        self.written.extend(newer.written);
+        self.settle();
         self.evacuated() != before
     }
 
+    /// What the operator has written of, or is published, need not be held.
+    fn settle(&mut self) {
+        self.held.retain(|hall| !self.written.contains(hall) && !self.halls.contains(hall));
+    }
+
     /// Takes which evacuations began (true) or ended up to a later position of the same era. True when other halls are
     /// evacuated now.
     pub fn change(&mut self, changes: Vec<(String, bool)>, position: Position) -> bool {
@@ -69,14 +72,14 @@
         let before = self.evacuated();
         self.position = position;
         for (hall, lasts) in changes {
-            // The operator has written again.
-            self.held.remove(&hall);
+            self.written.insert(hall.clone());
             if lasts {
                 self.halls.insert(hall);
             } else {
                 self.halls.remove(&hall);
             }
         }
+        self.settle();
         self.evacuated() != before
     }
 
