--- a/crates/cleatshelf/tests/crashing.rs
+++ b/crates/cleatshelf/tests/crashing.rs
@@ -12,16 +12,14 @@
 //! and so on: 36 ends under the one request, which reached servers 32 times after the third.
 
 use lab::ports::free;
-use platform_lab::{config, soon, Process, Servers, Store};
+use platform_lab::{config, soon, start_boxes, Process, Servers, Store, CONTACT};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 /// What ends a server that begins to run it.
 const CRASHING: &str = "/x/crashing";
 
-/// How long news of an end may take to be everywhere.
-const CONTACT: Duration = Duration::from_secs(3);
-
 /// Ends that may happen before a request is known for what it is, and sends that may follow later.
 const ENDS_ALLOWED: usize = 3;
 const SENDS_ALLOWED: usize = 3;
@@ -31,17 +29,8 @@
     let store = Store::start();
     store.put("op/config", &config(3, "/x/"));
     let servers = Servers::start(&store, &["hall"], 6);
-    let addresses = [free(), free(), free()];
-    let start = |address| {
-        let program = Path::new(env!("CARGO_BIN_EXE_cleatshelf"));
-        Process::start(program, &["route"], &store, "hall", address, &addresses)
-    };
-    let boxes = addresses.map(start);
-    for one in &boxes {
-        soon("served", || one.get("/x/good").0 == 200);
-    }
-    // Boxes that start together know each other within this.
-    std::thread::sleep(CONTACT);
+    let program = Path::new(env!("CARGO_BIN_EXE_cleatshelf"));
+    let boxes = start_boxes(program, &["route"], &store, &["hall"; 3]);
     let round = std::cell::Cell::new(0);
     soon("servers end under the request", || {
         round.set(round.get() + 1);
@@ -50,7 +39,8 @@
     });
     std::thread::sleep(CONTACT);
     let before = servers.reached();
-    let later = start(free());
+    let seeds: Vec<SocketAddr> = boxes.iter().take(2).map(|one| one.boxes).collect();
+    let later = Process::start(program, &["route"], &store, "hall", free(), &seeds);
     soon("the later box is ready", || later.is_ready());
     std::thread::sleep(CONTACT);
     let asked = 32;
--- a/crates/cleatshelf/tests/eras.rs
+++ b/crates/cleatshelf/tests/eras.rs
@@ -2,7 +2,7 @@
 //! revisions as by a clock that never falls: they took nothing from the store until its numbers had passed the old ones.
 
 use lab::ports::free;
-use platform_lab::{config, entry, server, soon, Mood, Process, Store};
+use platform_lab::{config, entry, server, soon, start_boxes, Mood, Process, Store, CONTACT};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -10,24 +10,13 @@
 /// How long the store is away while it is brought back.
 const AWAY: Duration = Duration::from_millis(700);
 
-/// How long news between boxes may take to be everywhere.
-const CONTACT: Duration = Duration::from_secs(3);
-
-fn start(store: &Store, hall: &str, boxes: SocketAddr, seeds: &[SocketAddr]) -> Process {
-    Process::start(Path::new(env!("CARGO_BIN_EXE_cleatshelf")), &["route"], store, hall, boxes, seeds)
-}
-
 /// Boxes of two halls, and a store with a configuration and one server.
 fn world() -> (Store, Vec<Process>) {
     let store = Store::start();
     store.put("servers/i-1", &entry(server("first", 0), "ready"));
     store.put("op/config", &config(3, "/x/"));
-    let addresses = [free(), free(), free(), free()];
-    let hall = |number: usize| if number < 2 { "hall" } else { "other" };
-    let boxes: Vec<Process> =
-        addresses.iter().enumerate().map(|(n, a)| start(&store, hall(n), *a, &addresses[..2])).collect();
-    soon("ready", || boxes.iter().all(Process::is_ready));
-    std::thread::sleep(CONTACT);
+    let program = Path::new(env!("CARGO_BIN_EXE_cleatshelf"));
+    let boxes = start_boxes(program, &["route"], &store, &["hall", "hall", "other", "other"]);
     (store, boxes)
 }
 
@@ -147,7 +136,8 @@
     soon("the configuration is everywhere", || all_get(&boxes, "/y/1", 200, "first"));
     drill(&store, &copy);
     let seeds: Vec<SocketAddr> = boxes.iter().take(2).map(|one| one.boxes).collect();
-    let late = start(&store, "hall", free(), &seeds);
+    let program = Path::new(env!("CARGO_BIN_EXE_cleatshelf"));
+    let late = Process::start(program, &["route"], &store, "hall", free(), &seeds);
     soon("it has what was in force", || late.get("/y/1") == (200, "first".to_owned()));
     assert_eq!(late.get("/x/1").0, 404);
     // Nothing was written again so far; what is written next is news to all.
--- a/crates/cleatshelf/tests/notices.rs
+++ b/crates/cleatshelf/tests/notices.rs
@@ -15,15 +15,10 @@
 //! and so on: all of 20 requests went to the server that leaves, all of 67 to the one that wanted rest, and second sends of the latter
 //! used up the budget, so that callers were refused while three other servers had nothing to do.
 
-use lab::ports::free;
-use platform_lab::{config, soon, Call, Mood, Process, Reply, Servers, Store, Word};
-use std::net::SocketAddr;
+use platform_lab::{config, soon, start_boxes, Call, Mood, Process, Reply, Servers, Store, Word, CONTACT};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-/// How long news between boxes may take to be everywhere.
-const CONTACT: Duration = Duration::from_secs(3);
-
 /// How long after a box passed on that a server leaves it may still send there.
 const DRAIN: Duration = Duration::from_secs(2);
 
@@ -35,7 +30,7 @@
 struct World {
     store: Store,
     servers: Servers,
-    boxes: [Process; 3],
+    boxes: Vec<Process>,
 }
 
 impl World {
@@ -44,16 +39,7 @@
         let store = Store::start();
         store.put("op/config", &config(3, "/x/"));
         let servers = Servers::start(&store, &["hall"], 4);
-        let addresses: [SocketAddr; 3] = [free(), free(), free()];
-        let start = |address| {
-            let program = Path::new(env!("CARGO_BIN_EXE_cleatshelf"));
-            Process::start(program, &["route"], &store, "hall", address, &addresses)
-        };
-        let boxes = addresses.map(start);
-        for one in &boxes {
-            soon("served", || one.get("/x/good").0 == 200);
-        }
-        std::thread::sleep(CONTACT);
+        let boxes = start_boxes(Path::new(env!("CARGO_BIN_EXE_cleatshelf")), &["route"], &store, &["hall"; 3]);
         Self { store, servers, boxes }
     }
 
