A server's wish for rest beyond what a duration holds no longer panics

Found on reading the change once more: Retry-After is a duration, and a tenth more is none, so that the spread of rests panicked on the traffic thread. The sum saturates now. Test in platform/tests/notices.rs, failing before (panic in core::time); all 7 there pass.

--- a/crates/relay/src/noticed.rs
+++ b/crates/relay/src/noticed.rs
@@ -42,8 +42,9 @@
     }
 
     fn rests(&self, id: &str, server: &Server, rest: Duration) {
-        let spread = rest.mul_f64(rand::rng().random_range(1.0..REST_SPREAD));
-        let ms = u64::try_from(spread.as_millis()).unwrap_or(u64::MAX);
+        let spread = rest.as_secs_f64() * rand::rng().random_range(1.0..REST_SPREAD);
+        // A conversion that saturates: a server may ask for more than a duration holds.
+        let ms = (spread * 1e3) as u64;
         let now = self.now();
         // Rounded up: a server is not asked again before it wants to be.
         self.placement().rests(&server.id, now.saturating_add(ms).saturating_add(1));
