Sight: log lines for answers that name a limit of requests

Logs couldn't tell whether a box was told that a server takes so many requests a second, and of how many. The adapter reads the word, and event 515 says so for each answer that bears it; nothing is made of it yet. A value that can't be read says nothing.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -1,7 +1,7 @@
 //! The border towards the headers that callers and servers use.
 
 use http::{HeaderMap, StatusCode};
-use placement::Prompt;
+use placement::{Limit, Prompt};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -49,12 +49,15 @@
 }
 
 /// What the head of a server's answer says of the server itself, whatever became of the request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// True where it leaves, and is to get no new work. It says so in all its answers until it ends.
     pub leaving: bool,
     /// For how long it wants nothing from this box, counted from its answer; none where it doesn't say.
     pub rest: Option<Duration>,
+    /// How many requests it takes from all boxes together, for as long as it says so; none where it can't be read, or another
+    /// server speaks.
+    pub limit: Option<Limit>,
 }
 
 /// Reads and writes the headers by which callers, boxes and servers talk.
--- a/crates/relay/src/noticed.rs
+++ b/crates/relay/src/noticed.rs
@@ -1,6 +1,7 @@
 //! What this box makes of what servers say of themselves in their answers.
 
 use crate::{Notice, Shared};
+use placement::Limit;
 use rand::Rng;
 use routing::Server;
 use std::time::Duration;
@@ -20,6 +21,9 @@
         if let Some(rest) = notice.rest {
             self.rests(id, server, rest);
         }
+        if let Some(Limit::PerS(per_s)) = notice.limit {
+            telemetry::emit(Event::ServerLimits, format_args!("id={id} server={} per_s={per_s}", server.id));
+        }
     }
 
     /// Takes what another box heard of lives that leave.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -134,6 +134,8 @@
     ServerLeaves = 513, Info;
     /// A server turned a request away and wants nothing more from this box for a while.
     ServerRests = 514, Info;
+    /// A server's answer names a limit of the requests that it takes from all boxes together.
+    ServerLimits = 515, Info;
     /// Leases granted no longer equal held, returned and expired ones.
     LeaseCountBroken = 900, Error;
     /// A grant went above the floor while a more urgent request waited.
