--- a/crates/cleatshelf/tests/notices.rs
+++ b/crates/cleatshelf/tests/notices.rs
@@ -15,8 +15,10 @@
 //! and so on: all of 20 requests went to the server that leaves, all of 67 to the one that wanted rest, and second sends of the latter
 //! used up the budget, so that callers were refused while three other servers had nothing to do.
 
-use platform_lab::{config, soon, start_boxes, Call, Mood, Process, Reply, Servers, Store, Word, CONTACT};
-use std::path::Path;
+mod common;
+
+use common::World;
+use platform_lab::{soon, Mood, Reply, Word, CONTACT};
 use std::time::{Duration, Instant};
 
 /// How long after a box passed on that a server leaves it may still send there.
@@ -27,44 +29,15 @@
 const REST_BINDS: Duration = Duration::from_millis(500);
 const RESTING_MOST: usize = 2;
 
-struct World {
-    store: Store,
-    servers: Servers,
-    boxes: Vec<Process>,
-}
-
-impl World {
-    /// Three boxes that know each other, and four servers.
-    fn start() -> Self {
-        let store = Store::start();
-        store.put("op/config", &config(3, "/x/"));
-        let servers = Servers::start(&store, &["hall"], 4);
-        let boxes = start_boxes(Path::new(env!("CARGO_BIN_EXE_cleatshelf")), &["route"], &store, &["hall"; 3]);
-        Self { store, servers, boxes }
-    }
-
-    fn ask(&self, which: usize, id: &str) -> Reply {
-        let call = Call { id: id.to_owned(), method: "GET", path: "/x/good".to_owned(), ..Call::default() };
-        call.send(self.boxes[which].callers)
-    }
-
-    /// The server that a box sends to first while nothing runs anywhere.
-    fn first(&self, which: usize) -> String {
-        let id = format!("first-{which}");
-        assert!(matches!(self.ask(which, &id), Reply::Whole { status: 200, .. }));
-        self.servers.ledger.runs(&id)[0].server.clone()
-    }
-
-    /// How many requests whose ids begin so have reached a server since then.
-    fn reached(&self, name: &str, prefix: &str, since: Instant) -> usize {
-        let arrivals = self.servers.ledger.all().into_iter();
-        arrivals.filter(|a| a.server == name && a.request.starts_with(prefix) && a.at >= since).count()
-    }
+/// How many requests whose ids begin so have reached a server since then.
+fn reached(world: &World, name: &str, prefix: &str, since: Instant) -> usize {
+    let arrivals = world.servers.ledger.all().into_iter();
+    arrivals.filter(|a| a.server == name && a.request.starts_with(prefix) && a.at >= since).count()
 }
 
 #[test]
 fn a_server_whose_answer_says_that_it_leaves_gets_nothing_more_from_any_box() {
-    let world = World::start();
+    let world = World::start(3);
     let leaving = world.first(0);
     world.store.set(Mood::Silent);
     world.servers.say(&leaving, Some(Word::Leaves));
@@ -79,7 +52,7 @@
         let id = format!("leaving-0-{number}");
         assert!(matches!(world.ask(0, &id), Reply::Whole { status: 200, .. }), "others serve");
     }
-    let sent = world.reached(&leaving, "leaving-0-", began);
+    let sent = reached(&world, &leaving, "leaving-0-", began);
     assert_eq!(sent, 0, "sends to a server that said it leaves, by the box that was told");
     std::thread::sleep(CONTACT.saturating_sub(began.elapsed()));
     for number in 0..30 {
@@ -87,7 +60,7 @@
         let id = format!("others-{which}-{number}");
         assert!(matches!(world.ask(which, &id), Reply::Whole { status: 200, .. }), "others serve");
     }
-    assert_eq!(world.reached(&leaving, "others-", began), 0, "sends to a server that said it leaves, by other boxes");
+    assert_eq!(reached(&world, &leaving, "others-", began), 0, "sends to a server that said it leaves, by other boxes");
     // A list that is read anew, and still has it as it was, doesn't bring it back.
     world.store.set(Mood::Well);
     world.store.put("servers/other", "{}");
@@ -97,12 +70,12 @@
         let id = format!("later-{which}-{number}");
         assert!(matches!(world.ask(which, &id), Reply::Whole { status: 200, .. }), "others serve");
     }
-    assert_eq!(world.reached(&leaving, "later-", began), 0, "sends to a server that said it leaves, after its entry");
+    assert_eq!(reached(&world, &leaving, "later-", began), 0, "sends to a server that said it leaves, after its entry");
 }
 
 #[test]
 fn a_server_that_wants_rest_gets_none_of_a_boxs_requests_until_then() {
-    let world = World::start();
+    let world = World::start(3);
     let resting = world.first(0);
     world.servers.say(&resting, Some(Word::Rests(REST)));
     soon("the box was turned away", || {
@@ -120,7 +93,7 @@
         std::thread::sleep(Duration::from_millis(20));
     }
     assert!(number > 10, "only {number} requests were asked for");
-    let sent = world.reached(&resting, "resting-0-", began);
+    let sent = reached(&world, &resting, "resting-0-", began);
     assert!(sent <= RESTING_MOST, "{sent} of {number} were sent to a server that had asked for rest");
     assert_eq!(unserved, 0, "others serve");
     // Afterwards it is used again.
@@ -131,5 +104,5 @@
         world.servers.say(other, Some(Word::Rests(REST)));
     }
     soon("it serves again", || matches!(world.ask(0, "again-0"), Reply::Whole { status: 200, .. }));
-    assert!(world.reached(&resting, "again-0", began) > 0);
+    assert!(reached(&world, &resting, "again-0", began) > 0);
 }
