Where servers name limits, urgent requests get leave before others

Callers saw (worked out in virtual time): urgent requests refused while others went to the same servers.

Change: Turns, beside the owner's count: each more urgent class that is present makes a class's span once longer; one that waited ten seconds has its turn, so that none starves. A denial holds for its urgency and lesser ones only, so that urgent requests go on asking.

--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -3,19 +3,17 @@
 //! Where all places are taken and a request would wait beyond its aim, sending it makes it late and those after it too.
 //! It is refused at once instead, the less urgent ones before the more urgent.
 
+use crate::turns::{index, Each};
 use crate::{Ask, Millis};
 
 /// How long a class counts as present after its last request.
 const PRESENT: Millis = 2_000;
 
-/// Most urgencies that are told apart.
-const URGENCIES: usize = 10;
-
 /// The admission of one service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Admission {
     /// When a request of each urgency last came; none before the first.
-    seen: [Option<Millis>; URGENCIES],
+    seen: Each<Option<Millis>>,
 }
 
 impl Admission {
@@ -34,7 +32,3 @@
         wait_ms <= ask.aim.as_secs_f64() * 1e3 / (1.0 + more_urgent as f64)
     }
 }
-
-fn index(urgency: u8) -> usize {
-    usize::from(urgency).min(URGENCIES - 1)
-}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -35,6 +35,7 @@
 mod split;
 mod stalls;
 mod standing;
+mod turns;
 mod warmth;
 mod weigh;
 
--- a/crates/placement/src/member.rs
+++ b/crates/placement/src/member.rs
@@ -1,5 +1,6 @@
 //! One server of a pool, and what is known of it.
 
+use crate::turns::{index, Each};
 use crate::warmth::Breaks;
 use crate::{Ending, Health, Kept, Limit, Load, Millis, Opinion, Quota, Quotas, Speed};
 use routing::{Cold, Server};
@@ -31,8 +32,9 @@
     pub(crate) rest_until: Millis,
     /// What it says that it takes of all boxes together.
     pub(crate) limit: Limit,
-    /// Until when all that its limit allows has gone to it, as far as this box was told; not in the future where it wasn't.
-    pub(crate) spent_until: Millis,
+    /// Until when its limit allows nothing more for requests of each urgency, as far as this box was told; not in the future where it
+    /// wasn't. Rises with urgencies that come later.
+    spent_until: Each<Millis>,
     /// Until when only an older copy of the list has it, and it may have ended; not in the future where it is certain.
     pub(crate) doubted_until: Millis,
     /// Region of its hall, where that is known.
@@ -59,7 +61,7 @@
             leaving: false,
             rest_until: 0,
             limit: Limit::None,
-            spent_until: 0,
+            spent_until: Each::default(),
             doubted_until: 0,
             region: None,
             cold: None,
@@ -107,10 +109,22 @@
     pub(crate) fn set_limit(&mut self, limit: Limit) {
         if self.limit != limit {
             self.limit = limit;
-            self.spent_until = 0;
+            self.spent_until = Each::default();
         }
     }
 
+    /// Its limit allows nothing until then for requests of this urgency, nor for those that are less urgent.
+    pub(crate) fn spend(&mut self, urgency: u8, until: Millis) {
+        for known in &mut self.spent_until[index(urgency)..] {
+            *known = until.max(*known);
+        }
+    }
+
+    /// Until when its limit allows nothing for requests of this urgency.
+    pub(crate) fn spent_until(&self, urgency: u8) -> Millis {
+        self.spent_until[index(urgency)]
+    }
+
     /// What runs there: what its owner said lately, else what this box has there.
     pub(crate) fn load(&self, now: Millis) -> &Load {
         self.heard_within(HEARD_MOST, now).map_or(&self.own, |opinion| &opinion.load)
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -9,6 +9,7 @@
 use crate::ends::Ends;
 use crate::rate::Rate;
 use crate::stalls::Stalls;
+use crate::turns::Turns;
 use crate::warmth::{Breaks, WINDOW};
 use crate::{Break, Ending, Health, Kept, Learner, Leave, Load, Millis, Part, Permit, Quotas, Reading, Speed, Work};
 use serde::{Deserialize, Serialize};
@@ -146,6 +147,8 @@
     arrivals: Arrivals,
     /// Since when this box hears of the server: what was sent there before isn't known.
     since: Millis,
+    /// Who asked for leave, where the server names a limit.
+    turns: Turns,
     breaks: Breaks,
     elsewhere: Elsewhere,
     /// By asking box and number. The sum of their works is `load`.
@@ -185,14 +188,16 @@
         let owned = self.owned(&permit.server, now);
         let Quotas { cold, limit } = &permit.quotas;
         let again = limit.as_ref().map_or(now, |quota| {
+            let stretched = owned.turns.ask(permit.urgency, quota, now);
             // What a box gave leave for that did so before this one fills the quota in the beginning.
-            owned.arrivals.free_at(quota, now).max(owned.since + quota.within)
+            owned.arrivals.free_at(&stretched, now).max(owned.since + quota.within)
         });
         let bears = cold.as_ref().is_none_or(|quota| owned.arrivals.free_at(quota, now) <= now);
         if again > now || !bears {
             return Leave::Denied { again: again - now };
         }
         owned.arrivals.note(now);
+        owned.turns.given(permit.urgency);
         Leave::Given
     }
 
--- a/crates/placement/src/permit.rs
+++ b/crates/placement/src/permit.rs
@@ -40,6 +40,8 @@
     pub server: String,
     /// What holds for the server, as far as the asking box knows.
     pub quotas: Quotas,
+    /// How urgent the request is, 0 first.
+    pub urgency: u8,
 }
 
 /// What comes of a permit.
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -133,10 +133,10 @@
         self.notices.statements()
     }
 
-    /// Leave for a server that names a limit was denied, and is until then.
-    pub fn spent(&mut self, service: &str, id: &str, until: Millis) {
+    /// Leave for a server that names a limit was denied for a request of this urgency, and is until then.
+    pub fn spent(&mut self, service: &str, id: &str, urgency: u8, until: Millis) {
         if let Some(pool) = self.pools.get_mut(service) {
-            pool.spent(id, until);
+            pool.spent(id, urgency, until);
         }
     }
 
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -119,10 +119,10 @@
         }
     }
 
-    /// Leave for a server that names a limit was denied, and is until then.
-    pub(crate) fn spent(&mut self, id: &str, until: Millis) {
+    /// Leave for a server that names a limit was denied for a request of this urgency, and is until then.
+    pub(crate) fn spent(&mut self, id: &str, urgency: u8, until: Millis) {
         if let Some(member) = self.members.get_mut(id) {
-            member.spent_until = until;
+            member.spend(urgency, until);
         }
     }
 
@@ -287,7 +287,7 @@
     /// True when a server that gets requests with leave only gets no more, as far as is known without asking for it.
     fn full(&self, member: &Member, ask: &Ask<'_>) -> bool {
         let Quotas { cold, limit } = member.quotas(self.bears, ask.now);
-        let spent = limit.is_some() && (ask.now < member.spent_until || ask.denied.len() >= DENIALS_MOST);
+        let spent = limit.is_some() && (ask.now < member.spent_until(ask.urgency) || ask.denied.len() >= DENIALS_MOST);
         spent || (cold.is_some() && (ask.denied.len() >= DENIALS_MOST || self.crowded(member, ask)))
     }
 
@@ -338,7 +338,7 @@
             return Refusal::Cold;
         }
         let limited = open().filter(|member| member.limit.quota().is_some());
-        if let Some(back_ms) = limited.map(|member| member.spent_until.saturating_sub(ask.now)).min() {
+        if let Some(back_ms) = limited.map(|member| member.spent_until(ask.urgency).saturating_sub(ask.now)).min() {
             return Refusal::Limited { back_ms };
         }
         let resting = home.filter(|member| member.standing(ask.now) == Standing::Resting);
--- a/crates/placement/tests/cold.rs
+++ b/crates/placement/tests/cold.rs
@@ -110,7 +110,7 @@
             match self.boxes[index].choose(&ask(&prompt, &opinions, &denied, now)) {
                 Ok(choice) => {
                     let Some(quotas) = choice.leave else { break choice };
-                    let permit = Permit { number: self.number(), server: choice.server.id.clone(), quotas };
+                    let permit = Permit { number: self.number(), server: choice.server.id.clone(), quotas, urgency: 0 };
                     if heard && self.owner.permit(&permit, now) == Leave::Given {
                         break choice;
                     }
--- a/crates/placement/tests/limit.rs
+++ b/crates/placement/tests/limit.rs
@@ -114,6 +114,9 @@
     /// When requests came to each server.
     arrived: Vec<Vec<u64>>,
     refused: usize,
+    /// The part of the requests that is more urgent than the others, and what came of them and of the others: sent, refused.
+    urgent: f64,
+    came: [(usize, usize); 2],
 }
 
 impl Fleet {
@@ -132,6 +135,8 @@
             limits: vec![Limit::None; SERVERS],
             arrived: vec![Vec::new(); SERVERS],
             refused: 0,
+            urgent: 0.0,
+            came: [(0, 0); 2],
         }
     }
 
@@ -147,10 +152,10 @@
         self.bodies.insert(number, message);
     }
 
-    fn may(&mut self, from: usize, server: usize, quotas: Quotas) -> Leave {
+    fn may(&mut self, from: usize, server: usize, quotas: Quotas, urgency: u8) -> Leave {
         match self.way {
             Way::Leave => {
-                let permit = Permit { number: self.number(), server: format!("s{server}"), quotas };
+                let permit = Permit { number: self.number(), server: format!("s{server}"), quotas, urgency };
                 self.owner.permit(&permit, self.now)
             }
             Way::Shares => {
@@ -186,22 +191,26 @@
     fn request(&mut self, from: usize) {
         let prompt = prompt(self.rng.random_range(0..self.shared), self.rng.random());
         let opinions = self.opinions(from, &prompt);
+        let lesser = usize::from(!self.rng.random_bool(self.urgent));
+        let urgency = [0, 6][lesser];
         let mut denied = Vec::new();
         loop {
-            let ask = Ask { prompt: Some(&prompt), opinions: &opinions, ..ask(&denied, self.now) };
+            let ask = Ask { prompt: Some(&prompt), opinions: &opinions, urgency, ..ask(&denied, self.now) };
             let choice = match self.boxes[from].choose(&ask) {
                 Ok(choice) => choice,
                 Err(Refusal::Limited { .. }) => {
                     self.refused += 1;
+                    self.came[lesser].1 += 1;
                     return;
                 }
                 Err(other) => panic!("{other:?}"),
             };
             let id = choice.server.id.clone();
             let server: usize = id[1..].parse().expect("a number");
-            let leave = choice.leave.map_or(Leave::Given, |quotas| self.may(from, server, quotas));
+            let leave = choice.leave.map_or(Leave::Given, |quotas| self.may(from, server, quotas, urgency));
             match leave {
                 Leave::Given => {
+                    self.came[lesser].0 += 1;
                     let (sent, number) = (self.now, self.number());
                     let permitted = choice.leave.is_some();
                     let news = News::Sent { parts: prompt.parts, work: choice.work, memory: 300_000, permitted };
@@ -209,7 +218,7 @@
                     return self.send(0, Message::Request { from, sent, server, number });
                 }
                 Leave::Denied { again } => {
-                    self.boxes[from].spent(MODEL, &id, self.now + again);
+                    self.boxes[from].spent(MODEL, &id, urgency, self.now + again);
                     denied.push(id);
                 }
             }
@@ -349,6 +358,37 @@
     }
 }
 
+/// The part of eight urgent requests a second that is sent where servers take twelve, and how many others of so many a second are.
+fn urgent_beside(seed: u64, boxes: usize, others: f64) -> (f64, usize) {
+    let mut fleet = Fleet::new(seed, Way::Leave, boxes);
+    fleet.limits = vec![Limit::PerS(2.0); SERVERS];
+    let rate = 8.0 + others;
+    fleet.urgent = 8.0 / rate;
+    fleet.run(CONTACT, rate);
+    fleet.came = [(0, 0); 2];
+    fleet.run(40_000, rate);
+    let [(urgent, shed), (lesser, _)] = fleet.came;
+    (urgent as f64 / (urgent + shed) as f64, lesser)
+}
+
+#[test]
+fn urgent_requests_go_first_where_all_servers_name_limits_and_no_class_starves() {
+    for (seed, boxes) in [(1, 4), (2, 40), (3, 300)] {
+        let (alone, _) = urgent_beside(seed, boxes, 0.0);
+        let (beside, lesser) = urgent_beside(seed, boxes, 32.0);
+        println!("{boxes} boxes: {beside:.2} of the urgent ones sent ({alone:.2} without others), {lesser} others");
+        assert!(beside >= alone - 0.1, "{boxes} boxes: {beside} of the urgent ones, {alone} without others");
+        assert!(lesser > 40, "{boxes} boxes: {lesser} others in 40 s");
+        // Where urgent ones alone are more than the servers take, the others still get some.
+        let mut fleet = Fleet::new(seed, Way::Leave, boxes);
+        fleet.limits = vec![Limit::PerS(2.0); SERVERS];
+        fleet.urgent = 0.8;
+        fleet.run(30_000, 40.0);
+        let [(urgent, _), (lesser, _)] = fleet.came;
+        assert!(lesser >= SERVERS && lesser * 4 < urgent, "{boxes} boxes: {lesser} others, {urgent} urgent ones");
+    }
+}
+
 /// Reports how the ways compare; `--nocapture` shows it.
 #[test]
 fn leave_wastes_less_and_holds_better_than_shares() {
@@ -454,7 +494,7 @@
     // Cold servers get as many as they bear, but no more than the limit.
     let mut owner = Owner::default();
     let mut permit = |quotas: Quotas, now: u64| {
-        let permit = Permit { number: 0, server: "s0".to_owned(), quotas };
+        let permit = Permit { number: 0, server: "s0".to_owned(), quotas, urgency: 0 };
         owner.permit(&permit, now)
     };
     assert_eq!(permit(both, 0), Leave::Denied { again: 1_000 }, "what others gave leave for isn't known");
@@ -477,8 +517,8 @@
     placement.hear_limit(&named(1.0), 0);
     placement.hear_limit(&Statement { life: "s1".to_owned(), ..named(0.5) }, 0);
     assert!(placement.choose(&ask(&[], 10)).is_ok());
-    placement.spent(MODEL, "s0", 700);
-    placement.spent(MODEL, "s1", 1_500);
+    placement.spent(MODEL, "s0", 0, 700);
+    placement.spent(MODEL, "s1", 0, 1_500);
     assert_eq!(placement.choose(&ask(&[], 100)).expect_err("spent"), Refusal::Limited { back_ms: 600 });
     assert!(placement.choose(&ask(&[], 700)).is_ok());
     // Another limit is another matter.
--- a/crates/relay/src/choosing.rs
+++ b/crates/relay/src/choosing.rs
@@ -61,11 +61,12 @@
             let Some(quotas) = choice.leave else {
                 return self.claim(choice, None);
             };
-            match consult::leave(&self.shared, &choice.server, quotas, Instant::now() + OPINION_MOST).await {
+            let (urgency, until) = (self.urgency(), Instant::now() + OPINION_MOST);
+            match consult::leave(&self.shared, &choice.server, quotas, urgency, until).await {
                 Leave::Given => return self.claim(choice, Some(leave_until)),
                 Leave::Denied { again } => {
                     let until = self.shared.now().saturating_add(again);
-                    self.shared.placement().spent(&self.service, &choice.server.id, until);
+                    self.shared.placement().spent(&self.service, &choice.server.id, urgency, until);
                 }
             }
             denied.push(choice.server.id.clone());
--- a/crates/relay/src/consult.rs
+++ b/crates/relay/src/consult.rs
@@ -35,9 +35,9 @@
 }
 
 /// Asks for leave to send one request to a server that takes few. Without an answer there is none.
-pub(crate) async fn leave(shared: &Shared, server: &Server, quotas: Quotas, until: Instant) -> Leave {
+pub(crate) async fn leave(shared: &Shared, server: &Server, quotas: Quotas, urgency: u8, until: Instant) -> Leave {
     let number = shared.numbers.fetch_add(1, Ordering::Relaxed);
-    let permit = Permit { number, server: server.id.clone(), quotas };
+    let permit = Permit { number, server: server.id.clone(), quotas, urgency };
     let nobody = Leave::Denied { again: 0 };
     let Some(answer) = shared.advisor.permit(server, permit) else { return nobody };
     tokio::time::timeout_at(until, answer).await.ok().and_then(Result::ok).unwrap_or(nobody)
