--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -266,6 +266,7 @@
     let verdict = shared.dialect.verdict(id, status, &parts.headers);
     if verdict != Verdict::Foreign {
         shared.noticed(id, server, sent, shared.dialect.notice(status, &parts.headers));
+        shared.note_unknown(server, &parts.headers);
     }
     match verdict {
         Verdict::Foreign => Sent::Broken(format!("status {status} is not this request's answer")),
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -60,6 +60,15 @@
     pub limit: Option<Limit>,
 }
 
+/// A header of an answer that nobody here knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unknown<'a> {
+    /// Its name, in lower case.
+    pub name: &'a str,
+    /// What may be shown of its value.
+    pub value: &'a str,
+}
+
 /// Reads and writes the headers by which callers, boxes and servers talk.
 pub trait Dialect: Send + Sync {
     /// What a caller's head says.
@@ -76,4 +85,7 @@
 
     /// What the head of an answer, which is not foreign, says of its server.
     fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
+
+    /// Headers of an answer whose meaning is not known.
+    fn unknown<'a>(&self, headers: &'a HeaderMap) -> Vec<Unknown<'a>>;
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -32,7 +32,7 @@
 mod timing;
 
 pub use advisor::Advisor;
-pub use dialect::{Call, Dialect, Dispatch, Notice, Verdict};
+pub use dialect::{Call, Dialect, Dispatch, Notice, Unknown, Verdict};
 pub use events::Events;
 pub use front::Front;
 pub use handshake::Handshake;
--- a/crates/relay/src/noticed.rs
+++ b/crates/relay/src/noticed.rs
@@ -1,6 +1,7 @@
 //! What this box makes of what servers say of themselves in their answers.
 
-use crate::{Notice, Shared};
+use crate::{Notice, Shared, Unknown};
+use http::HeaderMap;
 use placement::{Limit, Millis, Statement};
 use rand::Rng;
 use routing::Server;
@@ -26,6 +27,15 @@
         }
     }
 
+    /// Tells operators of headers that nobody here knows: servers may say by them what boxes should heed.
+    pub(crate) fn note_unknown(&self, server: &Server, headers: &HeaderMap) {
+        for Unknown { name, value } in self.dialect.unknown(headers) {
+            if self.told.first(name) {
+                telemetry::emit(Event::WordUnknown, format_args!("from={} header={name} value={value}", server.id));
+            }
+        }
+    }
+
     /// Takes what another box heard of lives that leave.
     pub fn hear_leaving(&self, lives: &[String]) {
         for life in lives {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -136,6 +136,8 @@
     ServerRests = 514, Info;
     /// A server names another limit of the requests that it takes from all boxes together, or none any more.
     ServerLimits = 515, Info;
+    /// An answer bears a header that nobody here knows.
+    WordUnknown = 516, Warn;
     /// Leases granted no longer equal held, returned and expired ones.
     LeaseCountBroken = 900, Error;
     /// A grant went above the floor while a more urgent request waited.
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -11,10 +11,12 @@
 
 mod event;
 mod lines;
+mod once;
 mod scrape;
 mod series;
 
 pub use event::{emit, Event};
 pub use lines::{line, Lines};
+pub use once::Once;
 pub use scrape::Scrape;
 pub use series::Series;
