A box is ready with its first list of servers, also an empty one

Callers saw: 503 "no server" for a millisecond or two after a box began to take requests, longer where the store is slow for it. Readiness looked at the configuration alone. Ruled out: load, by the new test, in which the store answers all but questions for servers: ready at once, before; now not until the list is there, and then though it is empty.

--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -218,7 +218,7 @@
         let former = std::mem::replace(&mut state.directory, directory);
         state.excerpt = None;
         state.note_lapses(self.shared.now());
-        if !changed {
+        if !changed && former.position.is_known() {
             return;
         }
         self.servers_changed(&state, origin);
--- a/crates/cleatshelf/tests/route.rs
+++ b/crates/cleatshelf/tests/route.rs
@@ -102,6 +102,25 @@
     assert_eq!(one.get("/x/1"), (200, "first".to_owned()));
 }
 
+/// A box called itself ready once it had its configuration. Its list of servers came one to two milliseconds later, or much later where
+/// the store was slow for it, and callers that the balancer sent meanwhile got 503, `no server`: 6 of 40 starts refused their first
+/// request.
+#[test]
+fn a_box_is_ready_with_its_first_list_of_servers_also_an_empty_one() {
+    let store = Store::start();
+    store.put("op/config", &config(3, "/x/"));
+    store.set(Mood::Unlisted);
+    let address = free();
+    let one = start(&store, address, &[address]);
+    soon("the configuration is in force", || one.metrics().contains("ReleaseInForce"));
+    for _ in 0..20 {
+        assert!(!one.is_ready(), "it doesn't know of any server yet");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    store.set(Mood::Well);
+    soon("ready, though there is no server", || one.is_ready());
+}
+
 #[test]
 fn bytes_that_are_no_frames_harm_nothing() {
     let store = Store::start();
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -119,9 +119,11 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// True when callers may be sent here.
+    /// True when callers may be sent here: before the first list of servers, also an empty one, they would be refused though servers are
+    /// there.
     #[must_use]
     pub fn ready(&self) -> bool {
-        !self.stopping() && self.view().table.is_some()
+        let view = self.view();
+        !self.stopping() && view.table.is_some() && view.directory.position.is_known()
     }
 }
