--- a/crates/placement/src/limit.rs
+++ b/crates/placement/src/limit.rs
@@ -8,6 +8,9 @@
 /// A server is never left without a request for longer than this: only its answers say that it takes more again.
 const LONGEST: Millis = 60_000;
 
+/// A limit that rises by less is not told: a server whose limit wavers with its load would have every box told of each answer.
+const LOOSER_LEAST: f64 = 1.25;
+
 /// Requests a second from which on a limit is none: far more than one server answers.
 const NONE_FROM: f64 = 10_000.0;
 
@@ -30,6 +33,14 @@
 }
 
 impl Limit {
+    /// True where this takes so much more than `other` that all boxes are told.
+    pub(crate) fn is_much_looser(self, other: Self) -> bool {
+        match (self, other) {
+            (Self::PerS(per_s), Self::PerS(known)) => per_s >= known * LOOSER_LEAST,
+            _ => self > other,
+        }
+    }
+
     /// Most requests that it is to get; none where it takes any number. What may come at once is a second's worth, and at least one:
     /// a limit below one a second is one request in a longer span.
     pub(crate) fn quota(self) -> Option<Quota> {
--- a/crates/placement/src/notices.rs
+++ b/crates/placement/src/notices.rs
@@ -81,7 +81,7 @@
         let known = self.limits.get(life).copied();
         let before = known.map_or(Limit::None, |known| known.limit);
         let later = known.is_none_or(|known| known.since < sent);
-        if limit == before || (limit > before && !later) {
+        if limit == before || (limit > before && (!later || !limit.is_much_looser(before))) {
             return None;
         }
         let version = known.map_or(0, |known| known.version) + 1;
--- a/crates/placement/tests/limit.rs
+++ b/crates/placement/tests/limit.rs
@@ -114,6 +114,8 @@
     /// When requests came to each server.
     arrived: Vec<Vec<u64>>,
     refused: usize,
+    /// Changes of limits that were told to all boxes.
+    told: usize,
     /// The part of the requests that is more urgent than the others, and what came of them and of the others: sent, refused.
     urgent: f64,
     came: [(usize, usize); 2],
@@ -135,6 +137,7 @@
             limits: vec![Limit::None; SERVERS],
             arrived: vec![Vec::new(); SERVERS],
             refused: 0,
+            told: 0,
             urgent: 0.0,
             came: [(0, 0); 2],
         }
@@ -239,6 +242,7 @@
                 let news = self.boxes[to].limits(&id, limit, sent, self.now);
                 let over = News::Ended { ending: Ending::Good, pause_ms: 0 };
                 self.owner.report(address(to), Report { number, server: id, news: over }, self.now);
+                self.told += usize::from(news.is_some());
                 for other in (0..self.boxes.len()).filter(|other| *other != to && news.is_some()) {
                     let statement = news.clone().expect("just looked");
                     self.send(0, Message::Told { to: other, statement });
@@ -358,6 +362,22 @@
     }
 }
 
+#[test]
+fn a_limit_that_wavers_is_not_told_with_each_answer() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(seed, Way::Leave, 40);
+        for _ in 0..100 {
+            let per_s = fleet.rng.random_range(10.0..12.0);
+            fleet.limits[0] = Limit::PerS(per_s);
+            fleet.run(100, 300.0);
+        }
+        let (told, got) = (fleet.told, fleet.got(0, CONTACT, fleet.now));
+        println!("seed {seed}: {told} changes told, {got} requests in seven seconds");
+        assert!(told <= 10, "seed {seed}: {told} changes told");
+        assert!(got >= 0.8 * 10.0 * 7.0, "seed {seed}: {got}");
+    }
+}
+
 /// The part of eight urgent requests a second that is sent where servers take twelve, and how many others of so many a second are.
 fn urgent_beside(seed: u64, boxes: usize, others: f64) -> (f64, usize) {
     let mut fleet = Fleet::new(seed, Way::Leave, boxes);
