Choices no longer depend on the hasher's seed; boxes order servers that cost the same by a seed of their own

A pool's servers, an owner's leases and the kept part that is forgotten first were taken in the order of a hash map, which differs from run to run, so that no run in virtual time could repeat to the same digits. They are in order now; servers that cost the same are ranked by a seed that each box draws, so that boxes still don't all choose the same one. A choice takes as long as before (example choose, beside other load, three runs each, short prompt: 127, 146 and 107 us before, 111, 90 and 133 us now).

--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -41,8 +41,10 @@
     let scrape = Scrape::install()?;
     let window = settings.retry_window.as_millis() as u64;
     let budget = Budget::new(settings.retry_ratio, settings.retry_slack, window);
-    let placement =
-        Placement::new(&settings.hall, budget).with_allowance(settings.cold).with_regions(settings.regions.clone());
+    let placement = Placement::new(&settings.hall, budget)
+        .with_allowance(settings.cold)
+        .with_regions(settings.regions.clone())
+        .with_seed(rand::random());
     let (advice, sent) = Advice::new(settings.boxes, Arc::clone(&clock));
     let desk = Desk(Arc::clone(&advice));
     let shared = Shared::new(relay::Parts {
--- a/crates/placement/src/kept.rs
+++ b/crates/placement/src/kept.rs
@@ -47,7 +47,7 @@
             self.tokens -= old.map_or(0, |entry| u64::from(entry.tokens));
         }
         while self.tokens > most {
-            let oldest = self.parts.iter().min_by_key(|(_, entry)| entry.used).map(|(id, _)| *id);
+            let oldest = self.parts.iter().min_by_key(|(id, entry)| (entry.used, **id)).map(|(id, _)| *id);
             let Some(entry) = oldest.and_then(|id| self.parts.remove(&id)) else { return };
             self.tokens -= u64::from(entry.tokens);
         }
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -13,7 +13,7 @@
 use crate::warmth::{Breaks, WINDOW};
 use crate::{Break, Ending, Health, Kept, Learner, Leave, Load, Millis, Part, Permit, Quotas, Reading, Speed, Work};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 /// A lease whose end is never told is dropped after this long: its box has died, or no request takes longer.
@@ -152,7 +152,7 @@
     breaks: Breaks,
     elsewhere: Elsewhere,
     /// By asking box and number. The sum of their works is `load`.
-    leases: HashMap<(SocketAddr, u64), Lease>,
+    leases: BTreeMap<(SocketAddr, u64), Lease>,
 }
 
 /// The servers that this box owns, or was asked about.
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -40,6 +40,8 @@
     allowance: Allowance,
     /// Regions of halls.
     regions: Regions,
+    /// Differs from box to box.
+    seed: u64,
 }
 
 impl Placement {
@@ -55,6 +57,7 @@
             boxes: BOXES_AT_START,
             allowance: Allowance::default(),
             regions: Regions::new(),
+            seed: 0,
         }
     }
 
@@ -64,6 +67,12 @@
         Self { allowance, ..self }
     }
 
+    /// The same with a seed of its own, by which servers that cost the same are ordered.
+    #[must_use]
+    pub fn with_seed(self, seed: u64) -> Self {
+        Self { seed, ..self }
+    }
+
     /// The same with these regions of halls.
     #[must_use]
     pub fn with_regions(self, regions: Regions) -> Self {
@@ -79,7 +88,7 @@
             by_service.entry(&server.service).or_default().push(server.clone());
         }
         for name in by_service.keys().chain(&table.services.keys().map(String::as_str).collect::<Vec<_>>()) {
-            self.pools.entry((*name).to_owned()).or_default();
+            self.pools.entry((*name).to_owned()).or_insert_with(|| Pool::new(self.seed));
         }
         for (name, pool) in &mut self.pools {
             pool.set_gap(table.shortest_gap(name).map_or(0.0, |gap| gap.as_secs_f64() * 1e3));
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -13,7 +13,7 @@
 };
 use routing::{Cold, Engine, Evacuations, Regions, Server};
 use std::cmp::Reverse;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
 /// Part of a server's memory that kept parts are expected to fill at most.
@@ -58,8 +58,10 @@
 pub(crate) struct Pool {
     engine: Option<Engine>,
     /// By id. Draining servers stay while they are listed, since requests may still run there.
-    members: HashMap<String, Member>,
+    members: BTreeMap<String, Member>,
     admission: Admission,
+    /// What orders servers that cost the same: boxes with others don't all choose the same one.
+    seed: u64,
     /// Which of them are preferred for long prompts.
     split: Split,
     /// What its servers bear while they are cold.
@@ -72,6 +74,11 @@
 }
 
 impl Pool {
+    /// A pool without servers, of a box with this seed.
+    pub(crate) fn new(seed: u64) -> Self {
+        Self { seed, ..Self::default() }
+    }
+
     /// Takes what its servers are.
     pub(crate) fn set_engine(&mut self, engine: Option<Engine>) {
         self.engine = engine;
@@ -210,7 +217,7 @@
     fn source(&self, ask: &Ask<'_>) -> Option<Source<'_>> {
         let shared = ask.prompt?.shared();
         let read = |m: &Member| m.kept.read_prefix(shared).max(ask.opinion(&m.server.id).map_or(0, |o| o.read));
-        let best = self.members.values().filter(|m| may_give(m, ask)).max_by_key(|m| read(m))?;
+        let best = self.members.values().filter(|m| may_give(m, ask)).max_by_key(|m| (read(m), self.rank(m)))?;
         let all = ask.prompt?.shared_tokens();
         let tokens = read(best).min(all);
         if tokens < all {
@@ -311,7 +318,8 @@
         let admitted = |c: &&Candidate<'_>| !ask.tried.is_empty() || self.admission.admits(ask, c.expected.place_ms);
         let crowded = |c: &Candidate<'_>| self.crowded(c.member, ask);
         let cheaper = |a: &&Candidate<'_>, b: &&Candidate<'_>| {
-            crowded(a).cmp(&crowded(b)).then_with(|| a.cost().total_cmp(&b.cost()))
+            let cheaper = crowded(a).cmp(&crowded(b)).then_with(|| a.cost().total_cmp(&b.cost()));
+            cheaper.then_with(|| self.rank(a.member).cmp(&self.rank(b.member)))
         };
         let Some(best) = candidates.iter().filter(admitted).min_by(cheaper) else {
             return Err(refusal(&candidates));
@@ -330,6 +338,10 @@
         Ok(choice)
     }
 
+    fn rank(&self, member: &Member) -> u64 {
+        routing::rank(self.seed, &member.server.id)
+    }
+
     /// Why there is no server to choose from.
     fn nobody(&self, ask: &Ask<'_>) -> Refusal {
         let home = self.members.values().filter(|member| ask.at_home(member.region.as_deref()));
