Model: deployments in virtual time, drawn and compared (`lab experiment`, `lab draw`)

A first slice: engines that run requests in batches (steps, pieces of prompts, memory with kept parts that give way, requests put back, fetched parts, unlike speeds), boxes with the program's own placement and owners, callers by class with time limits, retries and bursts, engines that are slow, end or leave. Arms: the placement, the same without owners, fetching, registers, admission or division, and four simpler ways.

--- /dev/null
+++ b/crates/lab/src/experiment.rs
@@ -0,0 +1,118 @@
+//! Runs experiments on modelled deployments, and shows what they brought.
+
+use eyre::WrapErr;
+use indicatif::{ProgressBar, ProgressStyle};
+use model::{Compared, Deployment, Experiment, Played, Source};
+use std::fmt::Write;
+use std::path::Path;
+use std::time::Instant;
+
+/// Length of drawn deployments that are written to files, in seconds, and most of their boxes and engines.
+const DRAWN_SECONDS: f64 = 30.0;
+const DRAWN_MACHINES: usize = 400;
+
+/// What an experiment brought.
+pub struct Results {
+    /// Each play.
+    pub played: Vec<Played>,
+    /// Each arm beside the first.
+    pub compared: Vec<Compared>,
+    /// How long all plays took together, in seconds; no part of what repeats.
+    pub seconds: f64,
+}
+
+/// Runs the experiment of a file on half of the machine's cores, with a progress bar.
+///
+/// # Errors
+/// When a file can't be read or has faults.
+pub fn run_experiment(file: &Path) -> eyre::Result<Results> {
+    let experiment = Experiment::parse(&file.display().to_string(), &read(file)?).map_err(|faults| all(&faults))?;
+    let folder = file.parent().unwrap_or(Path::new("."));
+    let deployments: Vec<Deployment> =
+        experiment.sources.iter().map(|source| deployment(&experiment, source, folder)).collect::<Result<_, _>>()?;
+    let bar = ProgressBar::new(experiment.plays() as u64);
+    bar.set_style(ProgressStyle::with_template("{wide_bar} {pos} of {len} plays, {eta} left")?);
+    let threads = std::thread::available_parallelism().map_or(1, |cores| cores.get().div_ceil(2));
+    let pool = rayon::ThreadPoolBuilder::new().num_threads(threads).build()?;
+    let began = Instant::now();
+    let played = pool.install(|| experiment.play(&deployments, &|| bar.inc(1)));
+    bar.finish_and_clear();
+    let compared = experiment.compare(&played);
+    Ok(Results { played, compared, seconds: began.elapsed().as_secs_f64() })
+}
+
+fn deployment(experiment: &Experiment, source: &Source, folder: &Path) -> eyre::Result<Deployment> {
+    match source {
+        Source::Drawn(seed) => Ok(Deployment::draw(*seed, experiment.seconds, experiment.machines_most)),
+        Source::File(file) => {
+            let file = folder.join(file);
+            Deployment::parse(&file.display().to_string(), &read(&file)?).map_err(|faults| all(&faults))
+        }
+    }
+}
+
+fn read(file: &Path) -> eyre::Result<String> {
+    std::fs::read_to_string(file).wrap_err_with(|| file.display().to_string())
+}
+
+/// All faults of a file.
+fn all(faults: &[catalog::Fault]) -> eyre::Report {
+    let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    eyre::eyre!("{}", faults.join("\n"))
+}
+
+/// The text of a deployment that is drawn from a seed.
+///
+/// # Errors
+/// When it can't be written as a text.
+pub fn drawn(seed: u64) -> eyre::Result<String> {
+    Ok(Deployment::draw(seed, DRAWN_SECONDS, DRAWN_MACHINES).to_text()?)
+}
+
+impl Results {
+    /// A line for each play, and one for each arm; the same for the same file.
+    ///
+    /// # Errors
+    /// When a figure can't be written.
+    pub fn lines(&self) -> eyre::Result<String> {
+        let mut lines = String::new();
+        for played in &self.played {
+            writeln!(lines, "{}", serde_json::to_string(played)?)?;
+        }
+        for compared in &self.compared {
+            writeln!(lines, "{}", serde_json::to_string(compared)?)?;
+        }
+        Ok(lines)
+    }
+
+    /// Each arm's worth beside the first one's, and what became of requests.
+    #[must_use]
+    pub fn table(&self) -> String {
+        let mut table = format!(
+            "{:<18} {:>6} {:>16} {:>6} {:>6} {:>7} {:>6} {:>7} {:>6} {:>9} {:>9}\n",
+            "arm", "worth", "more", "better", "worse", "in time", "late", "refused", "lost", "again Mt", "moved Mt"
+        );
+        for Compared { arm, worth, more, within, better, worse } in &self.compared {
+            let outcomes = || self.played.iter().filter(|played| played.arm == *arm).map(|played| &played.outcome);
+            let classes = || outcomes().flat_map(|outcome| &outcome.classes);
+            let asked = classes().map(|class| class.asked).sum::<u64>().max(1) as f64;
+            let part = |count: u64| count as f64 / asked;
+            let within = within.map_or_else(String::new, |within| format!(" ±{within:.4}"));
+            // Writing to memory can't fail.
+            let _ = writeln!(
+                table,
+                "{:<18} {worth:>6.4} {:>16} {better:>6} {worse:>6} {:>7.4} {:>6.4} {:>7.4} {:>6.4} {:>9.2} {:>9.2}",
+                arm.name(),
+                format!("{more:+.4}{within}"),
+                part(classes().map(|class| class.in_time).sum()),
+                part(classes().map(|class| class.late).sum()),
+                part(classes().map(|class| class.refused).sum()),
+                part(classes().map(|class| class.lost).sum()),
+                outcomes().map(|outcome| outcome.again_tokens).sum::<u64>() as f64 / 1e6,
+                outcomes().map(|outcome| outcome.moved_tokens).sum::<u64>() as f64 / 1e6,
+            );
+        }
+        let _ = writeln!(table, "{} plays in {:.1} s", self.played.len(), self.seconds);
+        table
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -29,6 +29,8 @@
     Overhead(OverheadArgs),
     Slopes(SlopesArgs),
     Soak(SoakArgs),
+    Experiment(ExperimentArgs),
+    Draw(DrawArgs),
     Box(BoxArgs),
 }
 
@@ -147,6 +149,27 @@
     seconds: u64,
 }
 
+/// compare policies on modelled deployments, in virtual time
+#[derive(FromArgs)]
+#[argh(subcommand, name = "experiment")]
+struct ExperimentArgs {
+    /// what is compared on what
+    #[argh(positional)]
+    file: PathBuf,
+    /// the file for a JSON line of each play and each arm
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
+/// write a drawn deployment, as `experiment` plays it
+#[derive(FromArgs)]
+#[argh(subcommand, name = "draw")]
+struct DrawArgs {
+    /// what it is drawn from
+    #[argh(option)]
+    seed: u64,
+}
+
 /// run one box, as `cleatshelf serve` does; for this program's own use
 #[derive(FromArgs)]
 #[argh(subcommand, name = "box")]
@@ -164,7 +187,9 @@
         What::Up(args) => actix_rt::System::new().block_on(up(&args)),
         What::Load(args) => actix_rt::System::new().block_on(load(&args)),
         What::Compare(args) => actix_rt::System::new().block_on(compare_all(&args)),
-        What::Plot(args) => draw(&args),
+        What::Plot(args) => draw_plot(&args),
+        What::Experiment(args) => experiment(&args),
+        What::Draw(args) => draw(&args),
         What::Fleet(_) => actix_rt::System::new().block_on(measure_fleet()),
         What::Overhead(_) => actix_rt::System::new().block_on(measure_overhead()),
         What::Slopes(args) => measure_slopes(&args),
@@ -317,7 +342,21 @@
     }
 }
 
-fn draw(args: &PlotArgs) -> eyre::Result<()> {
+fn experiment(args: &ExperimentArgs) -> eyre::Result<()> {
+    let results = lab::run_experiment(&args.file)?;
+    if let Some(out) = &args.out {
+        std::fs::write(out, results.lines()?)?;
+    }
+    print!("{}", results.table());
+    Ok(())
+}
+
+fn draw(args: &DrawArgs) -> eyre::Result<()> {
+    print!("{}", lab::drawn(args.seed)?);
+    Ok(())
+}
+
+fn draw_plot(args: &PlotArgs) -> eyre::Result<()> {
     let text = std::fs::read_to_string(&args.from)?;
     let reports: Vec<Report> = text.lines().map(serde_json::from_str).collect::<Result<_, _>>()?;
     plot(&reports, &args.class, &args.out)
--- /dev/null
+++ b/crates/model/src/arm.rs
@@ -0,0 +1,78 @@
+//! Ways of deciding that are compared.
+
+use serde::Serialize;
+use std::str::FromStr;
+
+/// A policy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Arm {
+    /// The program's own.
+    Placement,
+    /// The same, but boxes ask no owner.
+    WithoutOwners,
+    /// The same, but no part is fetched from another engine.
+    WithoutFetching,
+    /// The same, but nobody remembers who read a part away from its homes.
+    WithoutRegisters,
+    /// The same, but nothing is refused for want of places.
+    WithoutAdmission,
+    /// The same, but no pause is known to be too long: engines aren't divided.
+    WithoutDivision,
+    /// The engine with the fewest requests.
+    Least,
+    /// The better of two engines drawn by chance.
+    Two,
+    /// The engine that ranks first for the prompt's shared part, and has a place.
+    Prefix,
+    /// The engine with the fewest requests in the box's hall.
+    Hall,
+}
+
+impl Arm {
+    /// All of them.
+    pub const ALL: [Self; 10] = [
+        Self::Placement,
+        Self::WithoutOwners,
+        Self::WithoutFetching,
+        Self::WithoutRegisters,
+        Self::WithoutAdmission,
+        Self::WithoutDivision,
+        Self::Least,
+        Self::Two,
+        Self::Prefix,
+        Self::Hall,
+    ];
+
+    /// Its name in files and tables.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Placement => "placement",
+            Self::WithoutOwners => "without-owners",
+            Self::WithoutFetching => "without-fetching",
+            Self::WithoutRegisters => "without-registers",
+            Self::WithoutAdmission => "without-admission",
+            Self::WithoutDivision => "without-division",
+            Self::Least => "least",
+            Self::Two => "two",
+            Self::Prefix => "prefix",
+            Self::Hall => "hall",
+        }
+    }
+
+    /// True where boxes choose with the program's placement.
+    pub(crate) fn places(self) -> bool {
+        !matches!(self, Self::Least | Self::Two | Self::Prefix | Self::Hall)
+    }
+}
+
+impl FromStr for Arm {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Self, String> {
+        let names = Self::ALL.map(Self::name).join(", ");
+        let arm = Self::ALL.into_iter().find(|arm| arm.name() == name);
+        arm.ok_or_else(|| format!("'{name}' is none of {names}"))
+    }
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,25 @@
+//! Deployments in virtual time, and policies compared on them.
+//!
+//! A [`World`] plays one [`Deployment`] with one [`Arm`] and one seed. Boxes decide with the program's own `placement`. An
+//! [`Experiment`] compares arms on many drawn deployments.
+
+mod arm;
+mod call;
+mod deployment;
+mod draw;
+mod engine;
+mod experiment;
+mod memory;
+mod outcome;
+mod prompts;
+mod router;
+mod world;
+
+pub use arm::Arm;
+pub use deployment::{Burst, Class, Deployment, Fault, FaultKind, Make};
+pub use experiment::{Compared, Experiment, Played, Source};
+pub use outcome::{Outcome, Tally};
+pub use world::World;
+
+/// Virtual time in microseconds.
+pub type Micros = u64;
--- /dev/null
+++ b/crates/model/src/outcome.rs
@@ -0,0 +1,109 @@
+//! What came of a played deployment.
+
+use crate::{Class, Micros};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// What came of a class's requests.
+///
+/// Worth is what its answers are worth over what they would be worth in time: an answer in time counts whole, a late one by the part that the
+/// class says, all others nothing. Tokens and prices don't count.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Tally {
+    /// Name of the class.
+    pub class: String,
+    /// Requests.
+    pub asked: u64,
+    /// Answered with a first event in time and no pause too long.
+    pub in_time: u64,
+    /// Answered otherwise.
+    pub late: u64,
+    /// Refused, and not served when they came back.
+    pub refused: u64,
+    /// Neither: callers left, or sends broke off.
+    pub lost: u64,
+    /// Milliseconds to the first event from the caller's first try, of those that got one: median and 95 of 100.
+    pub first_ms: [u64; 2],
+    /// What they are worth, and would be worth in time.
+    pub worth: f64,
+    /// The latter.
+    pub owed: f64,
+}
+
+/// What came of one play.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Outcome {
+    /// By class.
+    pub classes: Vec<Tally>,
+    /// Tokens that engines read.
+    pub read_tokens: u64,
+    /// Tokens of shared parts that some engine had read before and none needed to read again.
+    pub again_tokens: u64,
+    /// Tokens that engines fetched from each other.
+    pub moved_tokens: u64,
+    /// Requests that engines put back for want of memory.
+    pub put_back: u64,
+    /// Questions of boxes to owners.
+    pub questions: u64,
+    /// Choices that boxes made.
+    pub choices: u64,
+}
+
+impl Outcome {
+    /// Worth of all classes over what they would be worth in time.
+    #[must_use]
+    pub fn worth(&self) -> f64 {
+        let owed: f64 = self.classes.iter().map(|class| class.owed).sum();
+        self.classes.iter().map(|class| class.worth).sum::<f64>() / owed.max(f64::MIN_POSITIVE)
+    }
+}
+
+/// Counts for one class.
+#[derive(Clone, Debug)]
+pub(crate) struct Counter {
+    pub(crate) tally: Tally,
+    first: Histogram<u64>,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    Answered,
+    Refused,
+    Lost,
+}
+
+impl Counter {
+    pub(crate) fn new(class: &Class) -> Self {
+        let tally = Tally { class: class.name.clone(), ..Tally::default() };
+        Self { tally, first: Histogram::new(3).expect("three digits") }
+    }
+
+    pub(crate) fn end(&mut self, class: &Class, end: End, first: Option<Micros>, pause: Micros) {
+        self.tally.asked += 1;
+        self.tally.owed += class.worth;
+        let in_time =
+            first.is_some_and(|first| first as f64 <= class.aim_ms * 1e3) && pause as f64 <= class.gap_ms * 1e3;
+        if let Some(first) = first {
+            // The histogram grows as needed.
+            self.first.saturating_record(first / 1_000);
+        }
+        match end {
+            End::Answered if in_time => {
+                self.tally.in_time += 1;
+                self.tally.worth += class.worth;
+            }
+            End::Answered => {
+                self.tally.late += 1;
+                self.tally.worth += class.worth * class.late;
+            }
+            End::Refused => self.tally.refused += 1,
+            End::Lost => self.tally.lost += 1,
+        }
+    }
+
+    pub(crate) fn finish(self) -> Tally {
+        let first_ms = [0.5, 0.95].map(|part| self.first.value_at_quantile(part));
+        Tally { first_ms, ..self.tally }
+    }
+}
