--- a/crates/model/src/arm.rs
+++ b/crates/model/src/arm.rs
@@ -19,6 +19,8 @@
     WithoutAdmission,
     /// The same, but no pause is known to be too long: engines aren't divided.
     WithoutDivision,
+    /// The same, but no heed is paid to limits that engines name.
+    WithoutLimits,
     /// The engine with the fewest requests.
     Least,
     /// The better of two engines drawn by chance.
@@ -31,13 +33,14 @@
 
 impl Arm {
     /// All of them.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Placement,
         Self::WithoutOwners,
         Self::WithoutFetching,
         Self::WithoutRegisters,
         Self::WithoutAdmission,
         Self::WithoutDivision,
+        Self::WithoutLimits,
         Self::Least,
         Self::Two,
         Self::Prefix,
@@ -54,6 +57,7 @@
             Self::WithoutRegisters => "without-registers",
             Self::WithoutAdmission => "without-admission",
             Self::WithoutDivision => "without-division",
+            Self::WithoutLimits => "without-limits",
             Self::Least => "least",
             Self::Two => "two",
             Self::Prefix => "prefix",
--- a/crates/model/src/deployment.rs
+++ b/crates/model/src/deployment.rs
@@ -82,6 +82,8 @@
     Crash,
     /// They say that they leave, end what they have, and others come.
     Leave,
+    /// They say that they take `times` requests a second from all boxes together.
+    Limit,
 }
 
 /// Something that happens to a part of the engines.
@@ -95,7 +97,7 @@
     pub for_s: f64,
     /// The part of the engines.
     pub share: f64,
-    /// How strong; for engines that are slow.
+    /// How strong: how many times as long slow engines take, how many requests a second limited ones.
     pub times: f64,
 }
 
@@ -181,8 +183,9 @@
         "slow" => FaultKind::Slow,
         "crash" => FaultKind::Crash,
         "leave" => FaultKind::Leave,
+        "limit" => FaultKind::Limit,
         other => {
-            reader.fault("kind", format!("'{other}' is not slow, crash or leave"));
+            reader.fault("kind", format!("'{other}' is not slow, crash, leave or limit"));
             FaultKind::Slow
         }
     };
@@ -191,7 +194,7 @@
         at_s: reader.number("at_s", &(0.0..=LONGEST_S)),
         for_s: reader.number("for_s", &(0.0..=LONGEST_S)),
         share: reader.number("share", &(0.0..=1.0)),
-        times: reader.number_opt("times", &(1.0..=1_000.0)).unwrap_or(1.0),
+        times: reader.number_opt("times", &(0.0..=1_000.0)).unwrap_or(1.0),
     }
 }
 
--- a/crates/model/src/draw.rs
+++ b/crates/model/src/draw.rs
@@ -68,13 +68,17 @@
     }
 }
 
-fn fault(rng: &mut ChaCha8Rng, seconds: f64) -> Fault {
+/// A fault of engines that get so many requests a second each.
+fn fault(rng: &mut ChaCha8Rng, seconds: f64, per_s: f64) -> Fault {
+    let kinds = [FaultKind::Slow, FaultKind::Crash, FaultKind::Leave, FaultKind::Limit];
+    let kind = *kinds.choose(rng).expect("not empty");
+    let times = if kind == FaultKind::Limit { per_s * wide(rng, 0.2..=0.8) } else { wide(rng, 1.5..=8.0) };
     Fault {
-        kind: *[FaultKind::Slow, FaultKind::Crash, FaultKind::Leave].choose(rng).expect("not empty"),
+        kind,
         at_s: rounded(rng.random_range(0.1..=0.8) * seconds),
         for_s: rounded(rng.random_range(0.05..=0.3) * seconds),
         share: rounded(rng.random_range(0.05..=0.4)),
-        times: rounded(wide(rng, 1.5..=8.0)),
+        times: rounded(times),
     }
 }
 
@@ -105,7 +109,8 @@
             times: rounded(rng.random_range(1.5..=4.0)),
         });
         let bursts: Vec<Burst> = bursts.collect();
-        let faults = (0..rng.random_range(0..=3)).map(|_| fault(rng, seconds)).collect();
+        let per_s = classes.iter().map(|class| class.per_s).sum::<f64>() / engines as f64;
+        let faults = (0..rng.random_range(0..=3)).map(|_| fault(rng, seconds, per_s)).collect();
         Self {
             name: format!("drawn-{seed}"),
             seconds,
--- a/crates/model/src/router.rs
+++ b/crates/model/src/router.rs
@@ -1,7 +1,9 @@
 //! A box: it chooses an engine for a request, by one of the arms.
 
 use crate::{Arm, Class, Deployment};
-use placement::{Ask, Budget, Choice, InForce, Millis, Opinion, Owner, Placement, Prompt, Question, Refusal};
+use placement::{
+    Ask, Budget, Choice, InForce, Leave, Millis, Opinion, Owner, Permit, Placement, Prompt, Question, Refusal,
+};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use routing::{Directory, Evacuations, Kind, Route, Server, Service, Share, Table};
@@ -79,8 +81,7 @@
         }
         let ask = ask(request, &tried, &[]);
         let opinions = if around.arm == Arm::WithoutOwners { Vec::new() } else { self.consult(&ask, request, around) };
-        let choice = self.placement.choose(&Ask { opinions: &opinions, ..ask });
-        let mut choice = choice.map_err(|refusal| Refused(back_ms(refusal, around.rng)))?;
+        let mut choice = self.with_leave(&Ask { opinions: &opinions, ..ask }, around)?;
         match around.arm {
             Arm::WithoutFetching => choice.fetch = None,
             Arm::WithoutRegisters => choice.registers.clear(),
@@ -89,6 +90,24 @@
         Ok(choice)
     }
 
+    /// Chooses until an engine is found that needs no leave, or for which leave is given.
+    fn with_leave(&mut self, ask: &Ask<'_>, around: &mut Around<'_>) -> Result<Choice, Refused> {
+        let mut denied = Vec::new();
+        loop {
+            let choice = self.placement.choose(&Ask { denied: &denied, ..*ask });
+            let choice = choice.map_err(|refusal| Refused(back_ms(refusal, around.rng)))?;
+            let Some(quotas) = choice.leave else { return Ok(choice) };
+            *around.questions += 1;
+            let id = choice.server.id.clone();
+            let permit = Permit { number: *around.questions, server: id.clone(), quotas, urgency: ask.urgency };
+            match around.owner.permit(&permit, ask.now) {
+                Leave::Given => return Ok(choice),
+                Leave::Denied { again } => self.placement.spent(SERVICE, &id, ask.urgency, ask.now + again),
+            }
+            denied.push(id);
+        }
+    }
+
     fn consult(&mut self, ask: &Ask<'_>, request: Request<'_>, around: &mut Around<'_>) -> Vec<(String, Opinion)> {
         let mut opinions = Vec::new();
         for server in self.placement.plan(ask, OWNERS_ASKED) {
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -6,7 +6,7 @@
 use crate::prompts::wishes;
 use crate::router::{table, Around, Refused, Request, Router, SERVICE};
 use crate::{Arm, Deployment, FaultKind, Micros, Outcome};
-use placement::{Choice, Ending, Millis, News, Owner, Part, Report};
+use placement::{Choice, Ending, Limit, Millis, News, Owner, Part, Report, Statement};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -59,6 +59,8 @@
     Fault(usize, bool),
     /// The list of engines changes.
     Listed(Change),
+    /// What an engine said of its limit reaches all boxes but the one that it told.
+    Told(usize, Statement),
 }
 
 /// One send of a request to an engine.
@@ -80,6 +82,8 @@
     hall: String,
     life: u32,
     away: bool,
+    /// What it says that it takes.
+    limit: Limit,
 }
 
 /// A deployment that is played with one arm and one seed.
@@ -118,7 +122,7 @@
         let places = (0..deployment.engines).map(|index| {
             let slowness = unlike.sample(&mut rng);
             let engine = Engine::new(&deployment.make, slowness);
-            Place { engine, slowness, hall: hall(index), life: 1, away: false }
+            Place { engine, slowness, hall: hall(index), life: 1, away: false, limit: Limit::None }
         });
         let places: Vec<Place> = places.collect();
         let boxes = (0..deployment.boxes).map(|index| Router::new(&hall(index), rng.random())).collect();
@@ -220,6 +224,7 @@
             Event::Leave(call) => self.leave(call),
             Event::Fault(index, begins) => self.fault(index, begins),
             Event::Listed(change) => self.list(vec![change]),
+            Event::Told(from, statement) => self.told(from, &statement),
         }
     }
 
@@ -290,7 +295,7 @@
         let placement = &mut self.boxes[from].placement;
         placement.begin(SERVICE, &choice.server.id, work);
         let memory = (self.deployment.make.memory_tokens as f64 * KEPT_SHARE) as u64;
-        let news = News::Sent { parts: prompt.parts, work, memory, permitted: false };
+        let news = News::Sent { parts: prompt.parts, work, memory, permitted: choice.leave.is_some() };
         self.tell(from, send, &choice.server.id, news);
         let life = life_of(&choice.server);
         let sent = Send { call: number, engine, life, choice, fetched: 0, began: self.now, read: false, late: false };
@@ -382,6 +387,7 @@
     fn got(&mut self, number: u64, made: Made) {
         let Some(send) = self.sends.get_mut(&number) else { return };
         let (call_number, id, work) = (send.call, send.choice.server.id.clone(), send.choice.work);
+        let (engine, began) = (send.engine, send.began);
         let first = !std::mem::replace(&mut send.read, true);
         let call = &mut self.calls[call_number];
         let class = &self.deployment.classes[call.wish.class];
@@ -397,6 +403,7 @@
             placement.read(SERVICE, &id, work);
             placement.confirm(SERVICE, &id, &prompt);
             self.tell(from, number, &id, News::Read);
+            self.hear(from, engine, &id, began);
         }
         for (register, part) in registers {
             self.tell(from, 0, &register.id, News::Elsewhere { part, by: id.clone() });
@@ -411,6 +418,24 @@
         }
     }
 
+    /// What an engine says of its limit reaches a box, in an answer to a request that was sent at `sent`.
+    fn hear(&mut self, from: usize, engine: usize, id: &str, sent: Micros) {
+        let heeds = self.arm.places() && self.arm != Arm::WithoutLimits;
+        let limit = self.places[engine].limit;
+        let now = self.millis();
+        let told = heeds.then(|| self.boxes[from].placement.limits(id, limit, sent / 1_000, now)).flatten();
+        if let Some(statement) = told {
+            self.after(ms(self.deployment.far_ms), Event::Told(from, statement));
+        }
+    }
+
+    fn told(&mut self, from: usize, statement: &Statement) {
+        let now = self.millis();
+        for (_, one) in self.boxes.iter_mut().enumerate().filter(|(index, _)| *index != from) {
+            one.placement.hear_limit(statement, now);
+        }
+    }
+
     /// A send has ended.
     fn over(&mut self, number: u64, ending: Ending) {
         let Some(send) = self.sends.remove(&number) else { return };
@@ -477,6 +502,8 @@
         for engine in among {
             match (fault.kind, begins) {
                 (FaultKind::Slow, _) => self.slow(engine, if begins { fault.times } else { 1.0 }),
+                (FaultKind::Limit, true) => self.places[engine].limit = Limit::PerS(fault.times),
+                (FaultKind::Limit, false) => self.places[engine].limit = Limit::None,
                 (FaultKind::Crash, true) => self.crash(engine),
                 (FaultKind::Crash, false) => self.start(engine),
                 (FaultKind::Leave, true) => {
@@ -516,6 +543,7 @@
         place.engine = Engine::new(&self.deployment.make, slowness);
         (place.engine.read_tokens, place.engine.put_back) = counts;
         place.life += 1;
+        place.limit = Limit::None;
         self.after(ENTRY_GOES, Event::Listed(Change::Gone(name)));
     }
 
--- a/crates/model/tests/deployment.rs
+++ b/crates/model/tests/deployment.rs
@@ -21,9 +21,14 @@
     let text = format!("{text}\n[[burst]]\nclass = \"nobody\"\nat_s = 1.0\nfor_s = 1.0\ntimes = 2.0\n[[fault]]\nkind = \"odd\"\nat_s = 1.0\nfor_s = 1.0\nshare = 7.0\n");
     let faults = Deployment::parse("odd.toml", &text.replace("burst = []\n", "").replace("fault = []\n", ""));
     let faults: Vec<String> = faults.expect_err("faults").iter().map(ToString::to_string).collect();
-    for part in
-        ["odd.toml: halls:", "near_ms:", "burst[", "'odd' is not slow, crash or leave", "share:", "odd.toml: hall:"]
-    {
+    for part in [
+        "odd.toml: halls:",
+        "near_ms:",
+        "burst[",
+        "'odd' is not slow, crash, leave or limit",
+        "share:",
+        "odd.toml: hall:",
+    ] {
         assert!(faults.iter().any(|fault| fault.contains(part)), "{part} in {faults:#?}");
     }
 }
