--- a/crates/model/src/experiment.rs
+++ b/crates/model/src/experiment.rs
@@ -119,8 +119,8 @@
         self.sources.len() * self.seeds.len() * self.arms.len()
     }
 
-    /// Plays all on the threads of the pool that this runs in; `done` is told after each play. In the order of deployments, seeds and arms, whichever
-    /// ended first.
+    /// Plays all on the threads of the pool that this runs in; `done` is told after each play. In the order of deployments, seeds and
+    /// arms, whichever ended first.
     #[must_use]
     pub fn play(&self, deployments: &[Deployment], done: &(dyn Fn() + Sync)) -> Vec<Played> {
         let mut plays = Vec::new();
