A request looks at 512 servers at most, however many there are

Cause: each request weighed all servers of its pool twice, ranked all for its homes and for the register, and added up all speeds: 9 ms of a core with 6,000 servers, 26 ms with 12,000 (power 1.5: records no longer fit the caches), which is 75 and 215 ms of what a small box has. Meanwhile it answers nobody else, and plain look-ups have an aim of 120 ms.

Ways weighed: (1) cells by a prefix of the hash: homes of half the parts move when a cell splits, and boxes with lists of other sizes disagree; (2) a window that follows the part's hash on a ring of servers' hashes, homes by rendezvous within it: no size to agree on, some of a window's 256 change when servers do; (3) (2) for homes, and as many servers drawn by the request's own part for the rest. With (2) alone requests that all share one part would use 256 servers of any number. (3) was taken. In a pool of up to 512 all is as it was.

Where none of those looked at may have a request (its region, evacuated halls, tried ones), all are looked at.

Test: placement/tests/large.rs. Before, the same homes were agreed on by all as well; what it proves is that the window keeps that, spreads parts and requests, moves few homes and misses no server.

--- a/crates/placement/examples/choose.rs
+++ b/crates/placement/examples/choose.rs
@@ -1,7 +1,5 @@
 //! How long a choice among 320 engines takes: `cargo run --release -p placement --example choose`.
 //!
-//! On one core of an 8-core machine that was busy otherwise, planning and choosing together: 180 us for a short prompt and
-//! 189 us for a long one while ranks were computed for each comparison, 127 us and 102 us since they are computed once.
 
 #[path = "../tests/common/mod.rs"]
 mod common;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,6 +6,7 @@
 //! No I/O and no clock: the time is an argument.
 
 mod admission;
+mod around;
 mod arrivals;
 mod ask;
 mod budget;
--- a/crates/placement/src/order.rs
+++ b/crates/placement/src/order.rs
@@ -8,6 +8,8 @@
 pub(crate) struct Order {
     /// By hall. None of them is empty.
     halls: BTreeMap<String, BTreeSet<(u64, String)>>,
+    /// All of them, whatever their hall.
+    ring: BTreeSet<(u64, String)>,
     /// Halls whose servers stand elsewhere than when positions were last told.
     moved: BTreeSet<String>,
 }
@@ -29,6 +31,7 @@
         let among = self.halls.len();
         let hall = self.halls.entry(server.hall.clone()).or_default();
         if hall.insert(key(server)) {
+            self.ring.insert(key(server));
             self.note_moved(&server.hall, among);
         }
     }
@@ -40,6 +43,7 @@
         if !hall.remove(&key(server)) {
             return;
         }
+        self.ring.remove(&key(server));
         if hall.is_empty() {
             self.halls.remove(&server.hall);
         }
@@ -55,6 +59,14 @@
         }
     }
 
+    /// The first `most` servers that follow `from` in the order of their hashes, which begins anew at its end, each with its hash: each
+    /// server is among them for about the same part of all numbers, and most stay among them when some come or go.
+    pub(crate) fn following(&self, from: u64, most: usize) -> impl Iterator<Item = (u64, &str)> {
+        let start = (from, String::new());
+        let (before, after) = (self.ring.range(..start.clone()), self.ring.range(start..));
+        after.chain(before).take(most).map(|(hash, id)| (*hash, id.as_str()))
+    }
+
     /// Tells where the servers stand, by id, that may stand elsewhere than they were last told to: from 0 to 1, the halls taken in turn,
     /// so that a part of the order is about the same part of each hall.
     pub(crate) fn tell_moved(&mut self, mut tell: impl FnMut(&str, f64)) {
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -1,6 +1,7 @@
 //! The servers of one service.
 
 use crate::admission::Admission;
+use crate::around::Around;
 use crate::homes::homes;
 use crate::member::Member;
 use crate::need::{Need, Side};
@@ -13,7 +14,7 @@
 };
 use routing::{Cold, Engine, Server};
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Part of a server's memory that kept parts are expected to fill at most.
@@ -49,6 +50,11 @@
 /// How long what an owner said counts for how the engines are to be divided.
 const NEED_MOST: Millis = 4_000;
 
+/// How many servers may keep a shared part, and how many others are weighed for a request. In a pool of more than both, what it costs to
+/// choose doesn't grow with the fleet.
+const KEEPERS_MOST: usize = 256;
+const OTHERS_MOST: usize = 256;
+
 /// Servers for which leave may be denied for one request before only those are chosen from that need none: each ask takes the
 /// way to another box and back.
 const DENIALS_MOST: usize = 3;
@@ -61,6 +67,8 @@
     members: BTreeMap<String, Member>,
     /// Where they stand; they are told when that is next asked.
     order: Order,
+    /// Ids of those whose owners were heard. Each is a member.
+    heard: BTreeSet<String>,
     admission: Admission,
     /// What orders servers that cost the same: boxes with others don't all choose the same one.
     seed: u64,
@@ -118,6 +126,7 @@
     pub(crate) fn remove(&mut self, id: &str) {
         if let Some(member) = self.members.remove(id) {
             self.order.remove(&member.server);
+            self.heard.remove(id);
         }
     }
 
@@ -181,8 +190,8 @@
     /// Servers whose owners are worth asking: those that are to keep the prompt's shared parts, then the cheapest.
     pub(crate) fn plan(&mut self, ask: &Ask<'_>, hall: &str, most: usize) -> Vec<Arc<Server>> {
         self.place();
-        let among = self.among(ask);
-        let scale = self.scale(ask, hall, &among);
+        let (around, among) = self.among(ask);
+        let scale = self.scale(ask, hall, &around, &among);
         let mut candidates: Vec<_> = among.iter().map(|member| scale.weigh(member)).collect();
         by_cost(&mut candidates, ask);
         let shares = ask.prompt.is_some_and(|prompt| prompt.shared_tokens() >= FETCH_LEAST);
@@ -198,13 +207,41 @@
             .collect()
     }
 
-    fn scale<'a>(&'a self, ask: &'a Ask<'_>, hall: &'a str, among: &[&'a Member]) -> Scale<'a> {
-        let speed = Speed::mean(self.members.values().filter_map(Member::speed), SPEED_SEEN_MOST);
+    /// The servers that may keep a shared part: the same on every box.
+    fn around_part(&self, part: u64) -> Around<'_> {
+        if self.members.len() <= KEEPERS_MOST + OTHERS_MOST {
+            return Around::all(self.members.values());
+        }
+        let from = routing::rank(part, "");
+        let following: Vec<(u64, &str)> = self.order.following(from, KEEPERS_MOST).collect();
+        let span = following.last().map_or(0, |(hash, _)| hash.wrapping_sub(from));
+        let servers = following.into_iter().filter_map(|(_, id)| self.members.get(id)).collect();
+        Around { servers, from, span }
+    }
+
+    /// The servers that are looked at for a request, where all have few.
+    fn around(&self, ask: &Ask<'_>) -> Around<'_> {
+        let own = ask.prompt.and_then(|prompt| prompt.parts.last()).map_or(self.seed, |part| part.id);
+        let shared = ask.prompt.and_then(Prompt::last_shared).unwrap_or(own);
+        let mut around = self.around_part(shared);
+        if around.servers.len() < self.members.len() {
+            let drawn = self.order.following(routing::rank(own, "own"), OTHERS_MOST);
+            let drawn = drawn.filter_map(|(_, id)| self.members.get(id));
+            let others: Vec<&Member> = drawn.filter(|member| !around.keeps(member)).collect();
+            around.servers.extend(others);
+        }
+        around
+    }
+
+    fn scale<'a>(&'a self, ask: &'a Ask<'_>, hall: &'a str, around: &Around<'a>, among: &[&'a Member]) -> Scale<'a> {
+        let heard = self.heard.iter().filter_map(|id| self.members.get(id));
+        let speed = Speed::mean(heard.filter_map(Member::speed), SPEED_SEEN_MOST);
         let longness = ask.prompt.map_or(0.0, |prompt| {
             split::longness(speed.read(Reading::last(prompt.tokens, prompt.tokens, speed.stretch())), self.gap_ms)
         });
         let long = split::is_long(longness);
-        let ranked = ask.prompt.map_or_else(Vec::new, |prompt| homes(among, prompt));
+        let keepers = || among.iter().copied().filter(|member| around.keeps(member));
+        let ranked = ask.prompt.map_or_else(Vec::new, |prompt| homes(keepers(), prompt));
         let side: Vec<&Member> = ranked.iter().copied().filter(|m| self.split.reads(m.position) == long).collect();
         Scale {
             ask,
@@ -216,15 +253,16 @@
             failing_least: among.iter().map(|member| member.health.failing()).fold(1.0, f64::min),
             homes: if side.is_empty() { ranked.clone() } else { side },
             ranked,
-            source: self.source(ask),
+            source: self.source(ask, around),
         }
     }
 
     /// The server that surely has read the most of the prompt's shared parts, as far as this box has heard.
-    fn source(&self, ask: &Ask<'_>) -> Option<Source<'_>> {
+    fn source<'a>(&'a self, ask: &Ask<'_>, around: &Around<'a>) -> Option<Source<'a>> {
         let shared = ask.prompt?.shared();
         let read = |m: &Member| m.kept.read_prefix(shared).max(ask.opinion(&m.server.id).map_or(0, |o| o.read));
-        let best = self.members.values().filter(|m| may_give(m, ask)).max_by_key(|m| (read(m), self.rank(m)))?;
+        let give = around.servers.iter().copied().filter(|member| may_give(member, ask));
+        let best = give.max_by_key(|m| (read(m), self.rank(m)))?;
         let all = ask.prompt?.shared_tokens();
         let tokens = read(best).min(all);
         if tokens < all {
@@ -244,7 +282,8 @@
     /// The servers whose owners keep the register of a part: the same for every box, however it divides the engines. Two,
     /// so that it is there when one of them has gone or a new server ranks first.
     fn registers(&self, part: u64, now: Millis) -> Vec<&Member> {
-        let mut open: Vec<&Member> = self.members.values().filter(|member| !member.standing(now).closed()).collect();
+        let mut open = self.around_part(part).servers;
+        open.retain(|member| !member.standing(now).closed());
         let rank = |member: &&Member| Reverse(routing::rank(part, &member.server.id));
         if open.len() > REGISTERS {
             open.select_nth_unstable_by_key(REGISTERS - 1, rank);
@@ -269,13 +308,27 @@
     pub(crate) fn hear(&mut self, id: &str, opinion: Opinion, now: Millis) {
         if let Some(member) = self.members.get_mut(id) {
             member.heard = Some((opinion, now));
+            self.heard.insert(id.to_owned());
+        }
+    }
+
+    /// The servers that are looked at for a request, and those of them that may have it: of all servers, where none of few may.
+    fn among(&self, ask: &Ask<'_>) -> (Around<'_>, Vec<&Member>) {
+        let around = self.around(ask);
+        let open = self.open(&around.servers, ask);
+        if !open.is_empty() || around.servers.len() == self.members.len() {
+            return (around, open);
         }
+        let all = Around::all(self.members.values());
+        let open = self.open(&all.servers, ask);
+        (all, open)
     }
 
-    fn among(&self, ask: &Ask<'_>) -> Vec<&Member> {
-        let mut sound = Vec::with_capacity(self.members.len());
+    /// Those of these servers that may have a request.
+    fn open<'a>(&self, around: &[&'a Member], ask: &Ask<'_>) -> Vec<&'a Member> {
+        let mut sound = Vec::with_capacity(around.len());
         let (mut doubted, mut paused) = (Vec::new(), Vec::new());
-        for member in self.members.values().filter(|member| self.may_have(member, ask)) {
+        for member in around.iter().copied().filter(|member| self.may_have(member, ask)) {
             match member.standing(ask.now) {
                 Standing::Open => sound.push(member),
                 _ if self.full(member, ask) => {}
@@ -316,11 +369,11 @@
         self.admission.note(ask.urgency, ask.now);
         self.place();
         self.divide(ask.now);
-        let among = self.among(ask);
+        let (around, among) = self.among(ask);
         if among.is_empty() {
             return Err(self.nobody(ask));
         }
-        let scale = self.scale(ask, hall, &among);
+        let scale = self.scale(ask, hall, &around, &among);
         let candidates = self.candidates(ask, &among, &scale);
         // What was sent before is not refused: it may have run.
         let admitted = |c: &&Candidate<'_>| !ask.tried.is_empty() || self.admission.admits(ask, c.expected.place_ms);
--- a/crates/placement/src/prompt.rs
+++ b/crates/placement/src/prompt.rs
@@ -33,6 +33,12 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// The last part that other requests may share; none where there is none.
+    #[must_use]
+    pub fn last_shared(&self) -> Option<u64> {
+        self.shared().last().map(|part| part.id)
+    }
+
     /// Tokens of the shared parts.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
--- /dev/null
+++ b/crates/placement/tests/large.rs
@@ -0,0 +1,119 @@
+//! Choices in a pool of thousands of servers, of which each request looks at few.
+
+mod common;
+
+use common::{route, server, service, MODEL};
+use placement::{Ask, Budget, Part, Placement, Prompt};
+use routing::{Homes, Regions, Server, Table};
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+const SERVERS: usize = 1_200;
+
+/// Parts whose homes are looked for.
+const PARTS: u64 = 600;
+
+/// The one hall that is in a region of its own, and how many servers it has.
+const FAR: &str = "far";
+const FAR_SERVERS: usize = 3;
+
+fn servers() -> Vec<Server> {
+    let hall = |index: usize| if index < FAR_SERVERS { FAR.to_owned() } else { format!("hall-{}", index % 5) };
+    (0..SERVERS).map(|index| server(index, &hall(index))).collect()
+}
+
+fn placement(servers: Vec<Server>) -> Placement {
+    let halls = (0..5).map(|hall| (format!("hall-{hall}"), "near".to_owned()));
+    let regions: Regions = halls.chain([(FAR.to_owned(), "far".to_owned())]).collect();
+    let mut placement = Placement::new("hall-0", Budget::new(0.2, 50.0, 10_000)).with_regions(regions);
+    let table = Table::new(1, vec![route(Some(Duration::from_millis(500)))], vec![service(64, 8, None)]);
+    common::update(&mut placement, &table, servers, &[], 0);
+    placement
+}
+
+/// The server that a request is sent to whose prompt shares a part, and the first that would be asked for it.
+fn choose(placement: &mut Placement, shared: u64, own: u64, homes: Option<&Homes>) -> (String, String) {
+    let parts = vec![Part { id: shared, tokens: 13_000 }, Part { id: own, tokens: 3_000 }];
+    let prompt = Prompt { model: "m".to_owned(), tokens: 16_000, out_most: 200, out_hint: None, parts };
+    let ask = Ask {
+        service: MODEL,
+        prompt: Some(&prompt),
+        aim: Duration::from_millis(1_500),
+        gap_aim: None,
+        urgency: 0,
+        bytes: 17_000,
+        tried: &[],
+        denied: &[],
+        homes: [homes, None],
+        opinions: &[],
+        now: 1_000,
+    };
+    let planned = placement.plan(&ask, 9);
+    let chosen = placement.choose(&ask).expect("a server");
+    (chosen.server.id.clone(), planned[0].id.clone())
+}
+
+/// Homes of some parts.
+fn homes(placement: &mut Placement) -> Vec<String> {
+    (0..PARTS).map(|part| choose(placement, part, 100_000 + part, None).1).collect()
+}
+
+/// Each request weighed all servers: 9 ms of a core where there are 6,000, which a small box has 75 ms for, and 26 ms where there are
+/// 12,000. Now it weighs as many as there are in a small pool, and boxes must agree on them without a word.
+#[test]
+fn boxes_agree_on_the_homes_of_parts_which_are_spread_evenly_and_move_rarely() {
+    let mut one = placement(servers());
+    let known = homes(&mut one);
+    assert_eq!(known, homes(&mut placement(servers().into_iter().rev().collect())));
+    let mut counts: HashMap<&str, usize> = HashMap::new();
+    known.iter().for_each(|home| *counts.entry(home).or_default() += 1);
+    // Nine tenths of as many as drawing evenly would name.
+    let even = SERVERS as f64 * (1.0 - (-(PARTS as f64) / SERVERS as f64).exp());
+    assert!(counts.len() as f64 > 0.9 * even, "{} homes", counts.len());
+    assert!(counts.values().all(|count| *count <= 7), "{counts:?}");
+    // Three in a hundred servers go.
+    let left: Vec<Server> = servers().into_iter().enumerate().filter(|(i, _)| i % 33 != 0).map(|(_, s)| s).collect();
+    let gone: HashSet<String> =
+        servers().into_iter().enumerate().filter(|(i, _)| i % 33 == 0).map(|(_, s)| s.id).collect();
+    let after = homes(&mut placement(left));
+    let moved = known.iter().zip(&after).filter(|(before, after)| before != after && !gone.contains(*before)).count();
+    assert!(moved as u64 <= PARTS / 20, "{moved} parts moved though their homes stay");
+}
+
+#[test]
+fn requests_that_all_share_one_part_find_servers_all_over_the_pool() {
+    let mut one = placement(servers());
+    let mut sent = HashSet::new();
+    for own in 0..300 {
+        let parts = vec![Part { id: 5, tokens: 100 }, Part { id: 1_000 + own, tokens: 300 }];
+        let prompt = Prompt { model: "m".to_owned(), tokens: 400, out_most: 200, out_hint: None, parts };
+        let ask = Ask {
+            service: MODEL,
+            prompt: Some(&prompt),
+            aim: Duration::from_millis(1_500),
+            gap_aim: None,
+            urgency: 0,
+            bytes: 1_000,
+            tried: &[],
+            denied: &[],
+            homes: [None, None],
+            opinions: &[],
+            now: 1_000,
+        };
+        sent.extend(one.plan(&ask, 9).iter().map(|server| server.id.clone()));
+    }
+    assert!(sent.len() > SERVERS / 3, "{} servers are looked at", sent.len());
+}
+
+#[test]
+fn the_few_servers_that_may_have_a_request_are_found_among_all() {
+    let mut one = placement(servers());
+    let homes = Homes::of(vec!["far".to_owned()]).expect("a region");
+    for part in 0..10 {
+        let (chosen, asked) = choose(&mut one, part, 1_000 + part, Some(&homes));
+        for id in [&chosen, &asked] {
+            let index: usize = id[1..].parse().expect("a number");
+            assert!(index < FAR_SERVERS, "{id}");
+        }
+    }
+}
