A box serves with some of the servers until the whole list is told to it

Cause, by reading and by the sizes: a box that starts reads the whole list of servers before it is ready, unless another tells it within 150 ms, and after a kill of all nobody knows anything. 6,000 entries are 30 pages of some 80 kB. For 585 boxes that is 1.4 GB through the store's link of 1 Gbit/s, 11 s, which only the first lists told by others cut short; the issue's trial had nobody served for 5 s.

Ruled out: telling lists faster. Whoever tells must have read the list first, and the store's link is full of all others' reads. Ways weighed: (1) parts by prefixes of servers' names, by each box its own: needs to know how names look, and gives a box the same part after each start; (2) one page from the beginning of the list: all boxes would use the same 200 servers; (3) a page from a key drawn at random, the names' characters taken from the first page: two calls. (3), and (2) where nothing can be drawn. Others' lists come as before, and the whole list is read where none has come after 3 s, give or take a third.

A sample has no position: it is never told to others, changes aren't put on it, and it counts as nothing when a list is asked for, so that all boxes ask the same and get the same bytes. Where the configuration names services of which no server was drawn, up to four samples are taken. A list of one page is no sample but the list, so that small deployments start as before.

--- a/crates/cleatshelf/src/router/follow.rs
+++ b/crates/cleatshelf/src/router/follow.rs
@@ -4,6 +4,7 @@
 use rand::Rng;
 use routing::{Change, Freshness, Position, Publisher, Subject, Trouble};
 use std::cell::Cell;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use telemetry::Event;
@@ -24,6 +25,13 @@
 /// ways between boxes. It is not ready before it knows a configuration.
 const LISTEN: Duration = Duration::from_millis(150);
 
+/// How long a box serves with a sample of the servers before it reads the whole list itself, unless others tell it. What a sample
+/// says of a server grows old.
+const SAMPLE_MOST: Duration = Duration::from_secs(3);
+
+/// Most samples that a box takes to have servers of each service.
+const SAMPLES_MOST: usize = 4;
+
 /// How often it looks whether they have.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
@@ -151,23 +159,56 @@
         }
     }
 
-    /// Waits until others have told what this box needs to begin with, and reads it once if they don't. It may be seconds
+    /// Waits until others have told what this box needs to begin with, and reads it if they don't. It may be seconds
     /// old: who watches tells this box of what is newer, and it goes on from there if it watches itself.
     async fn begin(&self) {
-        self.listen().await;
+        let began = Instant::now();
+        while began.elapsed() < LISTEN && !self.told() && !*self.watching.borrow() {
+            actix_rt::time::sleep(LOOK_EVERY).await;
+        }
+        if self.subject == Subject::Directory {
+            self.sample(began).await;
+        }
+        self.try_until_told(|| self.read(Freshness::Stale)).await;
         // As long as this box has not called the publisher itself, nothing speaks against it.
         self.troubles.of(self.subject).set(false);
     }
 
-    /// Returns once this box knows something of the subject.
-    async fn listen(&self) {
-        let began = Instant::now();
-        while began.elapsed() < LISTEN && !self.told() && !*self.watching.borrow() {
-            actix_rt::time::sleep(LOOK_EVERY).await;
+    /// Serves with some of the servers until others tell of all. Where thousands of servers serve hundreds of boxes that start
+    /// together, the whole list for each is more than the publisher's link carries in seconds.
+    ///
+    /// Returns once the whole list is known, or is to be read by this box.
+    async fn sample(&self, began: Instant) {
+        let most = jittered(SAMPLE_MOST);
+        let mut samples = 0;
+        while !self.told() {
+            if samples == 0 || (samples < SAMPLES_MOST && self.knowledge.lacks_servers()) {
+                self.try_until_told(|| self.read_sample()).await;
+                samples += 1;
+            } else if *self.watching.borrow() || began.elapsed() >= most {
+                return;
+            } else {
+                actix_rt::time::sleep(LOOK_EVERY).await;
+            }
         }
+    }
+
+    async fn read_sample(&self) -> Result<Position, Trouble> {
+        let sample = self.publisher.sample(Freshness::Stale, rand::rng().random()).await?;
+        let position = sample.position;
+        if position.is_known() {
+            self.knowledge.offer_directory(sample, Origin::Publisher, self.troubles.away_lately());
+        } else {
+            self.knowledge.offer_sample(sample);
+        }
+        Ok(position)
+    }
+
+    /// Reads until that succeeds or others have told.
+    async fn try_until_told<F: Future<Output = Result<Position, Trouble>>>(&self, read: impl Fn() -> F) {
         let mut pause = PAUSE_LEAST;
         while !self.told() {
-            match self.read(Freshness::Stale).await {
+            match read().await {
                 Ok(_) => {
                     self.calm();
                     return;
--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -5,7 +5,7 @@
 use relay::{Shared, View};
 use routing::{Change, Digests, Directory, Evacuations, Excerpt, Position, Publisher, Subject, Table};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -232,6 +232,36 @@
         self.tell(&mut state, news);
     }
 
+    /// Takes some of the servers, to serve with until the whole list is known.
+    pub(super) fn offer_sample(&self, sample: Directory) {
+        let mut state = self.state.borrow_mut();
+        if state.directory.position.is_known() {
+            return;
+        }
+        if state.directory.extend(sample) {
+            self.servers_changed(&state, Origin::Publisher);
+        }
+    }
+
+    /// True while the configuration in force has services of which this box knows no server, and others that it doesn't know may be
+    /// theirs.
+    pub(super) fn lacks_servers(&self) -> bool {
+        let state = self.state.borrow();
+        let Some((table, _)) = &state.table else { return false };
+        let served: HashSet<&str> = state.directory.servers.values().map(|server| server.service.as_str()).collect();
+        !state.directory.position.is_known() && table.services.keys().any(|name| !served.contains(name.as_str()))
+    }
+
+    /// What this box's list of servers says, in brief. A sample counts as nothing: all boxes that lack the list ask the same.
+    pub(super) fn digests(&self) -> Digests {
+        let state = self.state.borrow();
+        if state.directory.position.is_known() {
+            state.directory.digests()
+        } else {
+            Directory::default().digests()
+        }
+    }
+
     /// Lives that only an older copy of the list has may have ended: they wait until their entries have had the time to go.
     fn doubt(&self, copy: &Directory, state: &State) {
         let former = &state.directory;
@@ -265,7 +295,9 @@
     pub(super) fn offer_excerpt(&self, packed: &[u8]) {
         match decode::<Excerpt>(packed) {
             Ok(excerpt) => {
-                let list = self.state.borrow().directory.with(excerpt);
+                let known = self.directory();
+                let known = if known.position.is_known() { known } else { Directory::default() };
+                let list = known.with(excerpt);
                 // Made for what this box has no more: the next heartbeat leads to another question.
                 let Some(list) = list else { return };
                 self.offer_directory(list, Origin::Peer, false);
@@ -373,6 +405,11 @@
         self.state.borrow().table.as_ref().map(|(_, bytes)| Rc::clone(bytes))
     }
 
+    /// How many servers are known.
+    pub(super) fn servers(&self) -> usize {
+        self.state.borrow().directory.servers.len()
+    }
+
     /// The servers known.
     pub(super) fn directory(&self) -> Directory {
         self.state.borrow().directory.clone()
--- a/crates/cleatshelf/src/router/operators.rs
+++ b/crates/cleatshelf/src/router/operators.rs
@@ -73,6 +73,7 @@
     fn metrics(&self) -> String {
         let holding = self.knowledge.holding();
         metrics::gauge!("cleatshelf_configuration_version").set(holding.table as f64);
+        metrics::gauge!("cleatshelf_servers").set(self.knowledge.servers() as f64);
         metrics::gauge!("cleatshelf_servers_revision").set(holding.directory.revision as f64);
         metrics::gauge!("cleatshelf_store_era").set(holding.directory.era as f64);
         metrics::gauge!("cleatshelf_view_age_seconds").set(self.knowledge.age().as_secs_f64());
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -172,7 +172,7 @@
                     }
                 }
                 Action::AskDirectory(to) => {
-                    let digests = self.knowledge.directory().digests();
+                    let digests = self.knowledge.digests();
                     self.send(to, &Envelope::Peers(Message::Lacking(digests)));
                 }
                 Action::SendDirectory(to, digests) => {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -119,11 +119,11 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// True when callers may be sent here: before the first list of servers, also an empty one, they would be refused though servers are
-    /// there.
+    /// True when callers may be sent here: before the first list of servers, also an empty one, or a sample of it, they would be refused
+    /// though servers are there.
     #[must_use]
     pub fn ready(&self) -> bool {
         let view = self.view();
-        !self.stopping() && view.table.is_some() && view.directory.position.is_known()
+        !self.stopping() && view.table.is_some() && view.directory.is_usable()
     }
 }
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -35,7 +35,7 @@
 /// All servers, at one position of the publisher. A copy is cheap, and so is a change of a copy: copies share what is alike.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Directory {
-    /// Where the publisher said so; never falls within a life of the process.
+    /// Where the publisher said so; none while this is a sample, which lacks servers. Never falls within a life of the process.
     pub position: Position,
     /// Servers by name: one life of each.
     pub servers: OrdMap<String, Arc<Server>>,
@@ -92,6 +92,20 @@
             && Server { cold_ms: server.cold_ms, ..Server::clone(old) } == *server
     }
 
+    /// True while requests can be sent by it: the whole list is known, also an empty one, or some of its servers are.
+    #[must_use]
+    pub fn is_usable(&self) -> bool {
+        self.position.is_known() || !self.servers.is_empty()
+    }
+
+    /// Takes in what a sample says, as long as this is one as well. True when servers are different now.
+    pub fn extend(&mut self, sample: Self) -> bool {
+        debug_assert!(!self.position.is_known(), "a whole list isn't extended");
+        let servers = sample.servers.values().map(|server| Change::Present(Server::clone(server)));
+        let foreign = sample.foreign.into_iter().map(Change::Foreign);
+        self.apply(servers.chain(foreign).collect(), Position::NONE)
+    }
+
     /// Keeps what `former` has and this, read after the publisher was away, lacks.
     pub fn lapse_missing(&mut self, former: &Self) {
         for (name, server) in former.servers.iter() {
--- a/crates/routing/src/publisher.rs
+++ b/crates/routing/src/publisher.rs
@@ -85,6 +85,12 @@
     /// [`Trouble`] when nothing usable came.
     async fn directory(&self, freshness: Freshness) -> Result<Directory, Trouble>;
 
+    /// Some of the servers, by few calls: others for each `draw`, and at no position. Where there are few, all of them at theirs.
+    ///
+    /// # Errors
+    /// [`Trouble`] when nothing usable came.
+    async fn sample(&self, freshness: Freshness, draw: u64) -> Result<Directory, Trouble>;
+
     /// Waits up to `wait` for news of `subject` after `since`.
     ///
     /// # Errors
--- a/crates/routing/tests/directory.rs
+++ b/crates/routing/tests/directory.rs
@@ -293,3 +293,21 @@
         assert_eq!(list.digests(), anew.digests());
     }
 }
+
+#[test]
+fn a_sample_is_usable_and_is_replaced_by_the_whole_list() {
+    let mut sample = Directory::default();
+    assert!(!sample.is_usable());
+    let mut drawn = Directory::default();
+    drawn.apply(vec![server("a", false), server("gone", false)], Position::NONE);
+    assert!(sample.extend(drawn.clone()));
+    assert!(!sample.extend(drawn), "nothing new");
+    assert!(sample.is_usable() && !sample.position.is_known());
+    let mut whole = Directory::default();
+    whole.apply(vec![server("a", false), server("b", true)], at(9));
+    let excerpt = whole.excerpt(&Directory::default().digests()).expect("all of it");
+    assert_eq!(Directory::default().with(excerpt), Some(whole));
+    let mut empty = Directory::default();
+    empty.apply(Vec::new(), at(3));
+    assert!(empty.is_usable(), "known to have no server");
+}
