The second of a hall's two watchers calls the publisher more rarely

Cause: each watcher calls as if it were alone.

Ways weighed: (1) longer waits for all: an answer that is lost would go unnoticed by a hall for as long; (2) one watcher a hall: tried before, a hall of nine heard late (docs/design/platform.md); (3) longer waits and a longer pause after news for the one that goes second, while it hears the first: an answer must be lost to both to go unnoticed. The second goes on from what it was told meanwhile.

Connections that fall silent are noticed by keep-alive probes as before, whatever a watch waits.

Test: peers/tests/world.rs: who is first and second, and that the second becomes first within 1.5 s of the first standing still or being turned away.

--- a/crates/cleatshelf/src/router/follow.rs
+++ b/crates/cleatshelf/src/router/follow.rs
@@ -1,6 +1,7 @@
 //! Reads and watches what the platform publishes, while this box is one of those that do.
 
 use super::knowledge::{Knowledge, Origin};
+use peers::Watch;
 use rand::Rng;
 use routing::{Change, Freshness, Position, Publisher, Subject, Trouble};
 use std::cell::Cell;
@@ -14,6 +15,10 @@
 /// back; each watch is a call, and calls are paid for.
 const WAIT: Duration = Duration::from_secs(4);
 
+/// The same where another box of the hall watches as well, which goes before this one and is heard: an answer that is lost goes
+/// unnoticed for as long only where that one is lost too.
+const WAIT_SECOND: Duration = Duration::from_secs(12);
+
 /// The same while the publisher is in trouble, to notice soon that it is back, and of a box that begins to watch.
 const WAIT_IN_TROUBLE: Duration = Duration::from_millis(400);
 
@@ -50,13 +55,16 @@
 /// shortest bound for news, 2 s.
 const GATHER: Duration = Duration::from_millis(300);
 
+/// The same where another box of the hall watches as well: what that one tells meanwhile need not be asked for.
+const GATHER_SECOND: Duration = Duration::from_secs(1);
+
 /// Follows one subject for as long as the process runs.
 pub(super) struct Follower {
     pub(super) publisher: Rc<dyn Publisher>,
     pub(super) knowledge: Rc<Knowledge>,
     pub(super) subject: Subject,
-    /// True while this box is to watch.
-    pub(super) watching: watch::Receiver<bool>,
+    /// What this box watches as.
+    pub(super) watching: watch::Receiver<Watch>,
     /// Subjects whose last call failed; shared by the followers of one publisher.
     pub(super) troubles: Rc<Troubles>,
 }
@@ -125,7 +133,7 @@
         // A watch that hangs must not go unnoticed for long where others begin to rely on it.
         let mut wait = WAIT_IN_TROUBLE;
         loop {
-            if !*self.watching.borrow_and_update() {
+            if !self.watching.borrow_and_update().is_on() {
                 if self.watching.changed().await.is_err() {
                     return;
                 }
@@ -137,14 +145,15 @@
             let mut watching = self.watching.clone();
             let step = tokio::select! {
                 step = self.step(since, wait) => step,
-                _ = watching.wait_for(|watching| !*watching) => continue,
+                _ = watching.wait_for(|watch| !watch.is_on()) => continue,
             };
             match step {
                 Ok(position) => {
                     self.calm();
                     pause = PAUSE_LEAST;
-                    since = Some(position);
-                    wait = WAIT;
+                    // While this box gathered, another may have told it more.
+                    since = self.known().max(Some(position));
+                    wait = if *self.watching.borrow() == Watch::Second { WAIT_SECOND } else { WAIT };
                 }
                 Err(Trouble::Forgotten) => since = None,
                 Err(Trouble::Absent) => self.absent(ABSENT_WATCHING).await,
@@ -163,7 +172,7 @@
     /// old: who watches tells this box of what is newer, and it goes on from there if it watches itself.
     async fn begin(&self) {
         let began = Instant::now();
-        while began.elapsed() < LISTEN && !self.told() && !*self.watching.borrow() {
+        while began.elapsed() < LISTEN && !self.told() && !self.watches() {
             actix_rt::time::sleep(LOOK_EVERY).await;
         }
         if self.subject == Subject::Directory {
@@ -185,7 +194,7 @@
             if samples == 0 || (samples < SAMPLES_MOST && self.knowledge.lacks_servers()) {
                 self.try_until_told(|| self.read_sample()).await;
                 samples += 1;
-            } else if *self.watching.borrow() || began.elapsed() >= most {
+            } else if self.watches() || began.elapsed() >= most {
                 return;
             } else {
                 actix_rt::time::sleep(LOOK_EVERY).await;
@@ -214,8 +223,7 @@
                     return;
                 }
                 Err(Trouble::Absent) => {
-                    let watching = *self.watching.borrow();
-                    self.absent(if watching { ABSENT_WATCHING } else { ABSENT }).await;
+                    self.absent(if self.watches() { ABSENT_WATCHING } else { ABSENT }).await;
                 }
                 Err(why) => {
                     self.troubled(&why);
@@ -226,6 +234,10 @@
         }
     }
 
+    fn watches(&self) -> bool {
+        self.watching.borrow().is_on()
+    }
+
     /// True once this box knows something of the subject, wherever from.
     fn told(&self) -> bool {
         let holding = self.knowledge.holding();
@@ -299,7 +311,8 @@
             let changes = update.changes.into_iter().map(|change| if away { lapsed(change) } else { change }).collect();
             self.knowledge.offer_changes(changes, update.position, Origin::Publisher);
             self.calm();
-            actix_rt::time::sleep(GATHER).await;
+            let second = *self.watching.borrow() == Watch::Second;
+            actix_rt::time::sleep(if second { GATHER_SECOND } else { GATHER }).await;
         }
         Ok(update.position)
     }
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -4,7 +4,7 @@
 use super::follow::Troubles;
 use super::knowledge::{Knowledge, News, Origin};
 use super::packing::encode;
-use peers::{Action, Message, Peers};
+use peers::{Action, Message, Peers, Watch};
 use placement::Sign;
 use relay::Shared;
 use serde::{Deserialize, Serialize};
@@ -37,7 +37,7 @@
     key: Key,
     peers: RefCell<Peers>,
     links: RefCell<HashMap<SocketAddr, Link<Envelope>>>,
-    watching: watch::Sender<bool>,
+    watching: watch::Sender<Watch>,
     advice: Arc<Advice>,
     /// Which boxes, and whether they were settled, placement and advice were told of last.
     taken: Cell<Option<(u64, bool)>>,
@@ -52,8 +52,8 @@
     /// Where this box listens for others; its name among them.
     pub(super) me: SocketAddr,
     pub(super) key: Key,
-    /// Tells the followers whether this box is to watch.
-    pub(super) watching: watch::Sender<bool>,
+    /// Tells the followers what this box is to watch as.
+    pub(super) watching: watch::Sender<Watch>,
     pub(super) advice: Arc<Advice>,
 }
 
@@ -184,7 +184,6 @@
                 Action::ShareNotices(to) => self.send_notices(to, true),
                 Action::Watch(watching) => {
                     telemetry::emit(Event::WatchRole, format_args!("watching={watching}"));
-                    self.watching.send_replace(watching);
                 }
                 Action::Table(packed) => self.knowledge.offer_packed(&packed),
                 Action::TableUntil(position) => self.knowledge.table_stands(position),
@@ -194,6 +193,8 @@
             }
         }
         self.peers.borrow_mut().hold(self.knowledge.holding());
+        let watch = self.peers.borrow().watch(self.shared.now());
+        self.watching.send_if_modified(|known| std::mem::replace(known, watch) != watch);
         self.take_boxes();
     }
 
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -12,12 +12,14 @@
 mod peers;
 mod roster;
 mod silence;
+mod watch;
 
 pub use action::Action;
 pub use message::{Heartbeat, Message, Profile, Subject};
 pub use peers::{Holding, Peers};
 pub use roster::Roster;
 pub use silence::Silence;
+pub use watch::Watch;
 
 /// Milliseconds of a clock that never goes back.
 pub type Millis = u64;
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -1,7 +1,7 @@
 //! The state machine.
 
 use crate::member::Member;
-use crate::{Action, Heartbeat, Message, Millis, Profile, Roster, Subject};
+use crate::{Action, Heartbeat, Message, Millis, Profile, Roster, Subject, Watch};
 use routing::{rank_address, Evacuations, Position};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -182,6 +182,18 @@
         self.watching
     }
 
+    /// What this box watches the publisher as.
+    #[must_use]
+    pub fn watch(&self, now: Millis) -> Watch {
+        let mine = self.members.iter().filter(|(_, m)| m.profile.hall == self.profile.hall);
+        let mut before = mine.filter(|(address, m)| self.goes_before(address, m) && self.heard_watching(m, now));
+        match (self.watching, before.next()) {
+            (false, _) => Watch::Off,
+            (true, None) => Watch::First,
+            (true, Some(_)) => Watch::Second,
+        }
+    }
+
     /// Notes how new this box's knowledge is.
     pub fn hold(&mut self, holding: Holding) {
         if self.holding.evacuations.evacuated() != holding.evacuations.evacuated() {
--- a/crates/peers/tests/world.rs
+++ b/crates/peers/tests/world.rs
@@ -1,6 +1,6 @@
 //! Boxes in three halls under a randomised network: few watch, and all hear of news in time.
 
-use peers::{Action, Holding, Message, Peers, Profile};
+use peers::{Action, Holding, Message, Peers, Profile, Watch};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use routing::{Directory, Evacuations, Position};
@@ -415,6 +415,27 @@
     assert!(took_over.len() <= 12, "{} boxes took over from {}", took_over.len(), watchers.len());
 }
 
+/// Each watcher of a hall called the publisher as often as if it were alone: two thirds of what a small hall spent while nothing
+/// happened. The second one may wait longer, as long as it notices when the first is gone.
+#[test]
+fn a_hall_relies_on_one_watcher_first_and_on_the_other_once_that_one_is_not_heard() {
+    let mut world = World::new(6, 3, 6);
+    world.run(10_000);
+    let as_what = |world: &World, watch: Watch| -> Vec<SocketAddr> {
+        world.boxes.iter().filter(|(_, b)| !b.frozen && b.peers.watch(world.now) == watch).map(|(a, _)| *a).collect()
+    };
+    let (first, second) = (as_what(&world, Watch::First), as_what(&world, Watch::Second));
+    assert_eq!((first.len(), second.len()), (3, 3));
+    assert!(first.iter().zip(&second).all(|(first, second)| hall_of(first) == hall_of(second)));
+    // One stands still, the publisher turns another away.
+    world.boxes.get_mut(&first[0]).expect("a box").frozen = true;
+    world.boxes.get_mut(&first[1]).expect("a box").reached = false;
+    world.run(1_500);
+    let now_first = as_what(&world, Watch::First);
+    assert!(now_first.contains(&second[0]) && now_first.contains(&second[1]), "{now_first:?}");
+    assert!(!now_first.contains(&second[2]));
+}
+
 #[test]
 fn a_leaving_watcher_is_replaced_at_once() {
     let mut world = World::new(3, 3, 6);
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -56,7 +56,7 @@
                 Change::Present(server) => self.put(server),
                 Change::Gone(name) => self.remove(&name),
                 Change::Foreign(name) => self.reject(name),
-                Change::Lapsed(name) => self.lapse(name),
+                Change::Lapsed(name) => self.lapse(&name),
             };
         }
         self.position = self.position.max(position);
@@ -108,7 +108,7 @@
 
     /// Keeps what `former` has and this, read after the publisher was away, lacks.
     pub fn lapse_missing(&mut self, former: &Self) {
-        for (name, server) in former.servers.iter() {
+        for (name, server) in &former.servers {
             let listed = self.servers.contains_key(name) || self.foreign.contains(name);
             if !server.draining && !listed {
                 self.list(Arc::clone(server));
@@ -167,13 +167,13 @@
         changed
     }
 
-    fn lapse(&mut self, name: String) -> bool {
-        match self.servers.get(&name) {
+    fn lapse(&mut self, name: &str) -> bool {
+        match self.servers.get(name) {
             Some(server) if !server.draining => {
-                self.note_lapsed(&name);
+                self.note_lapsed(name);
                 false
             }
-            _ => self.remove(&name),
+            _ => self.remove(name),
         }
     }
 
