Frames between boxes are counted by kind; what is known of unlisted servers is forgotten every 5 s

Forgetting looked at all servers with each batch of news, three times a second while servers are replaced: a set of 6,000 lives each time. Lives are never used again, so that nothing hangs on when they are forgotten.

--- a/crates/cleatshelf/src/router/advice.rs
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -4,9 +4,9 @@
 use peers::{Millis, Profile, Silence};
 use placement::{Fingerprint, Leave, News, Opinion, Owner, Permit, Question, Record, Report, Sign, Statement};
 use relay::Advisor;
-use routing::{rank, rank_address, Directory, Server};
+use routing::{rank, rank_address, Server};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{mpsc, oneshot};
@@ -75,6 +75,21 @@
     },
 }
 
+impl Message {
+    /// What kind of message it is, for metrics.
+    pub(super) fn kind(&self) -> &'static str {
+        match self {
+            Self::Question(_) => "question",
+            Self::Opinion(_) => "opinion",
+            Self::Report(_) => "report",
+            Self::Permit { .. } => "permit",
+            Self::Permitted { .. } => "permitted",
+            Self::Suspects { .. } => "suspects",
+            Self::Notices { .. } => "notices",
+        }
+    }
+}
+
 /// Questions to owners, answers, and what this box itself owns. Shared by all threads.
 pub(super) struct Advice {
     me: SocketAddr,
@@ -127,8 +142,7 @@
     }
 
     /// Forgets servers that are no longer listed.
-    pub(super) fn retain(&self, directory: &Directory) {
-        let lives = directory.lives();
+    pub(super) fn retain(&self, lives: &HashSet<&str>) {
         self.state().owner.retain(|id| lives.contains(id));
     }
 
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -4,7 +4,7 @@
 use super::follow::Troubles;
 use super::knowledge::{Knowledge, News, Origin};
 use super::packing::encode;
-use peers::{Action, Message, Peers, Watch};
+use peers::{Action, Message, Millis, Peers, Watch};
 use placement::Sign;
 use relay::Shared;
 use serde::{Deserialize, Serialize};
@@ -21,6 +21,9 @@
 /// Pause between two looks at what is due.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Pause between two looks at which servers are no longer listed: each looks at all of them.
+const FORGET_EVERY: Millis = 5_000;
+
 /// What boxes send each other.
 #[derive(Serialize, Deserialize)]
 enum Envelope {
@@ -28,6 +31,32 @@
     Advice(advice::Message),
 }
 
+impl Envelope {
+    /// What kind of message it is, for metrics.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Peers(message) => match message {
+                Message::Hello { .. } => "hello",
+                Message::Welcome { .. } => "welcome",
+                Message::Heartbeat(_) => "heartbeat",
+                Message::Want(_) => "want",
+                Message::Members(_) => "members",
+                Message::Table(_) => "table",
+                Message::Lacking(_) => "lacking",
+                Message::Excerpt(_) => "excerpt",
+                Message::Changes { .. } => "changes",
+                Message::Leave => "leave",
+            },
+            Self::Advice(message) => message.kind(),
+        }
+    }
+}
+
+/// Counts a message between boxes, `way` being "sent" or "received".
+fn count(envelope: &Envelope, way: &'static str) {
+    metrics::counter!("cleatshelf_frames_total", "kind" => envelope.kind(), "way" => way).increment(1);
+}
+
 /// The other boxes, as this one deals with them. Lives on the control thread.
 pub(super) struct Peering {
     shared: Arc<Shared>,
@@ -41,6 +70,8 @@
     advice: Arc<Advice>,
     /// Which boxes, and whether they were settled, placement and advice were told of last.
     taken: Cell<Option<(u64, bool)>>,
+    /// When it was last looked at which servers are no longer listed.
+    forgot: Cell<Millis>,
 }
 
 /// What a peering is made of.
@@ -70,6 +101,7 @@
             watching: parts.watching,
             advice: parts.advice,
             taken: Cell::default(),
+            forgot: Cell::default(),
         })
     }
 
@@ -81,6 +113,7 @@
                 telemetry::emit(Event::FrameRefused, format_args!("from={from} why=name"));
                 return;
             };
+            count(&envelope, "received");
             match envelope {
                 Envelope::Peers(message) => {
                     if matches!(message, Message::Heartbeat(_)) {
@@ -130,12 +163,7 @@
     fn tick(&self) {
         self.knowledge.expire();
         let news = self.knowledge.take_news();
-        if !news.is_empty() {
-            let directory = self.knowledge.directory();
-            self.advice.retain(&directory);
-            let lives = directory.lives();
-            self.shared.quarantine().retain_servers(|id| lives.contains(id));
-        }
+        self.forget_unlisted();
         let actions = {
             let mut peers = self.peers.borrow_mut();
             peers.hold(self.knowledge.holding());
@@ -147,6 +175,19 @@
         self.carry_out(actions);
     }
 
+    /// Forgets what is known of servers that are no longer listed, now and then.
+    fn forget_unlisted(&self) {
+        let now = self.shared.now();
+        if now < self.forgot.get() + FORGET_EVERY || !self.knowledge.holding().directory.is_known() {
+            return;
+        }
+        self.forgot.set(now);
+        let directory = self.knowledge.directory();
+        let lives = directory.lives();
+        self.advice.retain(&lives);
+        self.shared.quarantine().retain_servers(|id| lives.contains(id));
+    }
+
     /// Tells the hall of news at once.
     pub(super) fn news(&self) {
         self.tick();
@@ -225,6 +266,7 @@
     }
 
     fn send(&self, to: SocketAddr, envelope: &Envelope) {
+        count(envelope, "sent");
         let mut links = self.links.borrow_mut();
         let link = links
             .entry(to)
