Words of servers for all boxes go by way of the watchers in a large fleet

Besides, each box looked through all servers for each such life.

Change: from 40 boxes on a box tells its hall's watchers; a watcher that hears something new tells its hall and, unless it heard it from another hall, the watchers elsewhere. Without watchers it tells all as before; what is missed is asked for by the digests in heartbeats. Lives are looked up by id.

Ways weighed: all by each (before; 584 frames of one box), a rumour to some boxes at random (log n rounds, some frames twice and a part missed until the next heartbeat), this (two or three hops, two frames a box).

Test: peers/tests/world.rs, 100 boxes in 5 halls: a box that hears a word sends 2 frames (99 before), the busiest 30, all of them 230 at most; every box is told; 18 boxes tell as before.

--- a/crates/cleatshelf/src/router/advice.rs
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -97,7 +97,18 @@
     /// When this was made, by that clock.
     began: Millis,
     state: Mutex<State>,
-    out: mpsc::Sender<(SocketAddr, Message)>,
+    out: mpsc::Sender<(To, Message)>,
+}
+
+/// Where a message goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum To {
+    /// To one box.
+    One(SocketAddr),
+    /// To all boxes, each of them by itself.
+    Each,
+    /// To all boxes, by way of those that watch.
+    All,
 }
 
 #[derive(Default)]
@@ -119,7 +130,7 @@
 
 impl Advice {
     /// Advice for the box `me`, and what it wants to send.
-    pub(super) fn new(me: SocketAddr, clock: Arc<dyn Clock>) -> (Arc<Self>, mpsc::Receiver<(SocketAddr, Message)>) {
+    pub(super) fn new(me: SocketAddr, clock: Arc<dyn Clock>) -> (Arc<Self>, mpsc::Receiver<(To, Message)>) {
         let (out, sent) = mpsc::channel(QUEUE_MOST);
         let began = clock.now();
         let advice = Self { me, clock, began, state: Mutex::default(), out };
@@ -185,18 +196,7 @@
         }
     }
 
-    /// Sends a message to all other boxes that are known.
-    fn send_all(&self, message: &Message) {
-        let others: Vec<SocketAddr> = {
-            let state = self.state();
-            state.boxes.iter().map(|(address, _)| *address).filter(|address| *address != self.me).collect()
-        };
-        for other in others {
-            self.send(other, message.clone());
-        }
-    }
-
-    fn send(&self, to: SocketAddr, message: Message) {
+    fn send(&self, to: To, message: Message) {
         if self.out.try_send((to, message)).is_err() {
             metrics::counter!("cleatshelf_frames_dropped_total").increment(1);
         }
@@ -244,7 +244,7 @@
         }
         state.opinions.add(question.number, answer);
         drop(state);
-        advice.send(owner, Message::Question(question));
+        advice.send(To::One(owner), Message::Question(question));
         Some(waiting)
     }
 
@@ -264,7 +264,7 @@
         }
         state.leaves.add(permit.number, answer);
         drop(state);
-        advice.send(owner, Message::Permit { permit, hall: server.hall.clone() });
+        advice.send(To::One(owner), Message::Permit { permit, hall: server.hall.clone() });
         Some(waiting)
     }
 
@@ -290,7 +290,7 @@
             return;
         }
         drop(state);
-        advice.send(owner, Message::Report(report));
+        advice.send(To::One(owner), Message::Report(report));
     }
 
     fn silent(&self, server: &Server) {
@@ -301,15 +301,15 @@
     }
 
     fn suspect(&self, records: Vec<Record>, signs: Vec<Sign>) {
-        self.0.send_all(&Message::Suspects { records, signs, asks: false });
+        self.0.send(To::Each, Message::Suspects { records, signs, asks: false });
     }
 
     fn leaves(&self, life: &str) {
-        self.0.send_all(&Message::Notices { leaving: vec![life.to_owned()], limits: Vec::new(), asks: false });
+        self.0.send(To::All, Message::Notices { leaving: vec![life.to_owned()], limits: Vec::new(), asks: false });
     }
 
     fn limits(&self, statement: &Statement) {
-        self.0.send_all(&Message::Notices { leaving: Vec::new(), limits: vec![statement.clone()], asks: false });
+        self.0.send(To::All, Message::Notices { leaving: Vec::new(), limits: vec![statement.clone()], asks: false });
     }
 
     fn ranks_first(&self, request: Fingerprint) -> bool {
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -1,11 +1,11 @@
 //! Carries out what `peers` asks for: links to other boxes, and what they send.
 
-use super::advice::{self, Advice};
+use super::advice::{self, Advice, To};
 use super::follow::Troubles;
 use super::knowledge::{Knowledge, News, Origin};
 use super::packing::encode;
 use peers::{Action, Message, Millis, Peers, Watch};
-use placement::Sign;
+use placement::{Sign, Statement};
 use relay::Shared;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -129,8 +129,7 @@
                     }
                 }
                 Envelope::Advice(advice::Message::Notices { leaving, limits, asks }) => {
-                    this.shared.hear_leaving(&leaving);
-                    this.shared.hear_limits(&limits);
+                    this.hear_notices(from, &leaving, limits);
                     if asks {
                         this.send_notices(from, false);
                     }
@@ -146,12 +145,32 @@
     }
 
     /// Sends what the traffic threads want owners to know.
-    pub(super) async fn carry_advice(self: Rc<Self>, mut sent: mpsc::Receiver<(SocketAddr, advice::Message)>) {
+    pub(super) async fn carry_advice(self: Rc<Self>, mut sent: mpsc::Receiver<(To, advice::Message)>) {
         while let Some((to, message)) = sent.recv().await {
-            self.send(to, &Envelope::Advice(message));
+            let boxes = match to {
+                To::One(to) => vec![to],
+                To::Each => self.peers.borrow().others().collect(),
+                To::All => self.peers.borrow().tell(None, self.shared.now()),
+            };
+            self.send_to(&boxes, &Envelope::Advice(message));
         }
     }
 
+    /// Takes what another box heard of servers, and passes on what is new here.
+    fn hear_notices(&self, from: SocketAddr, leaving: &[String], limits: Vec<Statement>) {
+        let leaving = self.shared.hear_leaving(leaving);
+        let limits = self.shared.hear_limits(limits);
+        if leaving.is_empty() && limits.is_empty() {
+            return;
+        }
+        let boxes = self.peers.borrow().tell(Some(from), self.shared.now());
+        self.send_to(&boxes, &Envelope::Advice(advice::Message::Notices { leaving, limits, asks: false }));
+    }
+
+    fn send_to(&self, boxes: &[SocketAddr], envelope: &Envelope) {
+        boxes.iter().for_each(|to| self.send(*to, envelope));
+    }
+
     /// Does what is due, again and again.
     pub(super) async fn run(self: Rc<Self>) {
         loop {
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -1,6 +1,6 @@
 //! Runs a router box: threads, listeners, signals, the planned stop.
 
-use super::advice::{Advice, Desk, Message};
+use super::advice::{Advice, Desk, Message, To};
 use super::follow::{Follower, Troubles};
 use super::knowledge::Knowledge;
 use super::operators::Operators;
@@ -122,7 +122,7 @@
     settings: &Settings,
     shared: &Arc<Shared>,
     advice: Arc<Advice>,
-    sent: mpsc::Receiver<(SocketAddr, Message)>,
+    sent: mpsc::Receiver<(To, Message)>,
 ) -> eyre::Result<(Rc<Peering>, Rc<Knowledge>)> {
     let publisher: Rc<dyn Publisher> = Rc::new(platform::Store::new(settings.publisher));
     let knowledge = Rc::new(Knowledge::new(Arc::clone(shared), Rc::clone(&publisher)));
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -11,6 +11,9 @@
 /// bound for news, 2 s.
 const BEAT_EVERY: Millis = 400;
 
+/// Boxes up to which each tells all others by itself what they must know at once: as many as a small hall has.
+const TELL_ALL_MOST: usize = 40;
+
 /// A second.
 const SECOND: Millis = 1_000;
 
@@ -164,6 +167,11 @@
         others.chain([(self.me, self.profile.clone())]).collect()
     }
 
+    /// The other boxes known.
+    pub fn others(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.members.keys().copied()
+    }
+
     /// True once this box knows the others: one of them knew the same, or there is none that it could ask.
     #[must_use]
     pub fn settled(&self) -> bool {
@@ -282,6 +290,31 @@
         self.hall_members().map(|to| Action::Send(to, message.clone())).collect()
     }
 
+    /// Where a word goes that is for all boxes and new to this one: heard `from` another box, or first said here. Few boxes tell all others
+    /// themselves. In a larger fleet the watchers of the hall tell it, and those of other halls, which tell theirs: what a box sends
+    /// doesn't grow with the fleet. Whoever is missed asks, since heartbeats tell that something is known elsewhere.
+    #[must_use]
+    pub fn tell(&self, from: Option<SocketAddr>, now: Millis) -> Vec<SocketAddr> {
+        let others = || self.members.iter().filter(|(address, _)| Some(**address) != from);
+        let all = || others().map(|(address, _)| *address).collect();
+        if self.members.len() < TELL_ALL_MOST {
+            return if from.is_none() { all() } else { Vec::new() };
+        }
+        let in_hall = |member: &Member| member.profile.hall == self.profile.hall;
+        if !self.watching {
+            if from.is_some() {
+                return Vec::new();
+            }
+            let watchers = others().filter(|(_, member)| in_hall(member) && self.lately(member.tried, now));
+            let watchers: Vec<SocketAddr> = watchers.map(|(address, _)| *address).collect();
+            return if watchers.is_empty() { all() } else { watchers };
+        }
+        let elsewhere = from.and_then(|from| self.members.get(&from)).is_none_or(in_hall);
+        let told =
+            |(_, member): &(&SocketAddr, &Member)| in_hall(member) || (elsewhere && self.lately(member.tried, now));
+        others().filter(told).map(|(address, _)| *address).collect()
+    }
+
     /// This box stops by plan: others no longer rely on it.
     #[must_use]
     pub fn leave(&self) -> Vec<Action> {
--- a/crates/peers/tests/world.rs
+++ b/crates/peers/tests/world.rs
@@ -415,6 +415,46 @@
     assert!(took_over.len() <= 12, "{} boxes took over from {}", took_over.len(), watchers.len());
 }
 
+/// What a server says that all boxes must know was told to all of them by each box that heard it from the server: 584 links and frames of
+/// a small box for each of some hundred servers that leave together. Returns what a box sent at most, and all of them.
+fn tell_all(world: &World, knows: SocketAddr) -> (usize, usize) {
+    let mut told = HashSet::from([knows]);
+    let mut sent = BTreeMap::new();
+    let mut queue = vec![(None, knows)];
+    while let Some((from, me)) = queue.pop() {
+        let to = world.boxes[&me].peers.tell(from, world.now);
+        *sent.entry(me).or_insert(0) += to.len();
+        let news = to.into_iter().filter(|to| !world.cut.contains(&hall_of(to)) || hall_of(to) == hall_of(&me));
+        queue.extend(news.filter(|to| told.insert(*to)).map(|to| (Some(me), to)).collect::<Vec<_>>());
+    }
+    let reachable = |address: &&SocketAddr| !world.cut.contains(&hall_of(address));
+    let missed: Vec<&SocketAddr> = world.boxes.keys().filter(reachable).filter(|box_| !told.contains(box_)).collect();
+    assert!(missed.is_empty(), "{missed:?} are not told");
+    (sent.values().copied().max().unwrap_or(0), sent.values().sum())
+}
+
+#[test]
+fn what_all_boxes_must_know_at_once_is_told_by_few_of_a_large_fleet() {
+    let mut world = World::new(9, 5, 20);
+    world.run(10_000);
+    let watches = |world: &World, address: &SocketAddr| world.boxes[address].watching;
+    let addresses: Vec<SocketAddr> = world.boxes.keys().copied().collect();
+    for knows in &addresses {
+        let (most, all) = tell_all(&world, *knows);
+        // A watcher tells its hall and the watchers elsewhere; each box of a hall hears both of its watchers.
+        assert!(most <= 20 + 10 && all <= 2 * 100 + 2 * 10 + 10, "{most} by one box, {all} by all");
+        let own = world.boxes[knows].peers.tell(None, world.now).len();
+        assert!(watches(&world, knows) || own == 2, "{own} by the one that heard it");
+    }
+    world.cut.insert("hall-3".to_owned());
+    world.run(2_000);
+    tell_all(&world, addresses[0]);
+    // A small fleet goes no way round.
+    let mut small = World::new(9, 3, 6);
+    small.run(10_000);
+    assert_eq!(tell_all(&small, address(1, 2)), (17, 17));
+}
+
 /// Each watcher of a hall called the publisher as often as if it were alone: two thirds of what a small hall spent while nothing
 /// happened. The second one may wait longer, as long as it notices when the first is gone.
 #[test]
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -161,6 +161,12 @@
         self.pools.values_mut().for_each(|pool| pool.take_notices(life, &self.notices));
     }
 
+    /// The listed entry of a life, if there is one.
+    #[must_use]
+    pub fn listed(&self, life: &str) -> Option<&Arc<Server>> {
+        self.pools.values().find_map(|pool| pool.server(life))
+    }
+
     /// This life said that it leaves: it gets nothing any more. `listed` is what its entry says of that, if there is one. True
     /// when it wasn't known.
     pub fn leaves(&mut self, life: &str, listed: Option<bool>, now: Millis) -> bool {
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// The entry of a life.
+    pub(crate) fn server(&self, life: &str) -> Option<&Arc<Server>> {
+        self.members.get(life).map(|member| &member.server)
+    }
+
     /// The records of all servers.
     pub(crate) fn members_mut(&mut self) -> impl Iterator<Item = &mut Member> {
         self.members.values_mut()
--- a/crates/relay/src/noticed.rs
+++ b/crates/relay/src/noticed.rs
@@ -36,20 +36,23 @@
         }
     }
 
-    /// Takes what another box heard of lives that leave.
-    pub fn hear_leaving(&self, lives: &[String]) {
-        for life in lives {
-            self.leaves(life, format_args!("from=Peer"));
-        }
+    /// Takes what another box heard of lives that leave. Those that this one didn't know of.
+    #[must_use]
+    pub fn hear_leaving(&self, lives: &[String]) -> Vec<String> {
+        lives.iter().filter(|life| self.leaves(life, format_args!("from=Peer"))).cloned().collect()
     }
 
-    /// Takes what another box knows of servers' limits.
-    pub fn hear_limits(&self, statements: &[Statement]) {
-        for statement in statements {
-            if self.placement().hear_limit(statement, self.now()) {
+    /// Takes what another box knows of servers' limits. What this one didn't know.
+    #[must_use]
+    pub fn hear_limits(&self, statements: Vec<Statement>) -> Vec<Statement> {
+        let news = |statement: &Statement| {
+            let news = self.placement().hear_limit(statement, self.now());
+            if news {
                 log_limit(format_args!("from=Peer"), &statement.life, statement.limit);
             }
-        }
+            news
+        };
+        statements.into_iter().filter(news).collect()
     }
 
     /// A limit is over all boxes, so that all are told and each request needs leave from one of them: kept by each box alone it would
@@ -64,9 +67,11 @@
 
     /// A life leaves. True when this box didn't know.
     fn leaves(&self, life: &str, source: std::fmt::Arguments<'_>) -> bool {
-        let view = self.view();
-        let listed = view.directory.servers.values().find(|server| server.id == life).map(|server| server.draining);
-        let news = self.placement().leaves(life, listed, self.now());
+        let (news, listed) = {
+            let mut placement = self.placement();
+            let listed = placement.listed(life).map(|server| server.draining);
+            (placement.leaves(life, listed, self.now()), listed)
+        };
         if news {
             let entry = listed.map_or("gone", |draining| if draining { "leaving" } else { "ready" });
             telemetry::emit(Event::ServerLeaves, format_args!("{source} server={life} entry={entry}"));
