A box that stops tells those that may rely on it, and not all boxes

A planned stop opened links to all 584 others to say so, by a box of 0.12 cores that has requests to end. Only watchers' words and heartbeats are relied upon: a watcher tells its hall and the other watchers, another box the watchers of its hall, which send it heartbeats. Test: a_leaving_watcher_is_replaced_at_once (peers/tests/world.rs) holds as before.

--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -316,10 +316,18 @@
         others().filter(told).map(|(address, _)| *address).collect()
     }
 
-    /// This box stops by plan: others no longer rely on it.
+    /// This box stops by plan: those are told that may rely on it, or send to it of their own accord.
     #[must_use]
     pub fn leave(&self) -> Vec<Action> {
-        self.members.keys().map(|to| Action::Send(*to, Message::Leave)).collect()
+        let watches = |member: &Member| member.tried.is_some();
+        let told = |(_, member): &(&SocketAddr, &Member)| {
+            if self.watching {
+                member.mate || watches(member)
+            } else {
+                member.mate && watches(member)
+            }
+        };
+        self.members.iter().filter(told).map(|(to, _)| Action::Send(*to, Message::Leave)).collect()
     }
 
     /// The hall's other boxes, while this one watches; nobody otherwise.
