An owner is sought among the boxes of its server's hall, and not of the fleet

Each request asks nine owners and reports to one several times; each time all boxes were ranked. 585 boxes are 117 of a hall. The line of news of servers no longer counts those that leave, which looked at each server with each batch; /status tells of each.

--- a/crates/cleatshelf/src/router/advice.rs
+++ b/crates/cleatshelf/src/router/advice.rs
@@ -114,8 +114,8 @@
 #[derive(Default)]
 struct State {
     owner: Owner,
-    /// Boxes, this one included.
-    boxes: Vec<(SocketAddr, Profile)>,
+    /// Boxes by hall, this one included. No hall is without a box.
+    halls: HashMap<String, Vec<SocketAddr>>,
     /// True once another box knew the same ones: before, this box may take itself for the owner of what others own.
     settled: bool,
     /// Which boxes aren't asked.
@@ -148,8 +148,11 @@
     /// Takes the boxes that are known.
     pub(super) fn set_boxes(&self, boxes: Vec<(SocketAddr, Profile)>, settled: bool) {
         let mut state = self.state();
-        state.boxes = boxes;
         state.settled = settled;
+        state.halls.clear();
+        for (address, profile) in boxes {
+            state.halls.entry(profile.hall).or_default().push(address);
+        }
     }
 
     /// Forgets servers that are no longer listed.
@@ -219,13 +222,21 @@
     /// The box that ranks first for a server among those that may: one of its hall, else any.
     fn first(&self, server: &str, hall: &str, may: impl Fn(&SocketAddr) -> bool) -> Option<SocketAddr> {
         let key = rank(0, server);
-        let boxes = self.boxes.iter().filter(|(address, _)| may(address));
-        // One of the hall goes before all others.
-        let best = boxes.max_by_key(|(address, profile)| (profile.hall == hall, rank_address(key, address)));
-        best.map(|(address, _)| *address)
+        let near = first_of(self.halls.get(hall).into_iter().flatten().filter(|address| may(address)), key);
+        near.or_else(|| first_of(self.boxes().filter(|address| may(address)), key))
+    }
+
+    /// All boxes, this one included.
+    fn boxes(&self) -> impl Iterator<Item = &SocketAddr> {
+        self.halls.values().flatten()
     }
 }
 
+/// The box that ranks first for `key`.
+fn first_of<'a>(boxes: impl Iterator<Item = &'a SocketAddr>, key: u64) -> Option<SocketAddr> {
+    boxes.max_by_key(|address| rank_address(key, address)).copied()
+}
+
 /// The advisor of the traffic threads.
 pub(super) struct Desk(pub(super) Arc<Advice>);
 
@@ -314,8 +325,6 @@
 
     fn ranks_first(&self, request: Fingerprint) -> bool {
         let state = self.0.state();
-        let first =
-            state.boxes.iter().map(|(address, _)| address).max_by_key(|address| rank_address(request.0, address));
-        state.settled && first == Some(&self.0.me)
+        state.settled && first_of(state.boxes(), request.0) == Some(self.0.me)
     }
 }
--- a/crates/cleatshelf/src/router/knowledge.rs
+++ b/crates/cleatshelf/src/router/knowledge.rs
@@ -365,10 +365,9 @@
 
     fn servers_changed(&self, state: &State, origin: Origin) {
         let servers = state.directory.servers.len();
-        let draining = state.directory.servers.values().filter(|s| s.draining).count();
         telemetry::emit(
             Event::ServersChanged,
-            format_args!("position={} servers={servers} draining={draining} from={origin:?}", state.directory.position),
+            format_args!("position={} servers={servers} from={origin:?}", state.directory.position),
         );
         self.put_in_force(state);
     }
