--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -192,6 +192,9 @@
             actions
         };
         self.carry_out(actions);
+        let watch = self.peers.borrow().watch(self.shared.now());
+        self.watching.send_if_modified(|known| std::mem::replace(known, watch) != watch);
+        self.take_boxes();
     }
 
     /// Forgets what is known of servers that are no longer listed, now and then.
@@ -253,9 +256,6 @@
             }
         }
         self.peers.borrow_mut().hold(self.knowledge.holding());
-        let watch = self.peers.borrow().watch(self.shared.now());
-        self.watching.send_if_modified(|known| std::mem::replace(known, watch) != watch);
-        self.take_boxes();
     }
 
     /// Tells placement and advice of the boxes known, where others are known than before.
