--- a/crates/cleatshelf/src/router/follow.rs
+++ b/crates/cleatshelf/src/router/follow.rs
@@ -30,9 +30,13 @@
 /// ways between boxes. It is not ready before it knows a configuration.
 const LISTEN: Duration = Duration::from_millis(150);
 
-/// How long a box serves with a sample of the servers before it reads the whole list itself, unless others tell it. What a sample
-/// says of a server grows old.
-const SAMPLE_MOST: Duration = Duration::from_secs(3);
+/// How long a box serves with a sample of the servers before it reads the whole list itself, unless others tell it. Where boxes that
+/// start together all do that, the publisher has no time for those that are to tell it.
+const SAMPLE_MOST: Duration = Duration::from_secs(10);
+
+/// How long a box that has a sample watches before it reads the whole list: boxes that start together and know no other yet begin to
+/// watch together, and stop once they hear each other.
+const SURE_AFTER: Duration = Duration::from_millis(1_500);
 
 /// Most samples that a box takes to have servers of each service.
 const SAMPLES_MOST: usize = 4;
@@ -176,7 +180,7 @@
             actix_rt::time::sleep(LOOK_EVERY).await;
         }
         if self.subject == Subject::Directory {
-            self.sample(began).await;
+            self.sample().await;
         }
         self.try_until_told(|| self.read(Freshness::Stale)).await;
         // As long as this box has not called the publisher itself, nothing speaks against it.
@@ -187,14 +191,20 @@
     /// together, the whole list for each is more than the publisher's link carries in seconds.
     ///
     /// Returns once the whole list is known, or is to be read by this box.
-    async fn sample(&self, began: Instant) {
+    async fn sample(&self) {
+        let began = Instant::now();
         let most = jittered(SAMPLE_MOST);
+        // Others begin with this box: it doesn't wait for them.
+        let at_once = self.watches();
+        let mut watches_since = None;
         let mut samples = 0;
         while !self.told() {
+            watches_since = self.watches().then(|| watches_since.unwrap_or_else(Instant::now));
+            let sure = watches_since.is_some_and(|since| at_once || since.elapsed() >= SURE_AFTER);
             if samples == 0 || (samples < SAMPLES_MOST && self.knowledge.lacks_servers()) {
                 self.try_until_told(|| self.read_sample()).await;
                 samples += 1;
-            } else if self.watches() || began.elapsed() >= most {
+            } else if sure || began.elapsed() >= most {
                 return;
             } else {
                 actix_rt::time::sleep(LOOK_EVERY).await;
