--- a/crates/placement/examples/choose.rs
+++ b/crates/placement/examples/choose.rs
@@ -1,5 +1,4 @@
 //! How long a choice among 320 engines takes: `cargo run --release -p placement --example choose`.
-//!
 
 #[path = "../tests/common/mod.rs"]
 mod common;
