A limit that is heard of after its life's entry has gone is not told for good

Now a limit is told while the placement lists its life, and forgotten as before.

A doc comment of placement::Order said the reverse of what it does.

--- a/crates/placement/src/notices.rs
+++ b/crates/placement/src/notices.rs
@@ -84,7 +84,7 @@
             return None;
         }
         let version = known.map_or(0, |known| known.version) + 1;
-        self.set_limit(life, Known { limit, version, since: now, gone: None });
+        self.limits.insert(life.to_owned(), Known { limit, version, since: now, gone: Some(now) });
         Some(Statement { life: life.to_owned(), limit, version })
     }
 
@@ -92,15 +92,12 @@
     pub(crate) fn hear_limit(&mut self, told: &Statement, now: Millis) -> bool {
         let news = self.limits.get(&told.life).is_none_or(|known| known.is_older_than(told));
         if news {
-            self.set_limit(&told.life, Known { limit: told.limit, version: told.version, since: now, gone: None });
+            let known = Known { limit: told.limit, version: told.version, since: now, gone: Some(now) };
+            self.limits.insert(told.life.clone(), known);
         }
         news
     }
 
-    fn set_limit(&mut self, life: &str, known: Known) {
-        self.limits.insert(life.to_owned(), known);
-    }
-
     /// What a life takes of all boxes together.
     pub(crate) fn limit(&self, life: &str) -> Limit {
         self.limits.get(life).map_or(Limit::None, |known| known.limit)
--- a/crates/placement/src/order.rs
+++ b/crates/placement/src/order.rs
@@ -50,7 +50,7 @@
         self.note_moved(&server.hall, among);
     }
 
-    /// Notes that servers of `hall` stand elsewhere, and those of all halls where there were as many as `among` before.
+    /// Notes that servers of `hall` stand elsewhere, or those of all halls, where there were `among` halls before and are no longer.
     fn note_moved(&mut self, hall: &str, among: usize) {
         if self.halls.len() == among {
             self.moved.insert(hall.to_owned());
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -189,16 +189,24 @@
     pub fn limits(&mut self, life: &str, limit: Limit, sent: Millis, now: Millis) -> Option<Statement> {
         let news = self.notices.limits(life, limit, sent, now);
         if news.is_some() {
-            self.tell_pools(life);
+            self.limit_changed(life);
         }
         news
     }
 
+    /// Tells the pools of a life's limit; others are told of it while the life is listed.
+    fn limit_changed(&mut self, life: &str) {
+        if let Some(server) = self.listed(life).cloned() {
+            self.notices.list(&server);
+        }
+        self.tell_pools(life);
+    }
+
     /// Takes what another box knows of a life's limit. True when this wasn't known.
     pub fn hear_limit(&mut self, told: &Statement, now: Millis) -> bool {
         let news = self.notices.hear_limit(told, now);
         if news {
-            self.tell_pools(&told.life);
+            self.limit_changed(&told.life);
         }
         news
     }
--- a/crates/placement/tests/update.rs
+++ b/crates/placement/tests/update.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{route, server, service, MODEL};
-use placement::{Ask, Budget, InForce, Limit, Part, Placement, Prompt};
+use placement::{Ask, Budget, InForce, Limit, Part, Placement, Prompt, Statement};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use routing::{Change, Directory, Evacuations, Position, Server, Table};
@@ -123,3 +123,17 @@
     put(&mut placement, Change::Present(Server { draining: true, ..life.clone() }), 7);
     assert_eq!(placement.leaving(), Vec::<String>::new());
 }
+
+/// A box may hear of a limit after the entry of its life has gone. Told to others from then on without an end, it makes the digests of two boxes
+/// differ for good, so that they exchange all that they know each second.
+#[test]
+fn a_limit_of_a_life_that_is_not_listed_is_not_told_for_good() {
+    let (table, evacuations) = (table(), Evacuations::default());
+    let mut placement = placement();
+    let told = Statement { life: "s1-0".to_owned(), limit: Limit::PerS(3.0), version: 1 };
+    assert!(placement.hear_limit(&told, 1));
+    let mut directory = Directory::default();
+    directory.apply(vec![Change::Present(server(2, "hall-0"))], Position::new(0, 2));
+    placement.update(&InForce { table: &table, directory: &directory, evacuations: &evacuations }, 2);
+    assert_eq!(placement.statements(), Vec::new(), "no list has it");
+}
