placement: servers without a status are as loaded as those that answered, and full ones are not chosen

Ruled out: head-of-line blocking between links (each has its own queue). Change: the home of unknown load is taken to be as loaded as the servers that answered; owners that missed a reply are queried last for 300 ms; a server that turned a request away isn't chosen for 200 ms, and its owner reports it.

--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -94,9 +94,13 @@
 impl CostModel<'_> {
     /// Computes the cost of a server.
     pub(crate) fn candidate<'m>(&self, member: &'m Member) -> Candidate<'m> {
-        let base = (member.health.failure_ratio() - self.min_failure_ratio) * FAILURE_COST + self.distance_cost(member);
         let status = self.request.status(&member.server.id);
         let load = status.map_or_else(|| member.load(self.request.now), |status| &status.load);
+        self.candidate_with_load(member, load)
+    }
+
+    fn candidate_with_load<'m>(&self, member: &'m Member, load: &Load) -> Candidate<'m> {
+        let base = (member.health.failure_ratio() - self.min_failure_ratio) * FAILURE_COST + self.distance_cost(member);
         match self.request.prompt {
             Some(prompt) => self.prompt_candidate(member, load, prompt, base),
             None => {
@@ -106,6 +110,11 @@
         }
     }
 
+    /// Computes the cost that a server would have without any load.
+    pub(crate) fn idle_candidate<'m>(&self, member: &'m Member) -> Candidate<'m> {
+        self.candidate_with_load(member, &Load::default())
+    }
+
     /// Returns the cost of the distance to the server.
     fn distance_cost(&self, member: &Member) -> f64 {
         if member.server.hall == self.hall {
--- a/crates/placement/src/member.rs
+++ b/crates/placement/src/member.rs
@@ -10,6 +10,14 @@
 /// Time for which the load reported by a server's owner is more accurate than this box's own load there.
 const STATUS_TTL: Millis = 400;
 
+/// Time for which a server that turned a request away as full is not chosen again. Some of a dozen answers that take
+/// seconds each end within it.
+pub(crate) const FULL_TTL: Millis = 200;
+
+/// Time for which a server is queried last after its owner missed a reply. All boxes together then query a silent owner
+/// a few times a second each, which doesn't keep its link full.
+const MISSED_STATUS_TTL: Millis = 300;
+
 /// Time for which the reported stall rate counts, which changes slowly.
 const STALLS_TTL: Millis = 2_000;
 
@@ -25,6 +33,10 @@
     pub(crate) health: Health,
     /// Last status reported by its owner, and when it was received.
     pub(crate) status: Option<(ServerStatus, Millis)>,
+    /// Until when it is queried last, since its owner didn't answer; in the past if it did.
+    missed_status_until: Millis,
+    /// Until when it is taken to be full, since it turned a request of this box away; in the past if it isn't.
+    full_until: Millis,
     /// True while its hall is evacuated.
     pub(crate) evacuated: bool,
     /// True once it has announced that it is leaving, in any way.
@@ -59,6 +71,8 @@
             cached: CachedParts::default(),
             health: Health::default(),
             status: None,
+            missed_status_until: 0,
+            full_until: 0,
             evacuated: false,
             leaving: false,
             back_off_until: 0,
@@ -74,6 +88,9 @@
 
     /// Records how a send to it ended.
     pub(crate) fn record_ending(&mut self, ending: Ending, now: Millis) {
+        if ending == Ending::NotRun {
+            self.full_until = now + FULL_TTL;
+        }
         self.health.record(ending, now);
         self.disconnects.record(ending, now);
     }
@@ -157,6 +174,28 @@
         self.status.as_ref().filter(|(_, at)| now < at + max_age).map(|(status, _)| status)
     }
 
+    /// Records a status that its owner reported.
+    pub(crate) fn record_status(&mut self, status: ServerStatus, now: Millis) {
+        self.missed_status_until = 0;
+        self.status = Some((status, now));
+    }
+
+    /// Records that its owner didn't answer a query in time.
+    pub(crate) fn record_missed_status(&mut self, now: Millis) {
+        self.missed_status_until = now + MISSED_STATUS_TTL;
+    }
+
+    /// True while its owner is taken to be silent.
+    pub(crate) fn is_owner_silent(&self, now: Millis) -> bool {
+        now < self.missed_status_until
+    }
+
+    /// True while it is taken to be full, since it recently turned away a request of this box, or of any box as far as
+    /// its owner reported.
+    pub(crate) fn is_full(&self, now: Millis) -> bool {
+        now < self.full_until || self.status_within(FULL_TTL, now).is_some_and(|status| status.full)
+    }
+
     /// Returns the speed last reported by its owner, whatever its age.
     pub(crate) fn speed(&self) -> Option<&Speed> {
         self.status.as_ref().map(|(status, _)| &status.speed)
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -8,6 +8,7 @@
 use crate::cache_directory::CacheDirectory;
 use crate::cold::{Disconnects, COLD_WINDOW};
 use crate::completions::Completions;
+use crate::member::FULL_TTL;
 use crate::rate::Rate;
 use crate::stalls::Stalls;
 use crate::urgency::FairShare;
@@ -69,6 +70,8 @@
     pub short_prefill_ratio: f32,
     /// Requests that all boxes together sent there within about the last second.
     pub arrivals: u32,
+    /// True if it recently turned a request away as full.
+    pub full: bool,
     /// Possible restarts of the server.
     #[serde(rename = "broke")]
     pub disconnect: Disconnect,
@@ -162,6 +165,8 @@
     /// Pending permit requests by urgency, if the server names a limit.
     fair_share: FairShare,
     disconnects: Disconnects,
+    /// Until when it is taken to be full, since it turned a request away; in the past if it isn't.
+    full_until: Millis,
     cache_directory: CacheDirectory,
     /// By sending box and number. The total of their work is `load`.
     leases: BTreeMap<(SocketAddr, u64), Lease>,
@@ -190,6 +195,7 @@
             long_prefill_ratio: owned.long_prefill.ratio(now),
             short_prefill_ratio: owned.short_prefill.ratio(now),
             arrivals: owned.arrivals.count_within(COLD_WINDOW, now),
+            full: now < owned.full_until,
             disconnect: owned.disconnects.elapsed(now),
             cached_by: last_shared_part(&query.parts).map_or_else(Vec::new, |part| owned.cache_directory.servers(part)),
         }
@@ -298,6 +304,9 @@
     }
 
     fn record_end(&mut self, key: &(SocketAddr, u64), ending: Ending, pause_ms: u32, now: Millis) {
+        if ending == Ending::NotRun {
+            self.full_until = now + FULL_TTL;
+        }
         self.health.record(ending, now);
         self.disconnects.record(ending, now);
         let Some(lease) = self.leases.remove(key) else { return };
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -295,6 +295,13 @@
         }
     }
 
+    /// Records that the owner of a server didn't answer a query in time.
+    pub fn record_missed_status(&mut self, service: &str, id: &str, now: Millis) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.record_missed_status(id, now);
+        }
+    }
+
     /// Chooses a server.
     ///
     /// # Errors
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -209,9 +209,13 @@
         let mut candidates: Vec<_> = eligible.iter().map(|member| model.candidate(member)).collect();
         sort_by_cost(&mut candidates, request);
         let shares = request.prompt.is_some_and(|prompt| prompt.shared_tokens() >= MIN_FETCH_TOKENS);
-        let likely = if shares { likely_holders(&model) } else { Vec::new() };
-        let cheap = candidates.iter().map(|candidate| candidate.member);
-        let others = cheap.filter(|member| !likely.iter().any(|holder| holder.server.id == member.server.id));
+        let answering = |member: &&Member| !member.is_owner_silent(request.now);
+        let likely: Vec<&Member> =
+            if shares { likely_holders(&model).into_iter().filter(answering).collect() } else { Vec::new() };
+        let cheap = || candidates.iter().map(|candidate| candidate.member);
+        // Servers with silent owners look idle. If every request queried those, the owners would stay silent.
+        let others = cheap().filter(answering).chain(cheap().filter(|member| !answering(member)));
+        let others = others.filter(|member| !likely.iter().any(|holder| holder.server.id == member.server.id));
         likely
             .iter()
             .copied()
@@ -339,11 +343,18 @@
     /// Records the status of a server that its owner reported.
     pub(crate) fn on_status(&mut self, id: &str, status: ServerStatus, now: Millis) {
         if let Some(member) = self.members.get_mut(id) {
-            member.status = Some((status, now));
+            member.record_status(status, now);
             self.with_status.insert(id.to_owned());
         }
     }
 
+    /// Records that the owner of a server didn't answer a query in time.
+    pub(crate) fn record_missed_status(&mut self, id: &str, now: Millis) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.record_missed_status(now);
+        }
+    }
+
     /// Returns the servers considered for a request and the eligible ones among them. If none of a sample is
     /// eligible, all servers are considered.
     fn eligible(&self, request: &PlacementRequest<'_>) -> (Sample<'_>, Vec<&Member>) {
@@ -413,8 +424,10 @@
         let model = self.cost_model(request, hall, &sample, &eligible);
         let candidates = self.candidates(request, &eligible, &model);
         // A request that was sent before is not refused: it may have run.
-        let admitted =
-            |c: &&Candidate<'_>| !request.tried.is_empty() || self.admission.admits(request, c.estimate.slot_wait_ms);
+        let admitted = |c: &&Candidate<'_>| {
+            let full = request.prompt.is_some() && c.member.is_full(request.now);
+            !full && (!request.tried.is_empty() || self.admission.admits(request, c.estimate.slot_wait_ms))
+        };
         let at_cold_quota = |c: &Candidate<'_>| self.is_at_cold_quota(c.member, request);
         let cheaper = |a: &&Candidate<'_>, b: &&Candidate<'_>| {
             let cheaper = at_cold_quota(a).cmp(&at_cold_quota(b)).then_with(|| a.cost().total_cmp(&b.cost()));
@@ -479,7 +492,9 @@
         let unknown = |home: &&&'a Member| request.status(&home.server.id).is_none();
         if let Some(home) = model.homes.first().filter(unknown) {
             let mut candidate = model.candidate(home);
-            candidate.estimate.cost += UNKNOWN_STATUS_COST;
+            let (load_cost, slot_wait_ms) = mean_load_cost(&candidates, model);
+            candidate.estimate.cost += UNKNOWN_STATUS_COST + load_cost;
+            candidate.estimate.slot_wait_ms = candidate.estimate.slot_wait_ms.max(slot_wait_ms);
             candidates.push(candidate);
         }
         candidates
@@ -557,6 +572,17 @@
     waits.min_by(f64::total_cmp).map_or(Refusal::NoServer, |wait_ms| Refusal::Overloaded { wait_ms })
 }
 
+/// Returns the mean cost that the load of these servers adds, and their mean wait for a slot in milliseconds. A server of
+/// unknown load is taken to be as loaded as they are: if it looked idle, all boxes would choose it while its owner is
+/// silent.
+fn mean_load_cost(candidates: &[Candidate<'_>], model: &CostModel<'_>) -> (f64, f64) {
+    let count = candidates.len().max(1) as f64;
+    let load_cost = |candidate: &Candidate<'_>| candidate.cost() - model.idle_candidate(candidate.member).cost();
+    let cost: f64 = candidates.iter().map(load_cost).sum();
+    let wait_ms: f64 = candidates.iter().map(|candidate| candidate.estimate.slot_wait_ms).sum();
+    ((cost / count).max(0.0), wait_ms / count)
+}
+
 /// Sorts by cost. Candidates with about the lowest cost are ordered differently for each request: this box's
 /// knowledge of most servers is old, and the ones it queried first would get all its requests.
 fn sort_by_cost(candidates: &mut [Candidate<'_>], request: &PlacementRequest<'_>) {
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -462,3 +462,77 @@
     }
     assert_eq!(placement.choose(&request).expect("a server").server.id, "s1");
 }
+
+/// A status with all slots taken by requests that are as urgent, of which one ends every 100 ms.
+fn loaded(running: u32) -> ServerStatus {
+    let load = Load { running, urgencies: [(0, running)].into(), ..Load::default() };
+    ServerStatus { load, cached_tokens: 200, completion_interval_ms: 100.0, ..ServerStatus::default() }
+}
+
+/// A silent owner made its server look idle, so that every box sent all requests there.
+#[test]
+fn a_home_whose_owner_is_silent_is_not_chosen_before_servers_with_as_much_load_as_others() {
+    let prompt = quick_prompt(100);
+    let mut placement = placement(servers(9));
+    let home = choose(&mut placement.clone(), &prompt, &[]).server.id.clone();
+    let statuses: Vec<(String, ServerStatus)> =
+        servers(9).into_iter().filter(|s| s.id != home).take(4).map(|s| (s.id, loaded(70))).collect();
+    let choice = placement.choose(&quick_request(&prompt, &statuses)).expect("a server");
+    assert_ne!(choice.server.id, home, "the home is taken to be as loaded as the servers that answered");
+    let statuses: Vec<_> = statuses.into_iter().map(|(id, _)| (id, loaded(90))).collect();
+    let refused = placement.choose(&quick_request(&prompt, &statuses));
+    assert!(
+        matches!(refused, Err(Refusal::Overloaded { .. })),
+        "where all that answered are full, it isn't taken to be idle"
+    );
+}
+
+/// Queries went to the servers that look cheapest, which are those whose owners are silent, and kept them silent.
+#[test]
+fn servers_with_silent_owners_are_queried_last() {
+    let mut placement = placement(servers(9));
+    let silent: Vec<String> = servers(9).into_iter().take(5).map(|s| s.id).collect();
+    for id in &silent {
+        placement.record_missed_status(MODEL, id, 1_000);
+    }
+    let queried = |placement: &mut Placement, now: u64| -> Vec<String> {
+        let prompt = quick_prompt(100);
+        let request = PlacementRequest { now, ..quick_request(&prompt, &[]) };
+        placement.servers_to_query(&request, 4).iter().map(|s| s.id.clone()).collect()
+    };
+    assert!(queried(&mut placement, 1_100).iter().all(|id| !silent.contains(id)));
+    assert!(
+        queried(&mut placement, 1_400).iter().any(|id| silent.contains(id)),
+        "they are queried again after a while"
+    );
+}
+
+/// A server that turns requests away at once has nothing running, and so looked idle.
+#[test]
+fn a_server_that_turned_a_request_away_is_not_chosen_for_a_while() {
+    let prompt = quick_prompt(100);
+    let idle = |full: bool| ServerStatus { full, ..status(0, 0, 200, 200) };
+    let reported = |s0: bool, s1: bool| vec![("s0".to_owned(), idle(s0)), ("s1".to_owned(), idle(s1))];
+    let mut fresh = placement(servers(2));
+    let record = |placement: &mut Placement, statuses: &[(String, ServerStatus)]| {
+        for (id, status) in statuses {
+            placement.on_status(MODEL, id, status.clone(), 1_000);
+        }
+    };
+    let one_full = reported(true, false);
+    record(&mut fresh, &one_full);
+    assert_eq!(fresh.choose(&quick_request(&prompt, &one_full)).expect("a server").server.id, "s1");
+    let both_full = reported(true, true);
+    record(&mut fresh, &both_full);
+    assert!(fresh.choose(&quick_request(&prompt, &both_full)).is_err());
+
+    let mut own = placement(servers(2));
+    let statuses = reported(false, false);
+    record(&mut own, &statuses);
+    let first = own.choose(&quick_request(&prompt, &statuses)).expect("a server").server.id.clone();
+    own.record_ending(MODEL, &first, Ending::NotRun, 1_000);
+    let next = own.choose(&quick_request(&prompt, &statuses)).expect("a server").server.id.clone();
+    assert_ne!(next, first);
+    let later = PlacementRequest { now: 1_300, ..quick_request(&prompt, &statuses) };
+    assert_eq!(own.choose(&later).expect("a server").server.id, first);
+}
--- a/crates/relay/src/owner_requests.rs
+++ b/crates/relay/src/owner_requests.rs
@@ -27,6 +27,7 @@
     pub(crate) async fn wait(self, shared: &Shared, service: &str, until: Instant) -> Option<(String, ServerStatus)> {
         let Ok(Ok(status)) = tokio::time::timeout_at(until, self.answer).await else {
             shared.peer_client.on_missed_reply(&self.server);
+            shared.placement().record_missed_status(service, &self.server.id, shared.now());
             return None;
         };
         shared.placement().on_status(service, &self.server.id, status.clone(), shared.now());
