--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -443,6 +443,8 @@
             estimate: best.estimate,
             load: best.member.load(request.now).clone(),
             candidates: eligible.len(),
+            answered: request.statuses.len(),
+            known: request.status(&best.member.server.id).is_some(),
             cache_directories: self.directories_to_notify(best, request),
             permit_quotas: Some(best.member.quotas(self.cold_quota, request.now)).filter(|quotas| !quotas.is_empty()),
         };
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -81,6 +81,10 @@
     pub load: Load,
     /// Number of eligible servers, for the log.
     pub candidates: usize,
+    /// Number of statuses that owners reported for the request, for the log.
+    pub answered: usize,
+    /// True if the status of this server is among them; for the log.
+    pub known: bool,
     /// If the server will read a shared part that it lacks: the servers whose owners keep the part's cache directory,
     /// each with the part's id.
     pub cache_directories: Vec<(Arc<Server>, u64)>,
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -170,6 +170,7 @@
             Event::ServerChosen,
             format_args!(
                 "id={} server={} cost={:.3} expected_ms={:.0} stalled={:.2} others={:.2} split={:.2} unread={} fetch={} among={} \
+                 slot_wait_ms={:.0} answered={} known={} \
                  running={} ahead={} held={} prompt={} shared={} read_ms={:.1} pair_ms={:.2} stall_ms={:.0} stall_depth_ms={:.1}",
                 self.call.id,
                 choice.server.id,
@@ -181,6 +182,9 @@
                 work.prefill.tokens,
                 choice.fetch.map_or_else(|| "-".to_owned(), |f| f.to_string()),
                 choice.candidates,
+                estimate.slot_wait_ms,
+                choice.answered,
+                u8::from(choice.known),
                 load.running,
                 load.prefill.tokens,
                 load.held,
