placement: the first home of any prompt is queried, and an unknown one waits as long as the busiest known one

Change: the first home is among the four queried; where a server that answered is full, a home of unknown load is no candidate.

--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -210,8 +210,9 @@
         sort_by_cost(&mut candidates, request);
         let shares = request.prompt.is_some_and(|prompt| prompt.shared_tokens() >= MIN_FETCH_TOKENS);
         let answering = |member: &&Member| !member.is_owner_silent(request.now);
-        let likely: Vec<&Member> =
-            if shares { likely_holders(&model).into_iter().filter(answering).collect() } else { Vec::new() };
+        let mut likely = likely_holders(&model);
+        likely.truncate(if shares { likely.len() } else { 1 });
+        likely.retain(answering);
         let cheap = || candidates.iter().map(|candidate| candidate.member);
         // Servers with silent owners look idle. If every request queried those, the owners would stay silent.
         let others = cheap().filter(answering).chain(cheap().filter(|member| !answering(member)));
@@ -493,11 +494,9 @@
         }
         let unknown = |home: &&&'a Member| request.status(&home.server.id).is_none();
         if let Some(home) = model.homes.first().filter(unknown) {
-            let mut candidate = model.candidate(home);
-            let (load_cost, slot_wait_ms) = mean_load_cost(&candidates, model);
-            candidate.estimate.cost += UNKNOWN_STATUS_COST + load_cost;
-            candidate.estimate.slot_wait_ms = candidate.estimate.slot_wait_ms.max(slot_wait_ms);
-            candidates.push(candidate);
+            if !candidates.iter().any(|candidate| candidate.member.is_full(request.now)) {
+                candidates.push(candidate_of_unknown_load(home, &candidates, model));
+            }
         }
         candidates
     }
@@ -574,15 +573,17 @@
     waits.min_by(f64::total_cmp).map_or(Refusal::NoServer, |wait_ms| Refusal::Overloaded { wait_ms })
 }
 
-/// Returns the mean cost that the load of these servers adds, and their mean wait for a slot in milliseconds. A server of
-/// unknown load is taken to be as loaded as they are: if it looked idle, all boxes would choose it while its owner is
-/// silent.
-fn mean_load_cost(candidates: &[Candidate<'_>], model: &CostModel<'_>) -> (f64, f64) {
-    let count = candidates.len().max(1) as f64;
+/// Returns a server whose owner didn't answer, while the owners of `known` did. If it looked idle, all boxes would choose
+/// it for as long as its owner is silent. So its load adds as much to the cost as the others' load does on average, and
+/// the wait for a slot is the longest of theirs: owners of busy servers are the ones that don't answer.
+fn candidate_of_unknown_load<'a>(member: &'a Member, known: &[Candidate<'_>], model: &CostModel<'_>) -> Candidate<'a> {
     let load_cost = |candidate: &Candidate<'_>| candidate.cost() - model.idle_candidate(candidate.member).cost();
-    let cost: f64 = candidates.iter().map(load_cost).sum();
-    let wait_ms: f64 = candidates.iter().map(|candidate| candidate.estimate.slot_wait_ms).sum();
-    ((cost / count).max(0.0), wait_ms / count)
+    let mean_cost = known.iter().map(load_cost).sum::<f64>() / known.len().max(1) as f64;
+    let longest_wait = known.iter().map(|candidate| candidate.estimate.slot_wait_ms).fold(0.0, f64::max);
+    let mut candidate = model.candidate(member);
+    candidate.estimate.cost += UNKNOWN_STATUS_COST + mean_cost.max(0.0);
+    candidate.estimate.slot_wait_ms = candidate.estimate.slot_wait_ms.max(longest_wait);
+    candidate
 }
 
 /// Sorts by cost. Candidates with about the lowest cost are ordered differently for each request: this box's
