placement: a pool at its cold quota chooses among known servers, and queries further owners first

Cause: where a service bounds cold servers, servers above that rate were left out of the comparison. In a surge all that answered were above it, so that every box chose blindly among the others (4 of 4 owners had answered in most choices of the log, and the chosen server was none of theirs). Change: known servers are compared whatever their load; if none has room, up to nine further owners are queried, at most ten times a second in vain.

--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -282,6 +282,23 @@
             .map_or_else(Vec::new, |pool| pool.servers_to_query(request, &self.hall, max))
     }
 
+    /// Returns further servers whose owners should be queried since none of those that answered has room.
+    #[must_use]
+    pub fn further_servers_to_query(&mut self, request: &PlacementRequest<'_>, max: usize) -> Vec<Arc<Server>> {
+        self.pools
+            .get_mut(request.service)
+            .map_or_else(Vec::new, |pool| pool.further_servers_to_query(request, &self.hall, max))
+    }
+
+    /// Records the result of a query of further owners, whose statuses `request` holds.
+    pub fn record_search(&mut self, request: &PlacementRequest<'_>) {
+        if let Some(pool) = self.pools.get_mut(request.service) {
+            if pool.has_room(request, &self.hall) {
+                pool.record_found();
+            }
+        }
+    }
+
     /// Returns the tokens of parts that a server of this service can cache.
     #[must_use]
     pub fn cache_capacity(&self, service: &str) -> u64 {
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -60,6 +60,10 @@
 /// permit request takes a round trip to another box.
 const MAX_DENIALS: usize = 3;
 
+/// Shortest time between two queries of further owners by one box after one that found no room. Some slots become free
+/// meanwhile.
+const SEARCH_INTERVAL: Millis = 100;
+
 /// All servers of a service with their state.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Pool {
@@ -71,6 +75,8 @@
     /// Ids of members with a status from their owner.
     with_status: BTreeSet<String>,
     admission: Admission,
+    /// Earliest time of the next query of further owners; see [`Pool::further_servers_to_query`].
+    next_search_at: Millis,
     /// Orders servers with equal costs. Differs between boxes, so that they don't all choose the same one.
     seed: u64,
     /// Split of the engines between long prompts and others.
@@ -413,6 +419,46 @@
         self.cold_quota.is_some_and(full)
     }
 
+    /// Returns further servers whose owners should be queried, cheapest first: none if one of those that answered has room.
+    /// After a search that found none, the next one follows after [`SEARCH_INTERVAL`], since a pool without any room would
+    /// otherwise spend its links on queries.
+    pub(crate) fn further_servers_to_query(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        hall: &str,
+        max: usize,
+    ) -> Vec<Arc<Server>> {
+        if request.now < self.next_search_at || self.has_room(request, hall) {
+            return Vec::new();
+        }
+        self.next_search_at = request.now + SEARCH_INTERVAL;
+        let (sample, eligible) = self.eligible(request);
+        let model = self.cost_model(request, hall, &sample, &eligible);
+        let unasked = eligible.iter().filter(|member| request.status(&member.server.id).is_none());
+        let answering = unasked.filter(|member| !member.is_owner_silent(request.now) && !member.is_full(request.now));
+        let mut candidates: Vec<_> = answering.map(|member| model.candidate(member)).collect();
+        sort_by_cost(&mut candidates, request);
+        candidates.iter().take(max).map(|candidate| Arc::clone(&candidate.member.server)).collect()
+    }
+
+    /// Records that a further search found a server with room.
+    pub(crate) fn record_found(&mut self) {
+        self.next_search_at = 0;
+    }
+
+    /// True if one of the servers whose owners answered can take a request, or none answered at all.
+    pub(crate) fn has_room(&self, request: &PlacementRequest<'_>, hall: &str) -> bool {
+        let (sample, eligible) = self.eligible(request);
+        let model = self.cost_model(request, hall, &sample, &eligible);
+        let mut known = eligible.iter().filter(|member| request.status(&member.server.id).is_some()).peekable();
+        known.peek().is_none()
+            || known.any(|member| {
+                !member.is_full(request.now)
+                    && !self.is_at_cold_quota(member, request)
+                    && self.admission.admits(request, model.candidate(member).estimate.slot_wait_ms)
+            })
+    }
+
     /// Chooses the server with the lowest cost. `hall` is this box's hall.
     pub(crate) fn choose(&mut self, request: &PlacementRequest<'_>, hall: &str) -> Result<Choice, Refusal> {
         self.admission.record(request.urgency, request.now);
@@ -478,15 +524,16 @@
     /// Returns the servers to compare, with their costs.
     ///
     /// A server without a status from its owner looks idle. So if some eligible servers have one, only those are
-    /// compared, and the first home, which holds the shared parts: without it, a fifth of all repeated prefill was
-    /// due to owners of homes that answered late.
+    /// compared, whatever their load, and the first home, which holds the shared parts: without it, a fifth of all
+    /// repeated prefill was due to owners of homes that answered late. Where one of the others has no room, the home is
+    /// not assumed to have any.
     fn candidates<'a>(
         &self,
         request: &PlacementRequest<'_>,
         eligible: &[&'a Member],
         model: &CostModel<'a>,
     ) -> Vec<Candidate<'a>> {
-        let has_status = |m: &&&'a Member| request.status(&m.server.id).is_some() && !self.is_at_cold_quota(m, request);
+        let has_status = |m: &&&'a Member| request.status(&m.server.id).is_some();
         let mut candidates: Vec<Candidate<'a>> =
             eligible.iter().filter(has_status).map(|member| model.candidate(member)).collect();
         if candidates.is_empty() {
@@ -494,7 +541,9 @@
         }
         let unknown = |home: &&&'a Member| request.status(&home.server.id).is_none();
         if let Some(home) = model.homes.first().filter(unknown) {
-            if !candidates.iter().any(|candidate| candidate.member.is_full(request.now)) {
+            let has_room =
+                |c: &Candidate<'_>| !c.member.is_full(request.now) && !self.is_at_cold_quota(c.member, request);
+            if candidates.iter().all(has_room) {
                 candidates.push(candidate_of_unknown_load(home, &candidates, model));
             }
         }
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -536,3 +536,29 @@
     let later = PlacementRequest { now: 1_300, ..quick_request(&prompt, &statuses) };
     assert_eq!(own.choose(&later).expect("a server").server.id, first);
 }
+
+/// With a quota for cold servers, every busy server is at it. Servers without a status were compared instead, looked
+/// idle, and got all requests of all boxes.
+#[test]
+fn servers_at_the_cold_quota_are_chosen_before_servers_of_unknown_load() {
+    let cold = routing::ColdStart { duration: Duration::from_secs(3), requests_per_s: 5.0 };
+    let mut placement = Placement::new("here", RetryBudget::new(0.2, 50.0, 10_000));
+    let table = Table::new(1, vec![route(Some(SHORT_GAP))], vec![service(64, 4, Some(cold))]);
+    common::update(&mut placement, &table, servers(9), &[], 0);
+    let busy = || ServerStatus { arrivals: 100, ..loaded(20) };
+    for own in 0..20 {
+        let prompt = quick_prompt(100 + own);
+        let asked = placement.servers_to_query(&quick_request(&prompt, &[]), 9);
+        let mut statuses: Vec<_> = asked.iter().skip(1).map(|s| (s.id.clone(), busy())).collect();
+        let choice = placement.choose(&quick_request(&prompt, &statuses)).expect("slots are free");
+        assert!(statuses.iter().any(|(id, _)| *id == choice.server.id), "{} is unknown", choice.server.id);
+        let further = placement.further_servers_to_query(
+            &PlacementRequest { now: 10_000 + own * 1_000, ..quick_request(&prompt, &statuses) },
+            9,
+        );
+        assert_eq!(further.len(), 9 - statuses.len(), "others are queried first");
+        statuses.push((further[0].id.clone(), loaded(20)));
+        let choice = placement.choose(&quick_request(&prompt, &statuses)).expect("slots are free");
+        assert_eq!(choice.server.id, further[0].id, "the one below the quota");
+    }
+}
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -7,6 +7,8 @@
 use http::uri::PathAndQuery;
 use http::{header, HeaderValue};
 use placement::{Choice, Fingerprint, Millis, PermitReply, PlacementRequest, Prompt, Refusal, ServerStatus, Verdict};
+use routing::Server;
+use std::sync::Arc;
 use std::time::Duration;
 use telemetry::Event;
 use tokio::time::Instant;
@@ -124,9 +126,23 @@
     pub(crate) async fn request_statuses(&self) -> Vec<(String, ServerStatus)> {
         let Some(prompt) = &self.call.prompt else { return Vec::new() };
         let planned = self.shared.placement().servers_to_query(&self.placement_request(&[], &[]), MAX_STATUS_REQUESTS);
+        let mut statuses = self.query_owners(&planned, prompt).await;
+        let further = self
+            .shared
+            .placement()
+            .further_servers_to_query(&self.placement_request(&statuses, &[]), MAX_STATUS_REQUESTS);
+        if !further.is_empty() {
+            statuses.extend(self.query_owners(&further, prompt).await);
+            self.shared.placement().record_search(&self.placement_request(&statuses, &[]));
+        }
+        statuses
+    }
+
+    /// Queries the owners of these servers and returns the statuses that arrive in time.
+    async fn query_owners(&self, servers: &[Arc<Server>], prompt: &Prompt) -> Vec<(String, ServerStatus)> {
         let gap_ms = self.route.gap_target.map_or(0, |gap| gap.as_millis() as u32);
         let pending: Vec<PendingStatus> =
-            planned.iter().filter_map(|server| PendingStatus::request(&self.shared, server, prompt, gap_ms)).collect();
+            servers.iter().filter_map(|server| PendingStatus::request(&self.shared, server, prompt, gap_ms)).collect();
         let until = Instant::now() + STATUS_TIMEOUT;
         let mut statuses = Vec::new();
         for request in pending {
