placement: shortage of urgency classes, and the sums of it over boxes

Cause: a less urgent class with a long latency target is admitted where the class above it is refused, because a box decides by the latency target of each request alone (docs/design/load.md, part 2).

Ruled out: a sum kept up to date with each report, since expiring the reports of dead boxes then needs an order by time.

Change: module `shedding` with `ClassCounts`, `ShortageSums` (owner) and `Shortage` (box). Not used by admission yet.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -34,6 +34,7 @@
 mod request;
 mod retry_budget;
 mod sample;
+mod shedding;
 mod speed;
 mod speed_estimator;
 mod split;
@@ -54,6 +55,7 @@
 pub use quarantine::{Change, LivenessEvidence, Quarantine, SuspectRecord, Termination, Verdict};
 pub use request::{Choice, CostEstimate, PlacementRequest, Refusal};
 pub use retry_budget::RetryBudget;
+pub use shedding::{ClassCount, ClassCounts, Shortage, ShortageSums};
 pub use speed::Speed;
 pub use speed_estimator::SpeedEstimator;
 
