--- a/crates/placement/src/shedding.rs
+++ b/crates/placement/src/shedding.rs
@@ -7,7 +7,7 @@
 use crate::urgency::{class_index, PerUrgency};
 use crate::Millis;
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Time for which the last report of a box, or the sum of an owner, counts. Boxes report with each query, several times
@@ -108,7 +108,8 @@
 /// The last report of each box, for as long as it counts.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LastReports<T> {
-    reports: HashMap<SocketAddr, (Millis, T)>,
+    /// Ordered, so that sums of fractions don't depend on the order of a hash map.
+    reports: BTreeMap<SocketAddr, (Millis, T)>,
     /// Time at which expired reports were last dropped.
     pruned_at: Millis,
 }
