placement: refusals for shed classes and for customers beyond their share

Cause: a refusal for want of a slot has one variant, so neither callers nor operators can tell a full service from a class that is shed for a more urgent one, or from a customer that has used up its share.

The variants carry the time after which the caller may retry. Nothing produces them yet; relay and model handle them, with the delay's usual lower bound and spread.

--- a/crates/model/src/router.rs
+++ b/crates/model/src/router.rs
@@ -252,6 +252,9 @@
     match refusal {
         Refusal::Overloaded { wait_ms } => ((wait_ms + OVERLOAD_RETRY_DELAY_MS as f64) * spread) as Millis,
         Refusal::BackingOff { retry_ms } | Refusal::Limited { retry_ms } => retry_ms.max(RETRY_DELAY_MS),
+        Refusal::Shed { retry_ms } | Refusal::CustomerShare { retry_ms } => {
+            (retry_ms.max(RETRY_DELAY_MS) as f64 * spread) as Millis
+        }
         Refusal::NoServer | Refusal::Cold => RETRY_DELAY_MS,
     }
 }
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -110,4 +110,14 @@
         /// Expected wait for a slot in milliseconds.
         wait_ms: f64,
     },
+    /// Requests of its urgency are shed, because a more urgent class of the service is short of slots.
+    Shed {
+        /// Milliseconds until the shortage is expected to have passed.
+        retry_ms: Millis,
+    },
+    /// Slots are short, and its customer has used more than its fair share of them.
+    CustomerShare {
+        /// Milliseconds until the customer is expected to be within its share again.
+        retry_ms: Millis,
+    },
 }
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -59,6 +59,22 @@
                     wait.mul_f64(rand::rng().random_range(1.0..BACKOFF_SPREAD_FACTOR)),
                 )
             }
+            NotSent::Refused(Refusal::Shed { retry_ms }) => {
+                let _ = write!(self.trail, "shed, {retry_ms} ms");
+                let wait = Duration::from_millis(retry_ms).max(RETRY_DELAY);
+                self.refuse_with_delay(
+                    "more urgent requests take the slots",
+                    wait.mul_f64(rand::rng().random_range(1.0..2.0)),
+                )
+            }
+            NotSent::Refused(Refusal::CustomerShare { retry_ms }) => {
+                let _ = write!(self.trail, "customer share, {retry_ms} ms");
+                let wait = Duration::from_millis(retry_ms).max(RETRY_DELAY);
+                self.refuse_with_delay(
+                    "the customer has its share of the slots",
+                    wait.mul_f64(rand::rng().random_range(1.0..2.0)),
+                )
+            }
             NotSent::DeadlineExceeded => self.refuse("its time is over"),
             NotSent::Quarantined { retry_ms } => {
                 self.trail.push_str("held");
