relay: refused callers return one after another, at the rate at which slots become free

Cause: when all slots are taken, the retry delay was the forecast wait plus a second, times 1 to 2. It ignored how many callers were told to return before, and at which rate slots become free.

The delay is now the forecast wait, at least 100 ms, and a turn after the callers that this box refused for the same service and urgency and that haven't come back. A turn is the interval between two answered requests of that kind. A delay beyond a third of the time left is cut to it only if the wait and the turns before fit in there. Promised returns are kept per service and urgency, 512 at most. A caller is recognised by the request's fingerprint: an early return ends its promise. The delays of other reasons are as before; all are in one module with a pure decision.

Not reached by this part: callers that return at once are told a later time, but a box admits whoever meets a free slot.

--- a/crates/model/src/router.rs
+++ b/crates/model/src/router.rs
@@ -246,7 +246,7 @@
     }
 }
 
-/// Returns the delay after which a refused caller retries, computed as in cleatshelf.
+/// Returns the delay after which a refused caller retries. Unlike cleatshelf's, it knows no order among those refused.
 fn retry_delay_ms(refusal: Refusal, rng: &mut ChaCha8Rng) -> Millis {
     let spread = rng.random_range(1.0..2.0);
     match refusal {
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -4,6 +4,7 @@
 use crate::choose::NotSent;
 use crate::exchange::Exchange;
 use crate::outcome::Outcome;
+use crate::retry_delay::{Cause, Queue};
 use crate::Body;
 use http::{Response, StatusCode};
 use placement::{Ending, Refusal};
@@ -12,94 +13,77 @@
 use std::time::Duration;
 use telemetry::Event;
 
-/// Default retry delay of a refusal. Within this time other servers take over from a crashed one.
-const RETRY_DELAY: Duration = Duration::from_millis(400);
-
-/// Lower bound of the retry delay when all slots are taken: the duration of an answer that takes seconds, so that some
-/// have finished by then. The delay is randomized up to twice its length, so that refused callers don't return
-/// together.
-const MIN_CROWDED_DELAY: Duration = Duration::from_secs(1);
-
-/// Lower bound of the retry delay when all servers are cold. Within this time some servers warm up or their owners
-/// grant permits.
-const MIN_COLD_DELAY: Duration = Duration::from_millis(600);
-
-/// Lower bound of the retry delay when all servers report rate limits. The next window goes to the first callers to
-/// return, so the delays are spread over about a second.
-const MIN_LIMITED_DELAY: Duration = Duration::from_millis(600);
-
-/// Upper bound of the random factor by which callers' delays exceed the servers' back-off, so that they don't return at
-/// the same instant.
-const BACKOFF_SPREAD_FACTOR: f64 = 1.2;
-
 impl Exchange {
     pub(crate) fn not_sent(&mut self, why: &NotSent) -> Response<Body> {
         if self.may_have_run {
             return self.fail_unknown("no other server");
         }
-        match *why {
-            NotSent::Refused(Refusal::NoServer) => self.refuse("no server"),
-            NotSent::Refused(Refusal::Cold) => {
-                let after = MIN_COLD_DELAY.mul_f64(rand::rng().random_range(1.0..2.0));
-                self.refuse_with_delay("all servers are cold", after)
+        let (cause, text) = match *why {
+            NotSent::Refused(refusal) => (Cause::NotPlaced(refusal), self.describe(refusal)),
+            NotSent::DeadlineExceeded => (Cause::Deadline, "its time is over"),
+            NotSent::Quarantined { retry_ms } => {
+                self.trail.push_str("held");
+                (Cause::Quarantined { retry_ms }, "servers ended under this request")
             }
-            NotSent::Refused(Refusal::Limited { retry_ms }) => {
+        };
+        self.refuse(cause, text)
+    }
+
+    /// Adds a refusal's figures to the trail, and returns its text for the caller.
+    fn describe(&mut self, refusal: Refusal) -> &'static str {
+        // Writing to a `String` can't fail.
+        match refusal {
+            Refusal::NoServer => "no server",
+            Refusal::Cold => "all servers are cold",
+            Refusal::Limited { retry_ms } => {
                 let _ = write!(self.trail, "all have what they take, {retry_ms} ms");
-                let wait = Duration::from_millis(retry_ms).max(MIN_LIMITED_DELAY);
-                self.refuse_with_delay(
-                    "all servers have as much as they take",
-                    wait.mul_f64(rand::rng().random_range(1.0..2.0)),
-                )
+                "all servers have as much as they take"
             }
-            NotSent::Refused(Refusal::BackingOff { retry_ms }) => {
+            Refusal::BackingOff { retry_ms } => {
                 let _ = write!(self.trail, "all rest, {retry_ms} ms");
-                let wait = Duration::from_millis(retry_ms).max(RETRY_DELAY);
-                self.refuse_with_delay(
-                    "all servers rest",
-                    wait.mul_f64(rand::rng().random_range(1.0..BACKOFF_SPREAD_FACTOR)),
-                )
+                "all servers rest"
+            }
+            Refusal::Overloaded { wait_ms } => {
+                let _ = write!(self.trail, "crowded, {wait_ms:.0} ms to a place");
+                "all places are taken"
             }
-            NotSent::Refused(Refusal::Shed { retry_ms }) => {
+            Refusal::Shed { retry_ms } => {
                 let _ = write!(self.trail, "shed, {retry_ms} ms");
-                let wait = Duration::from_millis(retry_ms).max(RETRY_DELAY);
-                self.refuse_with_delay(
-                    "more urgent requests take the slots",
-                    wait.mul_f64(rand::rng().random_range(1.0..2.0)),
-                )
+                "more urgent requests take the slots"
             }
-            NotSent::Refused(Refusal::CustomerShare { retry_ms }) => {
+            Refusal::CustomerShare { retry_ms } => {
                 let _ = write!(self.trail, "customer share, {retry_ms} ms");
-                let wait = Duration::from_millis(retry_ms).max(RETRY_DELAY);
-                self.refuse_with_delay(
-                    "the customer has its share of the slots",
-                    wait.mul_f64(rand::rng().random_range(1.0..2.0)),
-                )
-            }
-            NotSent::DeadlineExceeded => self.refuse("its time is over"),
-            NotSent::Quarantined { retry_ms } => {
-                self.trail.push_str("held");
-                self.refuse_with_delay("servers ended under this request", Duration::from_millis(retry_ms))
-            }
-            NotSent::Refused(Refusal::Overloaded { wait_ms }) => {
-                let _ = write!(self.trail, "crowded, {wait_ms:.0} ms to a place");
-                let wait = Duration::from_secs_f64(wait_ms / 1e3) + MIN_CROWDED_DELAY;
-                self.refuse_with_delay("all places are taken", wait.mul_f64(rand::rng().random_range(1.0..2.0)))
+                "the customer has its share of the slots"
             }
         }
     }
 
-    pub(crate) fn refuse(&mut self, why: &'static str) -> Response<Body> {
-        self.refuse_with_delay(why, RETRY_DELAY)
-    }
-
-    /// Refuses the request with a retry delay.
-    pub(crate) fn refuse_with_delay(&mut self, why: &'static str, after: Duration) -> Response<Body> {
+    /// Refuses the request, with the delay after which its caller should retry.
+    pub(crate) fn refuse(&mut self, cause: Cause, text: &'static str) -> Response<Body> {
         if self.may_have_run {
             telemetry::emit(Event::RefusalBroken, format_args!("id={} trail=\"{}\"", self.call.id, self.trail));
-            return self.fail_unknown(why);
+            return self.fail_unknown(text);
         }
+        let delay = self.retry_delay(cause);
         self.finish(Outcome::Refused);
-        answer::refused(why, after)
+        answer::refused(text, delay)
+    }
+
+    /// Returns the delay after which the caller should retry. If all slots are taken, its return is recorded, so that
+    /// callers refused later return after it.
+    fn retry_delay(&self, cause: Cause) -> Duration {
+        let (now, left, draw) = (self.shared.now(), self.left(), rand::rng().random_range(0.0..1.0));
+        let queue = Queue { waiting: 0, interval_ms: None, left, draw };
+        if !matches!(cause, Cause::NotPlaced(Refusal::Overloaded { .. })) {
+            return cause.delay(&queue);
+        }
+        let (urgency, request) = (self.urgency(), self.fingerprint());
+        let mut returns = self.shared.returns();
+        let (waiting, interval_ms) = returns.queue(&self.service, urgency, request, now);
+        let delay = cause.delay(&Queue { waiting, interval_ms, ..queue });
+        let at = now.saturating_add(u64::try_from(delay.as_millis()).unwrap_or(u64::MAX));
+        returns.promise(&self.service, urgency, request, at);
+        delay
     }
 
     pub(crate) fn fail_unknown(&mut self, why: &'static str) -> Response<Body> {
@@ -114,7 +98,7 @@
             self.shared.placement().record_ending(&self.service, server, Ending::Broken, now);
         }
         if !self.may_have_run && !self.in_flight.get() {
-            return self.refuse("no server could be reached in time");
+            return self.refuse(Cause::Deadline, "no server could be reached in time");
         }
         self.finish(Outcome::DeadlineExceeded);
         answer::plain(StatusCode::GATEWAY_TIMEOUT, "its time is over")
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -7,6 +7,7 @@
 use crate::crash::CrashDetector;
 use crate::header_codec::{Call, Dispatch};
 use crate::outcome::Outcome;
+use crate::retry_delay::Cause;
 use crate::shared::Shared;
 use crate::timing::Timing;
 use crate::Body;
@@ -116,6 +117,9 @@
                 .unwrap_or_else(|_| Fetched::Nothing(SendOutcome::Broken("silent".to_owned()))),
             None => self.send_and_read(&choice).await,
         };
+        if !matches!(fetched, Fetched::Nothing(_)) {
+            self.shared.returns().record_start(&self.service, self.urgency(), self.shared.now());
+        }
         match fetched {
             Fetched::Stream(answer) => Some(Reply::Stream(answer, slot)),
             Fetched::Complete(parts, bytes) => {
@@ -210,7 +214,7 @@
         match self.record_failed_send(sent, slot) {
             NextStep::Retry => None,
             NextStep::GiveUp if self.may_have_run => Some(Reply::Complete(self.fail_unknown("no answer"))),
-            NextStep::GiveUp => Some(Reply::Complete(self.refuse("no server took the request"))),
+            NextStep::GiveUp => Some(Reply::Complete(self.refuse(Cause::NotTaken, "no server took the request"))),
         }
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod peer_client;
 mod readiness;
 mod resettable_stream;
+mod retry_delay;
 mod server_hints;
 mod shared;
 mod stream_forwarder;
@@ -39,6 +40,7 @@
 pub use outcome::Outcome;
 pub use peer_client::PeerClient;
 pub use readiness::ReadinessServer;
+pub use retry_delay::{Cause, Queue, Returns};
 pub use shared::{Dependencies, Shared, View};
 
 /// The body of a response to a caller.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by the traffic threads and the control thread.
 
-use crate::{HeaderCodec, PeerClient};
+use crate::{HeaderCodec, PeerClient, Returns};
 use clock::Clock;
 use placement::{Millis, Placement, Quarantine, Snapshot};
 use routing::{Directory, Evacuations, Table};
@@ -42,6 +42,8 @@
     view: RwLock<Arc<View>>,
     placement: Mutex<Placement>,
     pub(crate) quarantine: Mutex<Quarantine>,
+    /// When refused callers were told to return.
+    returns: Mutex<Returns>,
     /// Secret of the deployment, equal on all boxes; keys the request fingerprints.
     pub(crate) secret: u64,
     clock: Arc<dyn Clock>,
@@ -67,6 +69,7 @@
             view: RwLock::default(),
             placement: Mutex::new(placement),
             quarantine: Mutex::default(),
+            returns: Mutex::default(),
             secret,
             started: clock.now(),
             clock,
@@ -108,6 +111,11 @@
         self.placement.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the promised returns of refused callers. The guard must not be held across an await point.
+    pub(crate) fn returns(&self) -> MutexGuard<'_, Returns> {
+        self.returns.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Marks the beginning of a planned stop.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
