relay: metric of refusals by cause, and the cause and the time of choices in the lines

Cause: a refused request's line had its cause only as free text in the trail, without class and customer, and no metric counted refusals by cause. Time at the box and time at the server were one number.

RequestEnded gets why, urgency and customer for refused requests; both lines get choose_ms, the time spent choosing with the waits for owners and slots. The fields are formatted without allocation; a label with the service's name is allocated for refused requests only.

Ruled out: the customer as a label, since the number of customers has no bound. Refusals of a box without a configuration aren't counted: they have no service.

--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -9,10 +9,28 @@
 use http::{Response, StatusCode};
 use placement::{Ending, Refusal};
 use rand::Rng;
-use std::fmt::Write;
+use std::fmt::{self, Display, Formatter, Write};
 use std::time::Duration;
 use telemetry::Event;
 
+/// Metric labels of the urgencies.
+const URGENCY_LABELS: [&str; 10] = ["0", "1", "2", "3", "4", "5", "6", "7", "8", "9"];
+
+/// The fields that `RequestEnded` has for refused requests only.
+struct RefusalFields<'a>(&'a Exchange);
+
+impl Display for RefusalFields<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Some(cause) = self.0.refusal else { return Ok(()) };
+        write!(f, " why={} urgency={} customer=", cause.as_str(), self.0.urgency())?;
+        let Some(customer) = &self.0.customer else { return f.write_char('-') };
+        // Names are free text. A quote would end the field and start others.
+        f.write_char('"')?;
+        customer.name.chars().try_for_each(|c| f.write_char(if c == '"' { '\'' } else { c }))?;
+        f.write_char('"')
+    }
+}
+
 impl Exchange {
     pub(crate) fn not_sent(&mut self, why: &NotSent) -> Response<Body> {
         if self.may_have_run {
@@ -65,6 +83,7 @@
             return self.fail_unknown(text);
         }
         let delay = self.retry_delay(cause);
+        self.refusal = Some(cause);
         self.finish(Outcome::Refused);
         answer::refused(text, delay)
     }
@@ -121,6 +140,15 @@
         if outcome == Outcome::Answered && !self.shared.quarantine().is_empty() {
             self.shared.record_survival(self.fingerprint());
         }
+        if let Some(cause) = self.refusal {
+            metrics::counter!(
+                "cleatshelf_refusals_total",
+                "service" => self.service.clone(),
+                "urgency" => URGENCY_LABELS[usize::from(self.urgency()).min(URGENCY_LABELS.len() - 1)],
+                "why" => cause.as_str()
+            )
+            .increment(1);
+        }
         let late = if outcome == Outcome::Answered { self.timing.late_reason(&self.route) } else { None };
         if let Some(why) = late {
             metrics::counter!("cleatshelf_streams_late_total", "why" => why, "route" => self.route.name.clone())
@@ -130,15 +158,17 @@
         telemetry::emit(
             if plain { Event::RequestAnswered } else { Event::RequestEnded },
             format_args!(
-                "id={} request={} outcome={} route={} ms={} first={} pause={} sends={} trail=\"{}\"",
+                "id={} request={} outcome={} route={} ms={} choose_ms={} first={} pause={} sends={}{} trail=\"{}\"",
                 self.call.id,
                 self.fingerprint(),
                 outcome.as_str(),
                 self.route.name,
                 elapsed.as_millis(),
+                self.timing.choice_time().as_millis(),
                 self.timing.first.map_or(0, |first| first.as_millis()),
                 self.timing.pause.as_millis(),
                 self.sends,
+                RefusalFields(self),
                 self.trail.trim_start()
             ),
         );
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -69,7 +69,9 @@
     pub(crate) in_flight: Cell<bool>,
     /// True once the outcome was recorded.
     pub(crate) finished: bool,
-    /// Event times, if the answer is a stream.
+    /// Why the request was refused; `None` otherwise.
+    pub(crate) refusal: Option<Cause>,
+    /// Where its time went.
     pub(crate) timing: Timing,
     /// The decisions made so far, for the log.
     pub(crate) trail: String,
@@ -105,9 +107,17 @@
         }
     }
 
+    /// Chooses a server, and records the time that it took.
+    async fn choose_timed(&mut self) -> Result<(Choice, SlotGuard), NotSent> {
+        self.timing.begin_choice();
+        let chosen = self.choose().await;
+        self.timing.end_choice();
+        chosen
+    }
+
     /// Makes one attempt. Returns `None` if another one should follow.
     async fn attempt(&mut self) -> Option<Reply> {
-        let (choice, mut slot) = match self.choose().await {
+        let (choice, mut slot) = match self.choose_timed().await {
             Ok(chosen) => chosen,
             Err(why) => return Some(Reply::Complete(self.not_sent(&why))),
         };
@@ -274,7 +284,7 @@
     /// Resumes a broken stream at another server. Returns the new answer if there is one.
     pub(crate) async fn resume(&mut self, last_event: Option<u64>) -> Option<(Answer, SlotGuard)> {
         loop {
-            let (choice, slot) = self.choose().await.ok()?;
+            let (choice, slot) = self.choose_timed().await.ok()?;
             match self.send(&choice, last_event).await {
                 SendOutcome::Answer(answer) if answer.parts.status.is_success() => return Some((*answer, slot)),
                 sent => {
--- a/crates/relay/src/frontend.rs
+++ b/crates/relay/src/frontend.rs
@@ -250,6 +250,7 @@
             may_have_run: false,
             in_flight: Cell::default(),
             finished: false,
+            refusal: None,
             timing: Timing::default(),
             trail: String::new(),
         })
--- a/crates/relay/tests/retry_delay.rs
+++ b/crates/relay/tests/retry_delay.rs
@@ -35,6 +35,27 @@
     assert_eq!(crowded_ms(900.0, &queue(5, 100.0, 3_000, 0.0)), 1_400);
 }
 
+/// Guards against causes that operators can't tell apart, and against changed delays of causes other than taken slots.
+#[test]
+fn each_cause_has_its_word_and_its_delay() {
+    let shed = [Refusal::Shed { retry_ms: 900 }, Refusal::CustomerShare { retry_ms: 100 }].map(Cause::NotPlaced);
+    let cases = [
+        (shed[0], "shed", 900, 1_800),
+        (shed[1], "customer_share", 400, 800),
+        (Cause::NotPlaced(Refusal::Cold), "cold", 600, 1_200),
+        (Cause::NotPlaced(Refusal::Limited { retry_ms: 700 }), "limited", 700, 1_400),
+        (Cause::NotPlaced(Refusal::BackingOff { retry_ms: 2_000 }), "back_off", 2_000, 2_400),
+        (Cause::NotPlaced(Refusal::NoServer), "no_server", 400, 400),
+        (Cause::NotTaken, "no_server", 400, 400),
+        (Cause::Deadline, "deadline", 400, 400),
+        (Cause::Quarantined { retry_ms: 7_000 }, "quarantined", 7_000, 7_000),
+    ];
+    for (cause, word, least, most) in cases {
+        let delays = [0.0, 1.0].map(|draw| cause.delay(&queue(9, 50.0, 1_000, draw)).as_millis());
+        assert_eq!((cause.as_str(), delays), (word, [least, most]));
+    }
+}
+
 #[test]
 fn a_caller_that_returns_early_loses_its_place_and_delays_nobody() {
     let mut returns = Returns::default();
