--- a/crates/model/src/router.rs
+++ b/crates/model/src/router.rs
@@ -246,12 +246,15 @@
     }
 }
 
-/// Returns the delay after which a refused caller retries, computed as in cleatshelf.
+/// Returns the delay after which a refused caller retries. Unlike cleatshelf's, it knows no order among those refused.
 fn retry_delay_ms(refusal: Refusal, rng: &mut ChaCha8Rng) -> Millis {
     let spread = rng.random_range(1.0..2.0);
     match refusal {
         Refusal::Overloaded { wait_ms } => ((wait_ms + OVERLOAD_RETRY_DELAY_MS as f64) * spread) as Millis,
         Refusal::BackingOff { retry_ms } | Refusal::Limited { retry_ms } => retry_ms.max(RETRY_DELAY_MS),
+        Refusal::Shed { retry_ms } | Refusal::CustomerShare { retry_ms } => {
+            (retry_ms.max(RETRY_DELAY_MS) as f64 * spread) as Millis
+        }
         Refusal::NoServer | Refusal::Cold => RETRY_DELAY_MS,
     }
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -7,6 +7,7 @@
 use crate::crash::CrashDetector;
 use crate::header_codec::{Call, Dispatch};
 use crate::outcome::Outcome;
+use crate::retry_delay::Cause;
 use crate::shared::Shared;
 use crate::timing::Timing;
 use crate::Body;
@@ -68,7 +69,9 @@
     pub(crate) in_flight: Cell<bool>,
     /// True once the outcome was recorded.
     pub(crate) finished: bool,
-    /// Event times, if the answer is a stream.
+    /// Why the request was refused; `None` otherwise.
+    pub(crate) refusal: Option<Cause>,
+    /// Where its time went.
     pub(crate) timing: Timing,
     /// The decisions made so far, for the log.
     pub(crate) trail: String,
@@ -104,9 +107,17 @@
         }
     }
 
+    /// Chooses a server, and records the time that it took.
+    async fn choose_timed(&mut self) -> Result<(Choice, SlotGuard), NotSent> {
+        self.timing.begin_choice();
+        let chosen = self.choose().await;
+        self.timing.end_choice();
+        chosen
+    }
+
     /// Makes one attempt. Returns `None` if another one should follow.
     async fn attempt(&mut self) -> Option<Reply> {
-        let (choice, mut slot) = match self.choose().await {
+        let (choice, mut slot) = match self.choose_timed().await {
             Ok(chosen) => chosen,
             Err(why) => return Some(Reply::Complete(self.not_sent(&why))),
         };
@@ -116,6 +127,9 @@
                 .unwrap_or_else(|_| Fetched::Nothing(SendOutcome::Broken("silent".to_owned()))),
             None => self.send_and_read(&choice).await,
         };
+        if !matches!(fetched, Fetched::Nothing(_)) {
+            self.shared.returns().record_start(&self.service, self.urgency(), self.shared.now());
+        }
         match fetched {
             Fetched::Stream(answer) => Some(Reply::Stream(answer, slot)),
             Fetched::Complete(parts, bytes) => {
@@ -210,7 +224,7 @@
         match self.record_failed_send(sent, slot) {
             NextStep::Retry => None,
             NextStep::GiveUp if self.may_have_run => Some(Reply::Complete(self.fail_unknown("no answer"))),
-            NextStep::GiveUp => Some(Reply::Complete(self.refuse("no server took the request"))),
+            NextStep::GiveUp => Some(Reply::Complete(self.refuse(Cause::NotTaken, "no server took the request"))),
         }
     }
 
@@ -270,7 +284,7 @@
     /// Resumes a broken stream at another server. Returns the new answer if there is one.
     pub(crate) async fn resume(&mut self, last_event: Option<u64>) -> Option<(Answer, SlotGuard)> {
         loop {
-            let (choice, slot) = self.choose().await.ok()?;
+            let (choice, slot) = self.choose_timed().await.ok()?;
             match self.send(&choice, last_event).await {
                 SendOutcome::Answer(answer) if answer.parts.status.is_success() => return Some((*answer, slot)),
                 sent => {
