dispatch: slots in order of urgency, customers' shares and age

Cause: each box knows only what it sent to a plain server itself, so many boxes overfill few slots.

The dispatcher keeps the servers, leases and waiting requests of each service. Urgency classes are served in strict order, with a floor of one grant per class and second. Within a class, customers share by deficit round robin; a customer below its share saves up to 16 quanta of credit. A request is refused when what stands before it, at the throughput learned from answers, means that it can't start in time.

Ruled out: deficit round robin without saved credit.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,6 +1,8 @@
 //! The dispatcher of the services that this box hands out slots for.
 
+use crate::service::Service;
 use crate::{Millis, SlotRelease, SlotReply, SlotRequest};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// A server whose slots are handed out.
@@ -38,56 +40,80 @@
 
 /// Hands out the slots of services.
 #[derive(Clone, Debug, Default)]
-pub struct Dispatcher {}
+pub struct Dispatcher {
+    /// By name.
+    services: BTreeMap<String, Service>,
+    stopping: bool,
+}
 
 impl Dispatcher {
     /// Sets the servers of a service; without any, its requests are [`SlotReply::Unmanaged`]. Servers that are no longer
     /// listed get no grants; slots in use there stay in use until they are released or lapse.
     #[must_use]
-    pub fn set_servers(&mut self, _service: &str, _servers: &[ServerSlots], _now: Millis) -> Vec<Reply> {
-        Vec::new()
+    pub fn set_servers(&mut self, service: &str, servers: &[ServerSlots], now: Millis) -> Vec<Reply> {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), Service::default());
+        }
+        let replies = self.services.get_mut(service).map_or_else(Vec::new, |service| service.set_servers(servers, now));
+        self.services.retain(|_, service| !service.is_obsolete());
+        replies
     }
 
     /// Handles a request; returns the replies to all requests that are decided by now.
     #[must_use]
-    pub fn on_request(&mut self, from: SocketAddr, request: SlotRequest, _now: Millis) -> Vec<Reply> {
-        vec![Reply { to: from, reply: SlotReply::Unmanaged { number: request.number } }]
+    pub fn on_request(&mut self, from: SocketAddr, request: SlotRequest, now: Millis) -> Vec<Reply> {
+        match self.services.get_mut(&request.service) {
+            Some(service) if !self.stopping => service.on_request(from, request, now),
+            _ => vec![Reply { to: from, reply: SlotReply::Unmanaged { number: request.number } }],
+        }
     }
 
     /// Handles a release; unknown numbers are ignored.
     #[must_use]
-    pub fn on_release(&mut self, _from: SocketAddr, _release: &SlotRelease, _now: Millis) -> Vec<Reply> {
-        Vec::new()
+    pub fn on_release(&mut self, from: SocketAddr, release: &SlotRelease, now: Millis) -> Vec<Reply> {
+        let Some(service) = self.services.get_mut(&release.service) else { return Vec::new() };
+        let replies = service.on_release((from, release.number), release.ending, now);
+        if service.is_obsolete() {
+            self.services.remove(&release.service);
+        }
+        replies
     }
 
     /// Drops the requests and leases of a box that has left.
     #[must_use]
-    pub fn on_box_left(&mut self, _address: SocketAddr, _now: Millis) -> Vec<Reply> {
-        Vec::new()
+    pub fn on_box_left(&mut self, address: SocketAddr, now: Millis) -> Vec<Reply> {
+        self.for_each(|service| service.on_box_left(address, now))
     }
 
     /// Refuses requests that can't start in time any more and ends lapsed leases. To be called every 10 ms while
     /// [`Dispatcher::is_idle`] is false.
     #[must_use]
-    pub fn tick(&mut self, _now: Millis) -> Vec<Reply> {
-        Vec::new()
+    pub fn tick(&mut self, now: Millis) -> Vec<Reply> {
+        self.for_each(|service| service.tick(now))
     }
 
     /// True if nothing waits and no slot is in use.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        true
+        self.services.values().all(Service::is_idle)
     }
 
     /// Answers all waiting requests with [`SlotReply::Unmanaged`], and so all later ones: this box is stopping.
     #[must_use]
     pub fn stop(&mut self) -> Vec<Reply> {
-        Vec::new()
+        self.stopping = true;
+        self.for_each(Service::stop)
     }
 
     /// Returns the state of each service.
     #[must_use]
     pub fn summaries(&self) -> Vec<Summary> {
-        Vec::new()
+        self.services.iter().map(|(name, service)| service.summary(name)).collect()
+    }
+
+    fn for_each(&mut self, handle: impl FnMut(&mut Service) -> Vec<Reply>) -> Vec<Reply> {
+        let replies = self.services.values_mut().flat_map(handle).collect();
+        self.services.retain(|_, service| !service.is_obsolete());
+        replies
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,7 +4,12 @@
 //! [`SlotRelease`] after it. The crate does no I/O and reads no clock: time is an argument.
 
 mod dispatcher;
+mod ended;
+mod forecast;
 mod message;
+mod queue;
+mod server;
+mod service;
 
 pub use dispatcher::{Dispatcher, Reply, ServerSlots, Summary};
 pub use message::{SlotEnding, SlotRelease, SlotReply, SlotRequest};
