placement: classes are shed in order, and customers beyond their share first

Cause: admission compared a wait with the request's own target, so that a less urgent class with a long target was let in where a more urgent one was refused. Change: each box counts requests and refusals by class; queries carry the counts to owners, which answer with the sum over boxes.

--- a/crates/cleatshelf/src/router/owner_service.rs
+++ b/crates/cleatshelf/src/router/owner_service.rs
@@ -191,7 +191,7 @@
         let mut state = self.state();
         state.missed_replies.record_reply(from);
         match message {
-            Message::Question(query) => Some(Message::Opinion(state.owner.on_query(&query, now))),
+            Message::Question(query) => Some(Message::Opinion(state.answer(from, &query, now))),
             Message::Report(report) => {
                 state.owner.on_report(from, report, now);
                 None
@@ -228,6 +228,12 @@
         self.first_ranked(&server.id, &server.hall, |address| !self.missed_replies.is_unresponsive(address, now))
     }
 
+    /// Answers a query of the box `from` for the status of a server.
+    fn answer(&mut self, from: SocketAddr, query: &StatusQuery, now: Millis) -> ServerStatus {
+        let demand = self.owner.exchange_demand(from, query, now);
+        ServerStatus { demand, ..self.owner.on_query(query, now) }
+    }
+
     /// Returns the only box that may grant permits for sends to a server, even if it is unresponsive. Two boxes that
     /// each considered the other unresponsive would together grant twice what the server can take.
     fn permit_owner_of(&self, server: &str, hall: &str) -> Option<SocketAddr> {
@@ -264,7 +270,7 @@
         let owner = state.owner_of(server, now)?;
         let (sender, receiver) = oneshot::channel();
         if owner == service.me {
-            let status = state.owner.on_query(&query, now);
+            let status = state.answer(service.me, &query, now);
             // Can't fail: the receiver is still alive.
             let _ = sender.send(status);
             return Some(receiver);
--- a/crates/model/src/router.rs
+++ b/crates/model/src/router.rs
@@ -147,6 +147,7 @@
                 server: server.id.clone(),
                 parts: request.prompt.parts.clone(),
                 gap_ms: request.class.gap_ms as u32,
+                ..StatusQuery::default()
             };
             let status = context.owner.on_query(&query, request.now);
             self.placement.on_status(SERVICE, &server.id, status.clone(), request.now);
@@ -195,7 +196,8 @@
 }
 
 fn running_requests(server: &Server, now: Millis, context: &mut RouterContext<'_>) -> u32 {
-    let query = StatusQuery { number: 0, server: server.id.clone(), parts: Vec::new(), gap_ms: 0 };
+    let query =
+        StatusQuery { number: 0, server: server.id.clone(), parts: Vec::new(), gap_ms: 0, ..StatusQuery::default() };
     context.owner.on_query(&query, now).load.running
 }
 
@@ -235,6 +237,8 @@
         ..placement::Work::default()
     };
     Choice {
+        answered: 0,
+        known: false,
         server,
         fetch: None,
         work,
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -13,8 +13,8 @@
 use crate::stalls::Stalls;
 use crate::urgency::FairShare;
 use crate::{
-    CachedParts, Disconnect, Ending, Health, Load, Millis, Part, PermitReply, PermitRequest, Prefill, Quotas, Speed,
-    SpeedEstimator, Work,
+    CachedParts, DemandReport, DemandSums, Disconnect, Ending, Health, Load, Millis, Part, PermitReply, PermitRequest,
+    Prefill, Quotas, Speed, SpeedEstimator, Work,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
@@ -27,7 +27,7 @@
 const MAX_PARTIAL_PREFILL_RATIO: f64 = 0.8;
 
 /// Queries the owner of a server for its status.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatusQuery {
     /// Number of this query, unique on the requesting box.
     pub number: u64,
@@ -37,6 +37,10 @@
     pub parts: Vec<Part>,
     /// Longest inter-token gap of the answer that is still in time, in milliseconds; 0 if no gap makes it late.
     pub gap_ms: u32,
+    /// Hash of the service's name.
+    pub service: u64,
+    /// Demand for the service on the requesting box.
+    pub demand: DemandReport,
 }
 
 /// Status of a server, as known to its owner.
@@ -79,6 +83,8 @@
     /// is kept with this server.
     #[serde(rename = "elsewhere")]
     pub cached_by: Vec<String>,
+    /// Demand for the service on all boxes that queried the owner within the last second.
+    pub demand: DemandReport,
 }
 
 /// Reports on a request to the owner of its server.
@@ -176,8 +182,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct Owner {
     servers: HashMap<String, OwnedServer>,
+    /// Demand for services on all boxes, by the hash of the service's name.
+    demands: HashMap<u64, DemandSums>,
 }
 
+/// Most services whose demand is summed. Hashes come from other boxes; a deployment has some dozens.
+const MAX_SERVICES: usize = 256;
+
 impl Owner {
     /// Answers a query.
     pub fn on_query(&mut self, query: &StatusQuery, now: Millis) -> ServerStatus {
@@ -197,10 +208,21 @@
             arrivals: owned.arrivals.count_within(COLD_WINDOW, now),
             full: now < owned.full_until,
             disconnect: owned.disconnects.elapsed(now),
+            demand: DemandReport::default(),
             cached_by: last_shared_part(&query.parts).map_or_else(Vec::new, |part| owned.cache_directory.servers(part)),
         }
     }
 
+    /// Records the demand that the box `from` counted, and returns the sum over all boxes.
+    pub fn exchange_demand(&mut self, from: SocketAddr, query: &StatusQuery, now: Millis) -> DemandReport {
+        if self.demands.len() >= MAX_SERVICES && !self.demands.contains_key(&query.service) {
+            self.demands.clear();
+        }
+        let sums = self.demands.entry(query.service).or_default();
+        sums.on_report(from, &query.demand, now);
+        sums.sum(now)
+    }
+
     /// Grants or denies a permit; a request with a permit counts as sent. The quotas apply to all boxes together, and
     /// so does this count.
     pub fn on_permit_request(&mut self, request: &PermitRequest, now: Millis) -> PermitReply {
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -3,8 +3,8 @@
 use crate::notices::Notices;
 use crate::pool::Pool;
 use crate::{
-    Choice, ColdAllowance, Ending, Limit, LimitUpdate, Millis, PlacementRequest, Prompt, Refusal, RetryBudget,
-    ServerStatus, Work,
+    Choice, ColdAllowance, DemandReport, Ending, Limit, LimitUpdate, Millis, PlacementRequest, Prompt, Refusal,
+    RetryBudget, ServerStatus, Work,
 };
 use imbl::ordmap::DiffItem;
 use imbl::OrdMap;
@@ -274,6 +274,35 @@
         self.boxes = boxes.max(1);
     }
 
+    /// Decides whether a new request is shed, and records it; to be called once per request. `customer` is a hash of the
+    /// customer's name, and `draw` is uniform in 0..1.
+    ///
+    /// # Errors
+    /// [`Refusal::Shed`] if a more urgent class is short of slots, [`Refusal::CustomerShare`] if its own class is and the
+    /// customer is beyond its fair share.
+    pub fn admit(&mut self, request: &PlacementRequest<'_>, customer: u64, draw: f64) -> Result<(), Refusal> {
+        self.pools.get_mut(request.service).map_or(Ok(()), |pool| pool.admit(request, customer, draw))
+    }
+
+    /// Records that a request, passed to [`Placement::admit`] before, got nothing for want of a slot.
+    pub fn record_refused(&mut self, service: &str, urgency: u8, now: Millis) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.record_refused(urgency, now);
+        }
+    }
+
+    /// Returns the share of a class that is shed in favour of more urgent ones, from 0 to 1.
+    #[must_use]
+    pub fn shed_ratio(&self, service: &str, urgency: u8, now: Millis) -> f64 {
+        self.pools.get(service).map_or(0.0, |pool| pool.shed_ratio(urgency, now))
+    }
+
+    /// Returns the demand for a service that this box counted, for queries to owners.
+    #[must_use]
+    pub fn demand_report(&self, service: &str, now: Millis) -> DemandReport {
+        self.pools.get(service).map_or_else(DemandReport::default, |pool| pool.demand_report(now))
+    }
+
     /// Returns the servers whose owners should be queried before a choice, the most likely choice first.
     #[must_use]
     pub fn servers_to_query(&mut self, request: &PlacementRequest<'_>, max: usize) -> Vec<Arc<Server>> {
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -10,8 +10,8 @@
 use crate::sample::Sample;
 use crate::split::{self, Split};
 use crate::{
-    AdmissionState, Choice, ColdAllowance, Ending, Millis, PlacementRequest, Prefill, Prompt, Quota, Quotas, Refusal,
-    ServerStatus, Speed, Work,
+    AdmissionState, Choice, ColdAllowance, DemandReport, Ending, Millis, PlacementRequest, Prefill, Prompt, Quota,
+    Quotas, Refusal, ServerStatus, Speed, Work,
 };
 use routing::{ColdStart, Engine, Server};
 use std::cmp::Reverse;
@@ -347,8 +347,35 @@
         others.map(|directory| (Arc::clone(&directory.server), part.id)).collect()
     }
 
+    /// Decides whether a new request is shed; see [`Admission::admit`]. Plain servers have no shortage by class: their
+    /// slots are few, and assigned in order where boxes share them.
+    pub(crate) fn admit(&mut self, request: &PlacementRequest<'_>, customer: u64, draw: f64) -> Result<(), Refusal> {
+        if self.engine.is_none() {
+            return Ok(());
+        }
+        self.admission.admit(request, customer, draw)
+    }
+
+    /// Records that a request got nothing for want of a slot.
+    pub(crate) fn record_refused(&mut self, urgency: u8, now: Millis) {
+        if self.engine.is_some() {
+            self.admission.record_refused(urgency, now);
+        }
+    }
+
+    /// Returns the share of a class that is shed in favour of more urgent ones.
+    pub(crate) fn shed_ratio(&self, urgency: u8, now: Millis) -> f64 {
+        self.admission.shed_ratio(urgency, now)
+    }
+
+    /// Returns the demand that this box counted, for queries.
+    pub(crate) fn demand_report(&self, now: Millis) -> DemandReport {
+        self.admission.report(now)
+    }
+
     /// Records the status of a server that its owner reported.
     pub(crate) fn on_status(&mut self, id: &str, status: ServerStatus, now: Millis) {
+        self.admission.apply(&status.demand, now);
         if let Some(member) = self.members.get_mut(id) {
             member.record_status(status, now);
             self.with_status.insert(id.to_owned());
--- a/crates/placement/tests/cache_directory.rs
+++ b/crates/placement/tests/cache_directory.rs
@@ -45,7 +45,13 @@
     let planned = one.servers_to_query(&request(&[]), 9);
     let mut statuses = Vec::new();
     for (index, server) in planned.iter().enumerate() {
-        let query = StatusQuery { number: 1, server: server.id.clone(), parts: prompt.parts.clone(), gap_ms: 0 };
+        let query = StatusQuery {
+            number: 1,
+            server: server.id.clone(),
+            parts: prompt.parts.clone(),
+            gap_ms: 0,
+            ..StatusQuery::default()
+        };
         let mut status = owner.on_query(&query, now);
         if index < 5 {
             let prefill = Prefill { tokens: 4_000_000, ..Prefill::default() };
@@ -95,7 +101,7 @@
     }
     let mut cached_by = |parts: &[u64]| {
         let parts = parts.iter().map(|id| Part { id: *id, tokens: 5_000 }).collect();
-        let query = StatusQuery { number: 1, server: "s".to_owned(), parts, gap_ms: 0 };
+        let query = StatusQuery { number: 1, server: "s".to_owned(), parts, gap_ms: 0, ..StatusQuery::default() };
         let ServerStatus { cached_by, .. } = owner.on_query(&query, 1);
         cached_by
     };
--- a/crates/placement/tests/cold.rs
+++ b/crates/placement/tests/cold.rs
@@ -103,6 +103,7 @@
                 server: server.id.clone(),
                 parts: prompt.parts.clone(),
                 gap_ms: 0,
+                ..StatusQuery::default()
             };
             let status = self.owner.on_query(&query, now);
             self.boxes[index].on_status(MODEL, &server.id, status.clone(), now);
@@ -274,7 +275,8 @@
         SendUpdate::Sent { parts: known.parts.clone(), work: Work::default(), memory: 100_000, permitted: false };
     owner.on_report(from, SendReport { number: 1, server: "s0@1".to_owned(), update: sent }, 10);
     owner.on_report(from, SendReport { number: 1, server: "s0@1".to_owned(), update: SendUpdate::Read }, 40);
-    let query = StatusQuery { number: 2, server: "s0@2".to_owned(), parts: known.parts, gap_ms: 0 };
+    let query =
+        StatusQuery { number: 2, server: "s0@2".to_owned(), parts: known.parts, gap_ms: 0, ..StatusQuery::default() };
     let status = owner.on_query(&query, 50);
     assert_eq!((status.load.running, status.cached_tokens, status.confirmed_tokens, status.arrivals), (0, 0, 0, 0));
 }
--- a/crates/placement/tests/limit.rs
+++ b/crates/placement/tests/limit.rs
@@ -185,7 +185,13 @@
         let mut statuses = Vec::new();
         for server in planned {
             let (number, id) = (self.number(), server.id.clone());
-            let query = StatusQuery { number, server: id.clone(), parts: prompt.parts.clone(), gap_ms: 0 };
+            let query = StatusQuery {
+                number,
+                server: id.clone(),
+                parts: prompt.parts.clone(),
+                gap_ms: 0,
+                ..StatusQuery::default()
+            };
             let status = self.owner.on_query(&query, self.now);
             self.boxes[from].on_status(MODEL, &id, status.clone(), self.now);
             statuses.push((id, status));
--- a/crates/placement/tests/owner.rs
+++ b/crates/placement/tests/owner.rs
@@ -14,7 +14,10 @@
 }
 
 fn status(owner: &mut Owner, now: u64) -> ServerStatus {
-    owner.on_query(&StatusQuery { number: 99, server: "s".to_owned(), parts: parts(), gap_ms: 200 }, now)
+    owner.on_query(
+        &StatusQuery { number: 99, server: "s".to_owned(), parts: parts(), gap_ms: 200, ..StatusQuery::default() },
+        now,
+    )
 }
 
 fn report(owner: &mut Owner, number: u64, update: SendUpdate, now: u64) {
--- a/crates/placement/tests/split.rs
+++ b/crates/placement/tests/split.rs
@@ -148,6 +148,7 @@
                 server: server.id.clone(),
                 parts: prompt.parts.clone(),
                 gap_ms: gap_ms as u32,
+                ..StatusQuery::default()
             };
             let status = self.owner.on_query(&query, now);
             self.placement.on_status(MODEL, &server.id, status.clone(), now);
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -7,6 +7,7 @@
 use http::uri::PathAndQuery;
 use http::{header, HeaderValue};
 use placement::{Choice, Fingerprint, Millis, PermitReply, PlacementRequest, Prompt, Refusal, ServerStatus, Verdict};
+use rand::Rng;
 use routing::Server;
 use std::sync::Arc;
 use std::time::Duration;
@@ -99,6 +100,13 @@
         Ok((choice, slot))
     }
 
+    /// Refuses the request if its class or its customer has to give way to others.
+    pub(crate) fn admit(&self) -> Result<(), NotSent> {
+        let customer = self.customer.as_ref().map_or(0, |customer| routing::rank(0, &customer.name));
+        let draw = rand::rng().random_range(0.0..1.0);
+        Ok(self.shared.placement().admit(&self.placement_request(&[], &[]), customer, draw)?)
+    }
+
     pub(crate) fn placement_request<'a>(
         &'a self,
         statuses: &'a [(String, ServerStatus)],
@@ -141,8 +149,9 @@
     /// Queries the owners of these servers and returns the statuses that arrive in time.
     async fn query_owners(&self, servers: &[Arc<Server>], prompt: &Prompt) -> Vec<(String, ServerStatus)> {
         let gap_ms = self.route.gap_target.map_or(0, |gap| gap.as_millis() as u32);
-        let pending: Vec<PendingStatus> =
-            servers.iter().filter_map(|server| PendingStatus::request(&self.shared, server, prompt, gap_ms)).collect();
+        let demand = self.shared.placement().demand_report(&self.service, self.shared.now());
+        let query = |server| PendingStatus::request(&self.shared, server, prompt, gap_ms, &demand);
+        let pending: Vec<PendingStatus> = servers.iter().filter_map(query).collect();
         let until = Instant::now() + STATUS_TIMEOUT;
         let mut statuses = Vec::new();
         for request in pending {
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -140,6 +140,13 @@
         if outcome == Outcome::Answered && !self.shared.quarantine().is_empty() {
             self.shared.record_survival(self.fingerprint());
         }
+        // A refused request whose sends all failed to reach a server is no sign of load.
+        let is_short =
+            self.refusal.is_some_and(|cause| cause.is_capacity() && (cause != Cause::NotTaken || self.sends > 0));
+        if is_short || outcome == Outcome::DeadlineExceeded {
+            let now = self.shared.now();
+            self.shared.placement().record_refused(&self.service, self.urgency(), now);
+        }
         if let Some(cause) = self.refusal {
             metrics::counter!(
                 "cleatshelf_refusals_total",
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -98,6 +98,9 @@
         }
         let now = self.shared.now();
         self.shared.placement().record_request(&self.service, now);
+        if let Err(why) = self.admit() {
+            return Reply::Complete(self.not_sent(&why));
+        }
         loop {
             match tokio::time::timeout_at(self.deadline, self.attempt()).await {
                 Ok(Some(reply)) => return reply,
--- a/crates/relay/src/owner_requests.rs
+++ b/crates/relay/src/owner_requests.rs
@@ -1,7 +1,7 @@
 //! Requests to the owners of servers.
 
 use crate::Shared;
-use placement::{PermitReply, PermitRequest, Prompt, Quotas, ServerStatus, StatusQuery};
+use placement::{DemandReport, PermitReply, PermitRequest, Prompt, Quotas, ServerStatus, StatusQuery};
 use routing::Server;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -16,9 +16,22 @@
 
 impl PendingStatus {
     /// Queries the owner of `server`. Returns `None` if no owner is reachable.
-    pub(crate) fn request(shared: &Shared, server: &Arc<Server>, prompt: &Prompt, gap_ms: u32) -> Option<Self> {
+    pub(crate) fn request(
+        shared: &Shared,
+        server: &Arc<Server>,
+        prompt: &Prompt,
+        gap_ms: u32,
+        demand: &DemandReport,
+    ) -> Option<Self> {
         let number = shared.numbers.fetch_add(1, Ordering::Relaxed);
-        let query = StatusQuery { number, server: server.id.clone(), parts: prompt.parts.clone(), gap_ms };
+        let query = StatusQuery {
+            number,
+            server: server.id.clone(),
+            parts: prompt.parts.clone(),
+            gap_ms,
+            service: routing::rank(0, &server.service),
+            demand: demand.clone(),
+        };
         let answer = shared.peer_client.request_status(server, query)?;
         Some(Self { server: Arc::clone(server), answer })
     }
--- a/crates/relay/src/retry_delay.rs
+++ b/crates/relay/src/retry_delay.rs
@@ -85,6 +85,16 @@
         }
     }
 
+    /// Returns true if the request got nothing for want of a slot.
+    #[must_use]
+    pub fn is_capacity(self) -> bool {
+        matches!(
+            self,
+            Self::NotPlaced(Refusal::Overloaded { .. } | Refusal::Shed { .. } | Refusal::CustomerShare { .. })
+                | Self::NotTaken
+        )
+    }
+
     /// Returns the delay after which the caller should retry.
     #[must_use]
     pub fn delay(self, queue: &Queue) -> Duration {
