placement: losses over five seconds decide what is shed, the least urgent class first; customers share the last class

Change: only what finds no slot or was shed for a class above counts, over the five seconds in which order has to hold; a class is shed only where all below it are; customers are told apart only in the least urgent class served for 5 s.

--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -5,7 +5,7 @@
 //! a slot beyond its latency target, since sending it would make it late and delay those after it.
 
 use crate::urgency::{class_index, PerUrgency};
-use crate::{CustomerReport, Customers, DemandReport, Millis, PlacementRequest, Refusal, Shortage};
+use crate::{CustomerReport, Customers, DemandReport, Loss, Millis, PlacementRequest, Refusal, Shortage};
 
 /// Time for which an urgency class counts as present after its last request.
 const PRESENCE_WINDOW: Millis = 2_000;
@@ -13,12 +13,16 @@
 /// A class that has been shed entirely for this long gets a small share, so that none starves.
 const STARVATION_TIMEOUT: Millis = 10_000;
 
+/// Time for which the classes below one must have been shed entirely before its customers are told apart. A class must
+/// not be held back within five seconds after a less urgent request began.
+const ORDER_WINDOW: Millis = 5_000;
+
 /// Share of its requests that a starved class gets.
 const STARVED_RATIO: f64 = 0.05;
 
-/// Share of a customer's excess that is shed. The rest probes whether slots have become free: what is shed counts as
-/// refused, so that shedding all of it would go on for as long as the customer sends as much.
-const EXCESS_SHED_RATIO: f64 = 0.9;
+/// Factor from the share of a class that found no slot to the share that is held back from customers beyond their fair
+/// share. What the others lose is then a sixth of what the class lacks.
+const HELD_BACK_PER_REFUSED: f64 = 5.0;
 
 /// Time after which shed callers may return: by then the counts of the last second are others.
 const SHED_RETRY_MS: u64 = 1_000;
@@ -33,6 +37,8 @@
     last_request: PerUrgency<Option<Millis>>,
     /// Time since which every request of an urgency was shed; `None` if one was admitted since.
     shed_since: PerUrgency<Option<Millis>>,
+    /// Time since which all less urgent classes are shed entirely; `None` if one of them is served.
+    least_urgent_since: PerUrgency<Option<Millis>>,
     shortage: Shortage,
     customers: Customers,
 }
@@ -46,25 +52,46 @@
     /// Decides whether a new request of `customer` is shed. `draw` is uniform in 0..1 and independent of the request.
     ///
     /// The order of classes follows from the comparison of their urgency: the share of a class that is shed depends only
-    /// on refusals of more urgent classes, whatever the targets of either.
+    /// on the losses of more urgent classes, whatever the targets of either. Customers are told apart only within the
+    /// least urgent class that is served, since what another class loses would be served to less urgent requests.
     pub(crate) fn admit(&mut self, request: &PlacementRequest<'_>, customer: u64, draw: f64) -> Result<(), Refusal> {
         let (urgency, now) = (request.urgency, request.now);
-        self.shortage.record(urgency, now);
         let work = request.prompt.map_or(1, |prompt| prompt.tokens.saturating_add(prompt.expected_out_tokens()));
+        self.shortage.record(urgency, work, now);
         self.customers.record(customer, work, now);
         let shed = self.shortage.shed_ratio(urgency, now);
-        if draw < self.with_floor(shed, urgency, now) {
-            return Err(Refusal::Shed { retry_ms: SHED_RETRY_MS });
+        let shed = self.with_floor(shed, urgency, now);
+        let refused = self.shortage.refused_of(urgency, now);
+        let has_to_share = self.has_to_share(urgency, now) && (shed > 0.0 || refused > 0.0);
+        if shed >= 1.0 || !has_to_share {
+            return if draw < shed { Err(Refusal::Shed { retry_ms: SHED_RETRY_MS }) } else { Ok(()) };
         }
-        let served = 1.0 - shed.max(self.shortage.refused_of(urgency, now));
-        let excess = EXCESS_SHED_RATIO * self.customers.excess(customer, served, now);
-        // Of the draws that are left, the same share is shed.
-        if draw >= 1.0 - excess * (1.0 - shed) {
+        let served = (1.0 - shed) * (1.0 - HELD_BACK_PER_REFUSED * refused).max(0.0);
+        let excess = self.customers.excess(customer, served, now);
+        if draw < excess {
             return Err(Refusal::CustomerShare { retry_ms: SHED_RETRY_MS });
         }
+        // What the customers' excess doesn't cover is shed from all alike.
+        let held_back = self.customers.excess_total(served, now);
+        let rest = ((shed - held_back) / (1.0 - held_back).max(f64::MIN_POSITIVE)).max(0.0);
+        let left = (draw - excess) / (1.0 - excess).max(f64::MIN_POSITIVE);
+        if left < rest {
+            return Err(Refusal::Shed { retry_ms: SHED_RETRY_MS });
+        }
         Ok(())
     }
 
+    /// True if a class is the least urgent one that is served, and has been so for a while.
+    fn has_to_share(&mut self, urgency: u8, now: Millis) -> bool {
+        let since = &mut self.least_urgent_since[class_index(urgency)];
+        if !self.shortage.is_least_urgent(urgency, now) {
+            *since = None;
+            return false;
+        }
+        let is_last = !self.shortage.has_less_urgent(urgency, now);
+        is_last || now >= since.get_or_insert(now).saturating_add(ORDER_WINDOW)
+    }
+
     /// Returns the share of a class that is shed, so that it doesn't starve.
     fn with_floor(&mut self, shed: f64, urgency: u8, now: Millis) -> f64 {
         let since = &mut self.shed_since[class_index(urgency)];
@@ -78,9 +105,9 @@
         1.0 - STARVED_RATIO
     }
 
-    /// Records that a request got nothing for want of a slot.
-    pub(crate) fn record_refused(&mut self, urgency: u8, now: Millis) {
-        self.shortage.record_refused(urgency, now);
+    /// Records that a request got nothing.
+    pub(crate) fn record_lost(&mut self, urgency: u8, loss: Loss, now: Millis) {
+        self.shortage.record_lost(urgency, loss, now);
     }
 
     /// Returns the share of a class that is shed in favour of more urgent ones, for metrics.
--- a/crates/placement/src/customers.rs
+++ b/crates/placement/src/customers.rs
@@ -103,6 +103,12 @@
         let fair = self.fair_level(served_ratio) / f64::from(listed.work);
         (1.0 - fair).min(2.0 * (1.0 - TOLERANCE * fair)).clamp(0.0, 1.0)
     }
+
+    /// Returns the share of the total that is excess.
+    fn excess_total(&self, served_ratio: f64) -> f64 {
+        let excess = |listed: &CustomerWork| f64::from(listed.work) * self.excess(listed.customer, served_ratio);
+        self.heaviest.iter().map(excess).sum::<f64>() / f64::from(self.total.max(1))
+    }
 }
 
 /// Customers that a report doesn't list, taken together.
@@ -222,15 +228,23 @@
         if served_ratio.is_nan() || served_ratio >= 1.0 {
             return 0.0;
         }
-        let served_ratio = served_ratio.max(0.0);
+        self.with_report(now, |report| report.excess(customer, served_ratio.max(0.0)))
+    }
+
+    /// Evaluates the work over all boxes, or of this box if it has more than the others are known to have.
+    fn with_report<T>(&self, now: Millis, evaluate: impl Fn(&CustomerReport) -> T) -> T {
         match &self.all {
-            Some((at, all)) if is_recent(*at, now) && all.total >= self.own_total(now) => {
-                all.excess(customer, served_ratio)
-            }
-            _ => self.report(MAX_LISTED, now).normalized().excess(customer, served_ratio),
+            Some((at, all)) if is_recent(*at, now) && all.total >= self.own_total(now) => evaluate(all),
+            _ => evaluate(&self.report(MAX_LISTED, now).normalized()),
         }
     }
 
+    /// Returns the share of all customers' work that is excess, from 0 to 1.
+    #[must_use]
+    pub fn excess_total(&self, served_ratio: f64, now: Millis) -> f64 {
+        self.with_report(now, |report| report.excess_total(served_ratio))
+    }
+
     /// Returns the memory that this takes, in bytes.
     #[must_use]
     pub fn state_bytes(&self) -> usize {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -61,7 +61,7 @@
 pub use quarantine::{Change, LivenessEvidence, Quarantine, SuspectRecord, Termination, Verdict};
 pub use request::{Choice, CostEstimate, PlacementRequest, Refusal};
 pub use retry_budget::RetryBudget;
-pub use shedding::{ClassCount, ClassCounts, Shortage, ShortageSums};
+pub use shedding::{ClassCount, ClassCounts, Loss, Shortage, ShortageSums};
 pub use speed::Speed;
 pub use speed_estimator::SpeedEstimator;
 
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -3,7 +3,7 @@
 use crate::notices::Notices;
 use crate::pool::Pool;
 use crate::{
-    Choice, ColdAllowance, DemandReport, Ending, Limit, LimitUpdate, Millis, PlacementRequest, Prompt, Refusal,
+    Choice, ColdAllowance, DemandReport, Ending, Limit, LimitUpdate, Loss, Millis, PlacementRequest, Prompt, Refusal,
     RetryBudget, ServerStatus, Work,
 };
 use imbl::ordmap::DiffItem;
@@ -284,10 +284,10 @@
         self.pools.get_mut(request.service).map_or(Ok(()), |pool| pool.admit(request, customer, draw))
     }
 
-    /// Records that a request, passed to [`Placement::admit`] before, got nothing for want of a slot.
-    pub fn record_refused(&mut self, service: &str, urgency: u8, now: Millis) {
+    /// Records that a request, passed to [`Placement::admit`] before, got nothing.
+    pub fn record_lost(&mut self, service: &str, urgency: u8, loss: Loss, now: Millis) {
         if let Some(pool) = self.pools.get_mut(service) {
-            pool.record_refused(urgency, now);
+            pool.record_lost(urgency, loss, now);
         }
     }
 
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -10,8 +10,8 @@
 use crate::sample::Sample;
 use crate::split::{self, Split};
 use crate::{
-    AdmissionState, Choice, ColdAllowance, DemandReport, Ending, Millis, PlacementRequest, Prefill, Prompt, Quota,
-    Quotas, Refusal, ServerStatus, Speed, Work,
+    AdmissionState, Choice, ColdAllowance, DemandReport, Ending, Loss, Millis, PlacementRequest, Prefill, Prompt,
+    Quota, Quotas, Refusal, ServerStatus, Speed, Work,
 };
 use routing::{ColdStart, Engine, Server};
 use std::cmp::Reverse;
@@ -356,10 +356,10 @@
         self.admission.admit(request, customer, draw)
     }
 
-    /// Records that a request got nothing for want of a slot.
-    pub(crate) fn record_refused(&mut self, urgency: u8, now: Millis) {
+    /// Records that a request got nothing.
+    pub(crate) fn record_lost(&mut self, urgency: u8, loss: Loss, now: Millis) {
         if self.engine.is_some() {
-            self.admission.record_refused(urgency, now);
+            self.admission.record_lost(urgency, loss, now);
         }
     }
 
--- a/crates/placement/src/shedding.rs
+++ b/crates/placement/src/shedding.rs
@@ -1,8 +1,8 @@
 //! Load shedding in the order of urgency classes.
 //!
-//! Each box counts the requests of each class of a service, and those that were refused for want of a slot. Owners of
-//! servers add up the counts of all boxes and tell the boxes, so that every box sheds the same classes. A class is shed
-//! in proportion to the refusals of the classes above it, so a more urgent class isn't refused for a less urgent one.
+//! Each box counts the requests of each class of a service, and those that got nothing. Owners of servers add up the
+//! counts of all boxes and tell the boxes, so that every box sheds the same classes. What is shed of a class depends only
+//! on the losses of the classes above it, and the least urgent class is shed first.
 
 use crate::urgency::{class_index, PerUrgency};
 use crate::Millis;
@@ -14,60 +14,95 @@
 /// a second under load.
 pub(crate) const REPORT_TTL: Millis = 1_000;
 
-/// Length of a bucket of the sliding second.
-const BUCKET_MS: Millis = 100;
+/// Length of a bucket of the sliding windows.
+const BUCKET_MS: Millis = 500;
 
-/// Number of buckets: together one second.
+/// Number of buckets: together five seconds, the window in which a class must not lose over a twelfth of its requests
+/// while a less urgent one begins.
 const BUCKETS: usize = 10;
 
-/// Fewest requests of a class for which its share of refusals counts: below, one refusal is over a tenth of them.
-const MIN_REQUESTS: u32 = 10;
+/// Number of the newest buckets that count as recent: together one second.
+const RECENT_BUCKETS: Millis = 2;
 
-/// Factor from the refused share of the classes above to the shed share of a class. It is shed entirely when one in 25
-/// requests above is refused, half of the one in twelve that may not be refused while less urgent requests begin.
-const SHED_PER_REFUSED: f64 = 25.0;
+/// Most lost requests of a class within the window that are ignored: half of the ten that must not be lost.
+const IGNORED_LOSSES: u32 = 5;
 
-/// Requests of one urgency class within the last second.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Lost share of a class from which less urgent classes are shed, and from which they are shed entirely: half and three
+/// quarters of the twelfth that it must not lose.
+const MIN_LOST_RATIO: f64 = 1.0 / 24.0;
+const MAX_LOST_RATIO: f64 = 1.0 / 16.0;
+
+/// Requests of one urgency class within the last five seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClassCount {
     /// The urgency, 0 for the most urgent.
     pub urgency: u8,
-    /// Number of requests, refused ones included.
+    /// Number of requests, lost ones included.
     pub requests: u32,
-    /// Number of requests that were refused for want of a slot; at most `requests`.
-    pub refused: u32,
+    /// Work of these requests, in thousands of tokens.
+    pub work_k: u32,
+    /// Number of requests that got nothing, for any reason that has to do with load; at most `requests`.
+    pub lost: u32,
+    /// Number of requests within the last second; at most `requests`.
+    pub recent: u32,
+    /// Number of these that found no slot: neither shed nor held back for their customer's share; at most `recent`.
+    pub recent_refused: u32,
 }
 
-/// Requests of the urgency classes of one service within the last second.
+/// Requests of the urgency classes of one service within the last five seconds.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClassCounts {
     /// Counts of the classes that had requests, in ascending order of urgency value.
     pub classes: Vec<ClassCount>,
 }
 
-/// Requests and refusals of one class.
+/// The reason why a request got nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// It found no slot in time.
+    NoSlot,
+    /// It was shed for a more urgent class, or held back for its customer's share.
+    Shed,
+}
+
+/// Requests and losses of one class.
 #[derive(Clone, Copy, Debug, Default)]
 struct Tally {
     requests: u32,
-    refused: u32,
+    /// In tokens.
+    work: u64,
+    lost: u32,
+    recent: u32,
+    recent_refused: u32,
 }
 
 impl Tally {
     fn plus(self, other: Self) -> Self {
         Self {
             requests: self.requests.saturating_add(other.requests),
-            refused: self.refused.saturating_add(other.refused),
+            work: self.work.saturating_add(other.work),
+            lost: self.lost.saturating_add(other.lost),
+            recent: self.recent.saturating_add(other.recent),
+            recent_refused: self.recent_refused.saturating_add(other.recent_refused),
         }
     }
 
-    fn refused_ratio(self) -> f64 {
-        if self.requests == 0 {
-            return 0.0;
-        }
-        f64::from(self.refused.min(self.requests)) / f64::from(self.requests)
+    /// Returns the lost share, ignoring the first losses.
+    fn lost_ratio(self) -> f64 {
+        ratio(self.lost.saturating_sub(IGNORED_LOSSES), self.requests)
+    }
+
+    /// Returns the share of the work below this class that is shed for it.
+    fn shed_ratio_below(self) -> f64 {
+        ((self.lost_ratio() - MIN_LOST_RATIO) / (MAX_LOST_RATIO - MIN_LOST_RATIO)).clamp(0.0, 1.0)
     }
 }
 
+/// Returns `part` of `all`, from 0 to 1; 0 if there is nothing.
+fn ratio(part: u32, all: u32) -> f64 {
+    f64::from(part.min(all)) / f64::from(all.max(1))
+}
+
 /// Tallies of all classes of a service.
 #[derive(Clone, Copy, Debug, Default)]
 struct Tallies(PerUrgency<Tally>);
@@ -77,7 +112,14 @@
     fn from_counts(counts: &ClassCounts) -> Self {
         let mut tallies = Self::default();
         for count in counts.classes.iter().take(tallies.0.len()) {
-            let tally = Tally { requests: count.requests, refused: count.refused.min(count.requests) };
+            let recent = count.recent.min(count.requests);
+            let tally = Tally {
+                requests: count.requests,
+                work: u64::from(count.work_k).saturating_mul(1_000),
+                lost: count.lost.min(count.requests),
+                recent,
+                recent_refused: count.recent_refused.min(recent),
+            };
             let class = class_index(count.urgency);
             tallies.0[class] = tallies.0[class].plus(tally);
         }
@@ -89,7 +131,10 @@
         let classes = present.map(|(tally, urgency)| ClassCount {
             urgency,
             requests: tally.requests,
-            refused: tally.refused.min(tally.requests),
+            work_k: u32::try_from(tally.work.div_ceil(1_000)).unwrap_or(u32::MAX),
+            lost: tally.lost.min(tally.requests),
+            recent: tally.recent.min(tally.requests),
+            recent_refused: tally.recent_refused.min(tally.recent),
         });
         ClassCounts { classes: classes.collect() }
     }
@@ -161,31 +206,33 @@
 /// Shortage of slots of one service, as known to a box.
 #[derive(Clone, Debug, Default)]
 pub struct Shortage {
-    /// This box's requests of the last second, by the time modulo one second. With the number of the bucket since time
-    /// 0, since a bucket that hasn't been written for over a second holds older requests.
+    /// This box's requests of the last five seconds, by the time modulo five seconds. With the number of the bucket since
+    /// time 0, since a bucket that hasn't been written for a while holds older requests.
     buckets: [(Millis, Tallies); BUCKETS],
     /// The largest recent sum over all boxes, and when it was received.
     all: Option<(Millis, Tallies)>,
 }
 
 impl Shortage {
-    /// Records a request of this box, whether or not it is admitted.
-    pub fn record(&mut self, urgency: u8, now: Millis) {
-        self.add(urgency, Tally { requests: 1, refused: 0 }, now);
+    /// Records a request of this box with its work in tokens, whether or not it is admitted.
+    pub fn record(&mut self, urgency: u8, work: u32, now: Millis) {
+        self.add(urgency, Tally { requests: 1, work: work.into(), recent: 1, ..Tally::default() }, now);
     }
 
-    /// Records that a request, recorded before, was refused for want of a slot.
-    pub fn record_refused(&mut self, urgency: u8, now: Millis) {
-        self.add(urgency, Tally { requests: 0, refused: 1 }, now);
+    /// Records that a request, recorded before, got nothing.
+    pub fn record_lost(&mut self, urgency: u8, loss: Loss, now: Millis) {
+        let recent_refused = u32::from(loss == Loss::NoSlot);
+        self.add(urgency, Tally { lost: 1, recent_refused, ..Tally::default() }, now);
     }
 
-    /// Returns the counts of this box within the last second.
+    /// Returns the counts of this box.
     #[must_use]
     pub fn report(&self, now: Millis) -> ClassCounts {
         self.own(now).to_counts()
     }
 
-    /// Applies the sum of an owner. Among the sums of the last second, the one that covers the most requests is used.
+    /// Applies the sum of an owner. Among the sums received within the last second, the one that
+    /// covers the most requests is used.
     pub fn apply(&mut self, counts: &ClassCounts, now: Millis) {
         let tallies = Tallies::from_counts(counts);
         let larger = |(at, all): &(Millis, Tallies)| is_recent(*at, now) && all.requests() > tallies.requests();
@@ -194,25 +241,42 @@
         }
     }
 
-    /// Returns the greatest share of refused requests among the more urgent classes that have at least ten requests;
-    /// from 0 to 1.
-    #[must_use]
-    pub fn refused_above(&self, urgency: u8, now: Millis) -> f64 {
-        let above = &self.known(now).0[..class_index(urgency)];
-        let counted = above.iter().filter(|tally| tally.requests >= MIN_REQUESTS);
-        counted.map(|tally| tally.refused_ratio()).fold(0.0, f64::max)
-    }
-
-    /// Returns the share of refused requests of a class; from 0 to 1, and 0 without requests.
+    /// Returns the share of a class's requests of the last second that found no slot; from 0 to 1.
     #[must_use]
     pub fn refused_of(&self, urgency: u8, now: Millis) -> f64 {
-        self.known(now).0[class_index(urgency)].refused_ratio()
+        let tally = self.known(now).0[class_index(urgency)];
+        ratio(tally.recent_refused, tally.recent)
     }
 
     /// Returns the share of a class that has to be shed in favour of more urgent classes; from 0 to 1.
+    ///
+    /// Each class that loses requests has a share of the work below it shed, the least urgent first. So a class is shed
+    /// only where all classes below it are shed entirely.
     #[must_use]
     pub fn shed_ratio(&self, urgency: u8, now: Millis) -> f64 {
-        (SHED_PER_REFUSED * self.refused_above(urgency, now)).min(1.0)
+        let tallies = self.known(now).0;
+        let class = class_index(urgency);
+        let below =
+            |class: usize| tallies[class + 1..].iter().fold(0, |sum: u64, tally| sum.saturating_add(tally.work));
+        let work = (tallies[class].work as f64).max(1.0);
+        let shed_for = |above: usize| tallies[above].shed_ratio_below() * below(above) as f64 - below(class) as f64;
+        (0..class).map(|above| (shed_for(above) / work).clamp(0.0, 1.0)).fold(0.0, f64::max)
+    }
+
+    /// True if a less urgent class has requests.
+    #[must_use]
+    pub fn has_less_urgent(&self, urgency: u8, now: Millis) -> bool {
+        self.known(now).0[class_index(urgency) + 1..].iter().any(|tally| tally.requests > 0)
+    }
+
+    /// True if every less urgent class is shed entirely or has no requests.
+    #[must_use]
+    pub fn is_least_urgent(&self, urgency: u8, now: Millis) -> bool {
+        let tallies = self.known(now).0;
+        let class = class_index(urgency);
+        let present = (class + 1..tallies.len()).filter(|below| tallies[*below].requests > 0);
+        // The next class below is shed last.
+        present.map(|below| self.shed_ratio(below as u8, now)).next().is_none_or(|ratio| ratio >= 1.0)
     }
 
     fn add(&mut self, urgency: u8, tally: Tally, now: Millis) {
@@ -225,15 +289,22 @@
         tallies.0[class] = tallies.0[class].plus(tally);
     }
 
-    /// Returns the tallies of this box. A refusal may fall into a later bucket than its request, so a class can have
-    /// more refusals than requests.
+    /// Returns the tallies of this box. A loss may fall into a later bucket than its request, so a class can have more
+    /// losses than requests.
     fn own(&self, now: Millis) -> Tallies {
         let newest = now / BUCKET_MS;
         let mut sum = Tallies::default();
         for (number, tallies) in &self.buckets {
-            if *number <= newest && newest - number < BUCKETS as Millis {
-                sum.add(tallies);
+            if *number > newest || newest - number >= BUCKETS as Millis {
+                continue;
+            }
+            let mut tallies = *tallies;
+            if newest - number >= RECENT_BUCKETS {
+                for tally in &mut tallies.0 {
+                    (tally.recent, tally.recent_refused) = (0, 0);
+                }
             }
+            sum.add(&tallies);
         }
         sum
     }
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -7,7 +7,7 @@
 use crate::retry_delay::{Cause, Queue};
 use crate::Body;
 use http::{Response, StatusCode};
-use placement::{Ending, Refusal};
+use placement::{Ending, Loss, Refusal};
 use rand::Rng;
 use std::fmt::{self, Display, Formatter, Write};
 use std::time::Duration;
@@ -123,6 +123,16 @@
         answer::plain(StatusCode::GATEWAY_TIMEOUT, "its time is over")
     }
 
+    /// Returns what the request got nothing for, if that has to do with load.
+    fn loss(&self, outcome: Outcome) -> Option<Loss> {
+        match self.refusal {
+            // Sends that failed to reach a server don't count, and are no sign of load.
+            Some(Cause::NotTaken) if self.sends == 0 => None,
+            Some(cause) => cause.loss(),
+            None => (outcome == Outcome::DeadlineExceeded).then_some(Loss::NoSlot),
+        }
+    }
+
     /// Logs and counts the outcome of the request.
     pub(crate) fn finish(&mut self, outcome: Outcome) {
         if std::mem::replace(&mut self.finished, true) {
@@ -140,12 +150,9 @@
         if outcome == Outcome::Answered && !self.shared.quarantine().is_empty() {
             self.shared.record_survival(self.fingerprint());
         }
-        // A refused request whose sends all failed to reach a server is no sign of load.
-        let is_short =
-            self.refusal.is_some_and(|cause| cause.is_capacity() && (cause != Cause::NotTaken || self.sends > 0));
-        if is_short || outcome == Outcome::DeadlineExceeded {
+        if let Some(loss) = self.loss(outcome) {
             let now = self.shared.now();
-            self.shared.placement().record_refused(&self.service, self.urgency(), now);
+            self.shared.placement().record_lost(&self.service, self.urgency(), loss, now);
         }
         if let Some(cause) = self.refusal {
             metrics::counter!(
--- a/crates/relay/src/retry_delay.rs
+++ b/crates/relay/src/retry_delay.rs
@@ -1,6 +1,6 @@
 //! Causes of refusals, and the delay after which a refused caller should retry.
 
-use placement::{Fingerprint, Millis, Refusal};
+use placement::{Fingerprint, Loss, Millis, Refusal};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
@@ -85,14 +85,14 @@
         }
     }
 
-    /// Returns true if the request got nothing for want of a slot.
+    /// Returns what the request got nothing for, if that has to do with load.
     #[must_use]
-    pub fn is_capacity(self) -> bool {
-        matches!(
-            self,
-            Self::NotPlaced(Refusal::Overloaded { .. } | Refusal::Shed { .. } | Refusal::CustomerShare { .. })
-                | Self::NotTaken
-        )
+    pub fn loss(self) -> Option<Loss> {
+        match self {
+            Self::NotPlaced(Refusal::Overloaded { .. }) | Self::NotTaken => Some(Loss::NoSlot),
+            Self::NotPlaced(Refusal::Shed { .. } | Refusal::CustomerShare { .. }) => Some(Loss::Shed),
+            _ => None,
+        }
     }
 
     /// Returns the delay after which the caller should retry.
