placement: only classes of larger requests are shed for a more urgent one

Change: a class is shed for another only if its requests are larger on average; generated tokens count ten times.

--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -17,6 +17,9 @@
 /// not be held back within five seconds after a less urgent request began.
 const ORDER_WINDOW: Millis = 5_000;
 
+/// Prompt tokens that take an engine about as long as one generated token, which needs a step of the whole batch.
+const PROMPT_TOKENS_PER_OUT_TOKEN: u32 = 10;
+
 /// Share of its requests that a starved class gets.
 const STARVED_RATIO: f64 = 0.05;
 
@@ -56,7 +59,9 @@
     /// least urgent class that is served, since what another class loses would be served to less urgent requests.
     pub(crate) fn admit(&mut self, request: &PlacementRequest<'_>, customer: u64, draw: f64) -> Result<(), Refusal> {
         let (urgency, now) = (request.urgency, request.now);
-        let work = request.prompt.map_or(1, |prompt| prompt.tokens.saturating_add(prompt.expected_out_tokens()));
+        let work = request.prompt.map_or(1, |prompt| {
+            prompt.tokens.saturating_add(prompt.expected_out_tokens().saturating_mul(PROMPT_TOKENS_PER_OUT_TOKEN))
+        });
         self.shortage.record(urgency, work, now);
         self.customers.record(customer, work, now);
         let shed = self.shortage.shed_ratio(urgency, now);
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -62,7 +62,7 @@
 
 /// Shortest time between two queries of further owners by one box after one that found no room. Some slots become free
 /// meanwhile.
-const SEARCH_INTERVAL: Millis = 100;
+const SEARCH_INTERVAL: Millis = 40;
 
 /// All servers of a service with their state.
 #[derive(Clone, Debug, Default)]
--- a/crates/placement/src/shedding.rs
+++ b/crates/placement/src/shedding.rs
@@ -87,6 +87,12 @@
         }
     }
 
+    /// True if its requests are larger on average.
+    fn is_larger(&self, other: &Self) -> bool {
+        let product = |work: u64, requests: u32| u128::from(work) * u128::from(requests);
+        self.requests > 0 && product(self.work, other.requests) > product(other.work, self.requests)
+    }
+
     /// Returns the lost share, ignoring the first losses.
     fn lost_ratio(self) -> f64 {
         ratio(self.lost.saturating_sub(IGNORED_LOSSES), self.requests)
@@ -145,6 +151,18 @@
         }
     }
 
+    /// Returns the share of a class that is shed for more urgent ones.
+    fn shed_ratio(&self, class: usize) -> f64 {
+        let work = (self.0[class].work as f64).max(1.0);
+        let above = (0..class).filter(|above| self.0[class].is_larger(&self.0[*above]));
+        let shed_for = |above: usize| {
+            let larger = |from: usize| self.0[from..].iter().filter(|below| below.is_larger(&self.0[above]));
+            let below = |from: usize| larger(from).fold(0, |sum: u64, tally| sum.saturating_add(tally.work)) as f64;
+            self.0[above].shed_ratio_below() * below(above + 1) - below(class + 1)
+        };
+        above.map(|above| (shed_for(above) / work).clamp(0.0, 1.0)).fold(0.0, f64::max)
+    }
+
     fn requests(&self) -> u64 {
         self.0.iter().map(|tally| u64::from(tally.requests)).sum()
     }
@@ -251,32 +269,28 @@
     /// Returns the share of a class that has to be shed in favour of more urgent classes; from 0 to 1.
     ///
     /// Each class that loses requests has a share of the work below it shed, the least urgent first. So a class is shed
-    /// only where all classes below it are shed entirely.
+    /// only where all classes below it are shed entirely. Classes whose requests are no larger than the lost ones are not
+    /// shed for them: they take few slots for a short time, and many of them would be lost for one more urgent request.
     #[must_use]
     pub fn shed_ratio(&self, urgency: u8, now: Millis) -> f64 {
-        let tallies = self.known(now).0;
-        let class = class_index(urgency);
-        let below =
-            |class: usize| tallies[class + 1..].iter().fold(0, |sum: u64, tally| sum.saturating_add(tally.work));
-        let work = (tallies[class].work as f64).max(1.0);
-        let shed_for = |above: usize| tallies[above].shed_ratio_below() * below(above) as f64 - below(class) as f64;
-        (0..class).map(|above| (shed_for(above) / work).clamp(0.0, 1.0)).fold(0.0, f64::max)
+        self.known(now).shed_ratio(class_index(urgency))
     }
 
-    /// True if a less urgent class has requests.
+    /// True if a less urgent class has larger requests.
     #[must_use]
     pub fn has_less_urgent(&self, urgency: u8, now: Millis) -> bool {
-        self.known(now).0[class_index(urgency) + 1..].iter().any(|tally| tally.requests > 0)
+        let tallies = self.known(now).0;
+        let class = class_index(urgency);
+        tallies[class + 1..].iter().any(|below| below.is_larger(&tallies[class]))
     }
 
-    /// True if every less urgent class is shed entirely or has no requests.
+    /// True if every less urgent class with larger requests is shed entirely.
     #[must_use]
     pub fn is_least_urgent(&self, urgency: u8, now: Millis) -> bool {
-        let tallies = self.known(now).0;
+        let tallies = self.known(now);
         let class = class_index(urgency);
-        let present = (class + 1..tallies.len()).filter(|below| tallies[*below].requests > 0);
-        // The next class below is shed last.
-        present.map(|below| self.shed_ratio(below as u8, now)).next().is_none_or(|ratio| ratio >= 1.0)
+        let mut larger = (class + 1..tallies.0.len()).filter(|below| tallies.0[*below].is_larger(&tallies.0[class]));
+        larger.all(|below| tallies.shed_ratio(below) >= 1.0)
     }
 
     fn add(&mut self, urgency: u8, tally: Tally, now: Millis) {
