placement: a blind choice goes by the last known loads, and silent owners are not searched further

Change: one query of a request carries the demand, not all; further owners are queried only if half of the first ones answered; where no owner answered and some servers were busy seconds ago, the last known loads count; a home of unknown load is a candidate only if all that answered have a free slot.

--- a/crates/cleatshelf/src/router/owner_service.rs
+++ b/crates/cleatshelf/src/router/owner_service.rs
@@ -230,7 +230,7 @@
 
     /// Answers a query of the box `from` for the status of a server.
     fn answer(&mut self, from: SocketAddr, query: &StatusQuery, now: Millis) -> ServerStatus {
-        let demand = self.owner.exchange_demand(from, query, now);
+        let demand = query.demand.as_ref().map(|demand| self.owner.exchange_demand(from, demand, now));
         ServerStatus { demand, ..self.owner.on_query(query, now) }
     }
 
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -99,7 +99,8 @@
         self.candidate_with_load(member, load)
     }
 
-    fn candidate_with_load<'m>(&self, member: &'m Member, load: &Load) -> Candidate<'m> {
+    /// Computes the cost that a server has under a load.
+    pub(crate) fn candidate_with_load<'m>(&self, member: &'m Member, load: &Load) -> Candidate<'m> {
         let base = (member.health.failure_ratio() - self.min_failure_ratio) * FAILURE_COST + self.distance_cost(member);
         match self.request.prompt {
             Some(prompt) => self.prompt_candidate(member, load, prompt, base),
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -54,7 +54,7 @@
 pub use health::{Ending, Health};
 pub use limit::{Limit, LimitUpdate};
 pub use load::{Load, Prefill, Work};
-pub use owner::{Owner, SendReport, SendUpdate, ServerStatus, StatusQuery};
+pub use owner::{Owner, SendReport, SendUpdate, ServerStatus, ServiceDemand, StatusQuery};
 pub use permit::{PermitReply, PermitRequest, Quota, Quotas};
 pub use placement::{Placement, Snapshot};
 pub use prompt::{Part, Prompt};
--- a/crates/placement/src/member.rs
+++ b/crates/placement/src/member.rs
@@ -18,6 +18,9 @@
 /// a few times a second each, which doesn't keep its link full.
 const MISSED_STATUS_TTL: Millis = 300;
 
+/// Time for which an older status still tells more than this box's own load, where no owner answers.
+const OLD_STATUS_TTL: Millis = 2_000;
+
 /// Time for which the reported stall rate counts, which changes slowly.
 const STALLS_TTL: Millis = 2_000;
 
@@ -169,6 +172,16 @@
         self.status_within(STATUS_TTL, now).map_or(&self.own_load, |status| &status.load)
     }
 
+    /// True if its owner reported its status within the last seconds.
+    pub(crate) fn has_old_status(&self, now: Millis) -> bool {
+        self.status_within(OLD_STATUS_TTL, now).is_some()
+    }
+
+    /// Returns its load where no owner answers: the last one reported within some seconds, otherwise that of this box.
+    pub(crate) fn last_load(&self, now: Millis) -> &Load {
+        self.status_within(OLD_STATUS_TTL, now).map_or(&self.own_load, |status| &status.load)
+    }
+
     /// Returns the status that its owner reported within the last `max_age` milliseconds.
     pub(crate) fn status_within(&self, max_age: Millis, now: Millis) -> Option<&ServerStatus> {
         self.status.as_ref().filter(|(_, at)| now < at + max_age).map(|(status, _)| status)
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -37,10 +37,17 @@
     pub parts: Vec<Part>,
     /// Longest inter-token gap of the answer that is still in time, in milliseconds; 0 if no gap makes it late.
     pub gap_ms: u32,
+    /// Demand on the requesting box; `None` in all but one query of a request, since one exchange tells enough.
+    pub demand: Option<ServiceDemand>,
+}
+
+/// Demand for one service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceDemand {
     /// Hash of the service's name.
     pub service: u64,
-    /// Demand for the service on the requesting box.
-    pub demand: DemandReport,
+    /// What the box counted.
+    pub report: DemandReport,
 }
 
 /// Status of a server, as known to its owner.
@@ -83,8 +90,8 @@
     /// is kept with this server.
     #[serde(rename = "elsewhere")]
     pub cached_by: Vec<String>,
-    /// Demand for the service on all boxes that queried the owner within the last second.
-    pub demand: DemandReport,
+    /// Demand for the service on all boxes that told the owner within the last second, if the query told any.
+    pub demand: Option<DemandReport>,
 }
 
 /// Reports on a request to the owner of its server.
@@ -208,18 +215,18 @@
             arrivals: owned.arrivals.count_within(COLD_WINDOW, now),
             full: now < owned.full_until,
             disconnect: owned.disconnects.elapsed(now),
-            demand: DemandReport::default(),
+            demand: None,
             cached_by: last_shared_part(&query.parts).map_or_else(Vec::new, |part| owned.cache_directory.servers(part)),
         }
     }
 
     /// Records the demand that the box `from` counted, and returns the sum over all boxes.
-    pub fn exchange_demand(&mut self, from: SocketAddr, query: &StatusQuery, now: Millis) -> DemandReport {
-        if self.demands.len() >= MAX_SERVICES && !self.demands.contains_key(&query.service) {
+    pub fn exchange_demand(&mut self, from: SocketAddr, demand: &ServiceDemand, now: Millis) -> DemandReport {
+        if self.demands.len() >= MAX_SERVICES && !self.demands.contains_key(&demand.service) {
             self.demands.clear();
         }
-        let sums = self.demands.entry(query.service).or_default();
-        sums.on_report(from, &query.demand, now);
+        let sums = self.demands.entry(demand.service).or_default();
+        sums.on_report(from, &demand.report, now);
         sums.sum(now)
     }
 
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -375,7 +375,9 @@
 
     /// Records the status of a server that its owner reported.
     pub(crate) fn on_status(&mut self, id: &str, status: ServerStatus, now: Millis) {
-        self.admission.apply(&status.demand, now);
+        if let Some(demand) = &status.demand {
+            self.admission.apply(demand, now);
+        }
         if let Some(member) = self.members.get_mut(id) {
             member.record_status(status, now);
             self.with_status.insert(id.to_owned());
@@ -552,8 +554,8 @@
     ///
     /// A server without a status from its owner looks idle. So if some eligible servers have one, only those are
     /// compared, whatever their load, and the first home, which holds the shared parts: without it, a fifth of all
-    /// repeated prefill was due to owners of homes that answered late. Where one of the others has no room, the home is
-    /// not assumed to have any.
+    /// repeated prefill was due to owners of homes that answered late. Where one of the others has no free slot, the
+    /// home is not assumed to have one.
     fn candidates<'a>(
         &self,
         request: &PlacementRequest<'_>,
@@ -564,12 +566,15 @@
         let mut candidates: Vec<Candidate<'a>> =
             eligible.iter().filter(has_status).map(|member| model.candidate(member)).collect();
         if candidates.is_empty() {
-            return eligible.iter().map(|member| model.candidate(member)).collect();
+            return last_known_candidates(request, eligible, model);
         }
         let unknown = |home: &&&'a Member| request.status(&home.server.id).is_none();
         if let Some(home) = model.homes.first().filter(unknown) {
-            let has_room =
-                |c: &Candidate<'_>| !c.member.is_full(request.now) && !self.is_at_cold_quota(c.member, request);
+            let has_room = |c: &Candidate<'_>| {
+                let has_slot =
+                    request.status(&c.member.server.id).is_some_and(|s| s.load.running < c.member.server.slots);
+                has_slot && !c.member.is_full(request.now) && !self.is_at_cold_quota(c.member, request)
+            };
             if candidates.iter().all(has_room) {
                 candidates.push(candidate_of_unknown_load(home, &candidates, model));
             }
@@ -649,6 +654,30 @@
     waits.min_by(f64::total_cmp).map_or(Refusal::NoServer, |wait_ms| Refusal::Overloaded { wait_ms })
 }
 
+/// Returns the servers to compare where no owner answered. If some had no free slot seconds ago, that may be due to load:
+/// servers that were busy then aren't idle, nor are those that this box hasn't heard of.
+fn last_known_candidates<'a>(
+    request: &PlacementRequest<'_>,
+    eligible: &[&'a Member],
+    model: &CostModel<'a>,
+) -> Vec<Candidate<'a>> {
+    let has_slot = |member: &&Member| member.last_load(request.now).running < member.server.slots;
+    if request.prompt.is_none() || eligible.iter().all(has_slot) {
+        return eligible.iter().map(|member| model.candidate(member)).collect();
+    }
+    let is_known = |member: &&&'a Member| member.has_old_status(request.now);
+    let (known, unknown): (Vec<&'a Member>, Vec<&'a Member>) = eligible.iter().partition(|member| is_known(&member));
+    let mut candidates: Vec<_> =
+        known.iter().map(|member| model.candidate_with_load(member, member.last_load(request.now))).collect();
+    let others: Vec<_> = if candidates.is_empty() {
+        unknown.iter().map(|member| model.candidate(member)).collect()
+    } else {
+        unknown.iter().map(|member| candidate_of_unknown_load(member, &candidates, model)).collect()
+    };
+    candidates.extend(others);
+    candidates
+}
+
 /// Returns a server whose owner didn't answer, while the owners of `known` did. If it looked idle, all boxes would choose
 /// it for as long as its owner is silent. So its load adds as much to the cost as the others' load does on average, and
 /// the wait for a slot is the longest of theirs: owners of busy servers are the ones that don't answer.
--- a/crates/placement/tests/shedding.rs
+++ b/crates/placement/tests/shedding.rs
@@ -15,7 +15,7 @@
     let count = |&(urgency, requests, refused): &_| ClassCount {
         urgency,
         requests,
-        work_k: requests.saturating_mul(100).saturating_add(urgency.into()),
+        work_k: requests.saturating_mul(10_000 + u32::from(urgency)),
         lost: refused,
         recent: requests,
         recent_refused: refused,
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -135,10 +135,14 @@
         let Some(prompt) = &self.call.prompt else { return Vec::new() };
         let planned = self.shared.placement().servers_to_query(&self.placement_request(&[], &[]), MAX_STATUS_REQUESTS);
         let mut statuses = self.query_owners(&planned, prompt).await;
-        let further = self
-            .shared
-            .placement()
-            .further_servers_to_query(&self.placement_request(&statuses, &[]), MAX_STATUS_REQUESTS);
+        if statuses.len() * 2 < planned.len() {
+            // Owners are silent. Further queries would fill their links.
+            return statuses;
+        }
+        let further = {
+            let request = self.placement_request(&statuses, &[]);
+            self.shared.placement().further_servers_to_query(&request, MAX_STATUS_REQUESTS)
+        };
         if !further.is_empty() {
             statuses.extend(self.query_owners(&further, prompt).await);
             self.shared.placement().record_search(&self.placement_request(&statuses, &[]));
@@ -149,8 +153,8 @@
     /// Queries the owners of these servers and returns the statuses that arrive in time.
     async fn query_owners(&self, servers: &[Arc<Server>], prompt: &Prompt) -> Vec<(String, ServerStatus)> {
         let gap_ms = self.route.gap_target.map_or(0, |gap| gap.as_millis() as u32);
-        let demand = self.shared.placement().demand_report(&self.service, self.shared.now());
-        let query = |server| PendingStatus::request(&self.shared, server, prompt, gap_ms, &demand);
+        let mut demand = Some(self.shared.placement().demand_report(&self.service, self.shared.now()));
+        let query = |server| PendingStatus::request(&self.shared, server, prompt, gap_ms, demand.take());
         let pending: Vec<PendingStatus> = servers.iter().filter_map(query).collect();
         let until = Instant::now() + STATUS_TIMEOUT;
         let mut statuses = Vec::new();
--- a/crates/relay/src/owner_requests.rs
+++ b/crates/relay/src/owner_requests.rs
@@ -1,7 +1,7 @@
 //! Requests to the owners of servers.
 
 use crate::Shared;
-use placement::{DemandReport, PermitReply, PermitRequest, Prompt, Quotas, ServerStatus, StatusQuery};
+use placement::{DemandReport, PermitReply, PermitRequest, Prompt, Quotas, ServerStatus, ServiceDemand, StatusQuery};
 use routing::Server;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -21,7 +21,7 @@
         server: &Arc<Server>,
         prompt: &Prompt,
         gap_ms: u32,
-        demand: &DemandReport,
+        demand: Option<DemandReport>,
     ) -> Option<Self> {
         let number = shared.numbers.fetch_add(1, Ordering::Relaxed);
         let query = StatusQuery {
@@ -29,8 +29,7 @@
             server: server.id.clone(),
             parts: prompt.parts.clone(),
             gap_ms,
-            service: routing::rank(0, &server.service),
-            demand: demand.clone(),
+            demand: demand.map(|report| ServiceDemand { service: routing::rank(0, &server.service), report }),
         };
         let answer = shared.peer_client.request_status(server, query)?;
         Some(Self { server: Arc::clone(server), answer })
