placement: servers of plain services and the choice of a server with an assigned slot

A dispatcher needs the list of servers and their admission states, and a box that was granted a slot needs the choice of that one server.

Ruled out: deciding per box where dispatchers are on from the number of all boxes, since regions differ; counting only servers that are open now, since the dispatcher would go on and off with each pause of a server.

--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -32,12 +32,12 @@
 #[derive(Clone, Debug)]
 pub struct Placement {
     /// This box's hall.
-    hall: String,
+    pub(crate) hall: String,
     /// Template for the budget of second sends; each service has a budget of its own.
     budget: RetryBudget,
     budgets: HashMap<String, RetryBudget>,
     /// By service.
-    pools: HashMap<String, Pool>,
+    pub(crate) pools: HashMap<String, Pool>,
     /// The servers known to pools and notices, by name.
     listed: OrdMap<String, Arc<Server>>,
     /// The evacuated halls known to the pools.
@@ -49,7 +49,9 @@
     /// The requests that all boxes together may send to a cold server.
     allowance: ColdAllowance,
     /// Regions of halls.
-    regions: HallRegions,
+    pub(crate) regions: HallRegions,
+    /// Boxes in this box's region, including this one; 0 until they are known.
+    pub(crate) region_boxes: usize,
     /// Differs from box to box.
     seed: u64,
 }
@@ -69,6 +71,7 @@
             boxes: INITIAL_BOX_COUNT,
             allowance: ColdAllowance::default(),
             regions: HallRegions::new(),
+            region_boxes: 0,
             seed: 0,
         }
     }
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -441,6 +441,52 @@
         routing::rank(self.seed, &member.server.id)
     }
 
+    /// True if its servers are no engines.
+    pub(crate) fn is_plain(&self) -> bool {
+        self.engine.is_none()
+    }
+
+    /// Iterates over the servers of a region.
+    pub(crate) fn members_in<'a>(&'a self, region: Option<&'a str>) -> impl Iterator<Item = &'a Member> {
+        self.members.values().filter(move |member| member.region.as_deref() == region)
+    }
+
+    /// Returns the choice of a given plain server, for a request that was assigned a slot there. `hall` is this box's
+    /// hall.
+    ///
+    /// The slot is assigned by another box's knowledge, so the server must be open to this box as well.
+    pub(crate) fn choose_server(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        id: &str,
+        hall: &str,
+    ) -> Result<Choice, Refusal> {
+        self.admission.record(request.urgency, request.now);
+        let found = self.members.get(id).filter(|member| self.may_receive(member, request));
+        let member = found.ok_or(Refusal::NoServer)?;
+        match member.admission_state(request.now) {
+            AdmissionState::Open => {}
+            AdmissionState::BackingOff => {
+                return Err(Refusal::BackingOff { retry_ms: member.back_off_until - request.now });
+            }
+            _ => return Err(Refusal::NoServer),
+        }
+        let (sample, eligible) = self.eligible(request);
+        let candidate = self.cost_model(request, hall, &sample, &eligible).candidate(member);
+        let choice = Choice {
+            server: Arc::clone(&member.server),
+            fetch: None,
+            work: candidate.work,
+            estimate: candidate.estimate,
+            load: member.load(request.now).clone(),
+            candidates: eligible.len(),
+            cache_directories: Vec::new(),
+            permit_quotas: None,
+        };
+        self.record_choice(&choice, request);
+        Ok(choice)
+    }
+
     /// Returns the reason why there are no eligible servers.
     fn refusal_without_candidates(&self, request: &PlacementRequest<'_>) -> Refusal {
         let in_region = self.members.values().filter(|member| request.allows_region(member.region.as_deref()));
