relay: requests without a prompt wait for a slot that a dispatcher assigns

Cause: a box knows only its own requests at plain servers, and sends to servers that are full.

Ruled out: a grant held by the exchange and released at its end, since a second send would use a slot of another server; waiting exactly the longest useful wait, since the dispatcher's refusal at its end arrives a moment later and the request would be sent although it was refused.

Change: `PeerClient` gets `request_slot`, `check_dispatcher` and `release_slot`. `SlotLease` releases on drop, with the ending of the send if there was one. A refusal becomes a 503 with the dispatcher's `retry_ms` as `retry-after`.

--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -45,6 +45,16 @@
     },
 }
 
+impl SlotReply {
+    /// Returns the number of the request.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        match self {
+            Self::Granted { number, .. } | Self::Refused { number, .. } | Self::Unmanaged { number } => *number,
+        }
+    }
+}
+
 /// Ends a [`SlotRequest`]: returns its slot, or withdraws the request while it still waits.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlotRelease {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::connections::{Connection, Connections};
 use crate::header_codec::{Dispatch, Verdict};
 use crate::shared::Shared;
+use crate::slot::SlotLease;
 use bytes::Bytes;
 use http::{header, request, response, HeaderMap, HeaderValue, Request};
 use http_body_util::{BodyExt, Full, Limited};
@@ -63,6 +64,8 @@
     cache_directories: Vec<(Arc<Server>, u64)>,
     /// The request's number in reports to the server's owner; `None` for requests without a prompt.
     lease: Option<u64>,
+    /// The slot that a dispatcher assigned; released with this one.
+    assigned: Option<SlotLease>,
 }
 
 impl SlotGuard {
@@ -82,6 +85,7 @@
             ending: Ending::Left,
             cache_directories: choice.cache_directories.clone(),
             lease: prompt.map(|_| shared.numbers.fetch_add(1, Ordering::Relaxed)),
+            assigned: None,
         };
         if let Some(prompt) = prompt {
             let memory = shared.placement().cache_capacity(service);
@@ -91,6 +95,11 @@
         slot
     }
 
+    /// Holds the slot that a dispatcher assigned until this one is released.
+    pub(crate) fn hold(&mut self, assigned: SlotLease) {
+        self.assigned = Some(assigned);
+    }
+
     /// Records the end of prefill. Returns true on the first call.
     pub(crate) fn on_prefill_done(&mut self) -> bool {
         let first = !std::mem::replace(&mut self.prefill_done, true);
@@ -159,6 +168,9 @@
         self.report(SendUpdate::Ended { ending: self.ending, pause_ms: self.pause_ms });
         let now: Millis = self.shared.now();
         self.shared.placement().record_end(&self.service, &self.server.id, self.work, self.ending, now);
+        if let Some(assigned) = self.assigned.take() {
+            assigned.finish(self.ending, now);
+        }
     }
 }
 
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -57,6 +57,9 @@
             // Continue on a result as well as on a time-out; the placement uses what is known by then.
             let _ = tokio::time::timeout(CRASH_PROBE_TIMEOUT, probe.changed()).await;
         }
+        if let Some(chosen) = self.choose_assigned().await? {
+            return Ok(chosen);
+        }
         let mut denied = Vec::new();
         loop {
             let choice = self.shared.placement().choose(&self.placement_request(&statuses, &denied))?;
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -65,7 +65,11 @@
                 self.refuse_with_delay("servers ended under this request", Duration::from_millis(retry_ms))
             }
             NotSent::Refused(Refusal::Overloaded { wait_ms }) => {
-                let _ = write!(self.trail, "crowded, {wait_ms:.0} ms to a place");
+                let _ = write!(self.trail, " crowded, {wait_ms:.0} ms to a place");
+                if let Some(after) = self.slot_retry {
+                    // The dispatcher has spread the delays of the requests that it refuses.
+                    return self.refuse_with_delay("all places are taken", after);
+                }
                 let wait = Duration::from_secs_f64(wait_ms / 1e3) + MIN_CROWDED_DELAY;
                 self.refuse_with_delay("all places are taken", wait.mul_f64(rand::rng().random_range(1.0..2.0)))
             }
@@ -92,7 +96,8 @@
     }
 
     pub(crate) fn on_deadline(&mut self) -> Response<Body> {
-        if let Some(server) = self.tried.last().filter(|_| !self.route.kind.is_stream()) {
+        let server = self.tried.last().filter(|_| !self.awaits_slot && !self.route.kind.is_stream());
+        if let Some(server) = server {
             // A plain server that doesn't answer within the deadline is considered broken; an engine may only be busy.
             let now = self.shared.now();
             self.shared.placement().record_ending(&self.service, server, Ending::Broken, now);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -61,6 +61,10 @@
     pub(crate) unreached: usize,
     /// Expiry of the permit for the current send; `None` if the server needs no permit.
     pub(crate) permit_expires: Option<Millis>,
+    /// True while the request waits for a slot: no server has it.
+    pub(crate) awaits_slot: bool,
+    /// Retry delay that a dispatcher stated when it refused the request a slot.
+    pub(crate) slot_retry: Option<Duration>,
     /// True if a completed send may have run.
     pub(crate) may_have_run: bool,
     /// True while the current send may be running or may have run. Separate from `may_have_run`, because a send that is
--- a/crates/relay/src/frontend.rs
+++ b/crates/relay/src/frontend.rs
@@ -247,6 +247,8 @@
             sends: 0,
             unreached: 0,
             permit_expires: None,
+            awaits_slot: false,
+            slot_retry: None,
             may_have_run: false,
             in_flight: Cell::default(),
             finished: false,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod resettable_stream;
 mod server_hints;
 mod shared;
+mod slot;
 mod stream_forwarder;
 mod suspects;
 mod timing;
--- a/crates/relay/src/peer_client.rs
+++ b/crates/relay/src/peer_client.rs
@@ -1,5 +1,6 @@
 //! Interface to the other boxes and to the owners of servers.
 
+use dispatch::{SlotRelease, SlotReply, SlotRequest};
 use placement::{
     Fingerprint, LimitUpdate, LivenessEvidence, PermitReply, PermitRequest, SendReport, ServerStatus, StatusQuery,
     SuspectRecord,
@@ -16,6 +17,18 @@
     /// `None` if the only box that may grant it is unreachable.
     fn request_permit(&self, server: &Server, request: PermitRequest) -> Option<oneshot::Receiver<PermitReply>>;
 
+    /// Requests a slot at a plain server from the dispatcher of the service in this box's region. Returns `None` where no
+    /// dispatcher is in charge. The receiver closes without a reply if the connection to the dispatcher is lost.
+    fn request_slot(&self, request: SlotRequest) -> Option<oneshot::Receiver<SlotReply>>;
+
+    /// Returns true if the dispatcher has sent any message since this slot was requested from it. Otherwise records that
+    /// it did not reply in time.
+    fn check_dispatcher(&self, number: u64) -> bool;
+
+    /// Returns a slot, or withdraws a request for one. To be called once for each requested slot, unless the reply was
+    /// [`SlotReply::Refused`] or [`SlotReply::Unmanaged`].
+    fn release_slot(&self, release: SlotRelease);
+
     /// Reports the progress of a request to the owner of `server`. All reports of one lease go to the same box.
     fn report(&self, server: &Server, report: SendReport);
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -50,6 +50,9 @@
     stopping: AtomicBool,
     /// Next number of a status query, permit request or lease; unique within this process.
     pub(crate) numbers: AtomicU64,
+    /// Next number of a slot request. Begins at a random number: a dispatcher may remember requests of a former process
+    /// at this box's address.
+    pub(crate) slot_numbers: AtomicU64,
     /// Number of requests in progress.
     pub running: AtomicUsize,
     /// Names of unknown response headers that were already reported to operators.
@@ -72,6 +75,7 @@
             clock,
             stopping: AtomicBool::new(false),
             numbers: AtomicU64::new(0),
+            slot_numbers: AtomicU64::new(u64::from(rand::random::<u32>())),
             running: AtomicUsize::new(0),
             reported_headers: SeenNames::default(),
         })
