cleatshelf: one box of a region assigns the slots of a plain service

Ruled out: taking a silent dispatcher for dead after 25 ms without a further message, since a request that is queued hears nothing until its grant; the dispatcher therefore reports a request that it queues. Waiting for a dead dispatcher until the longest useful wait: a lost connection ends the wait at once. Freeing the slots of a box with its leave message: a box that stops goes on with its requests for seconds.

Change: `SlotAssignment`, a state machine that finds the dispatcher, keeps this box's requests and runs `Dispatcher` where this box is in charge; `OwnerService` carries out its actions.

--- a/crates/cleatshelf/src/router.rs
+++ b/crates/cleatshelf/src/router.rs
@@ -13,6 +13,8 @@
 mod reload;
 mod serve;
 mod settings;
+mod slot_assignment;
 
 pub use serve::serve;
 pub use settings::Settings;
+pub use slot_assignment::{SlotAction, SlotAssignment};
--- a/crates/cleatshelf/src/router/operators.rs
+++ b/crates/cleatshelf/src/router/operators.rs
@@ -1,6 +1,7 @@
 //! The HTTP interface for operators: metrics, status and lifting of held requests.
 
 use super::cluster_state::ClusterState;
+use super::owner_service::OwnerService;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::service::service_fn;
@@ -8,7 +9,8 @@
 use hyper_util::rt::TokioIo;
 use placement::Fingerprint;
 use relay::Shared;
-use std::collections::BTreeMap;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -22,6 +24,9 @@
     pub(super) recorder: PrometheusRecorder,
     pub(super) shared: Arc<Shared>,
     pub(super) cluster_state: Rc<ClusterState>,
+    pub(super) owner_service: Arc<OwnerService>,
+    /// Services whose slots this box has assigned.
+    pub(super) slot_services: RefCell<BTreeSet<String>>,
     pub(super) logger: JsonLogger,
 }
 
@@ -80,9 +85,23 @@
         metrics::gauge!("cleatshelf_requests_running").set(self.shared.running.load(Ordering::Relaxed) as f64);
         metrics::gauge!("cleatshelf_requests_held").set(self.shared.quarantine().held().count() as f64);
         metrics::gauge!("cleatshelf_log_lines_dropped").set(self.logger.dropped() as f64);
+        self.set_slot_gauges();
         self.recorder.render()
     }
 
+    /// Sets the gauges of the services that this box assigns slots for, and zeroes those of former ones.
+    fn set_slot_gauges(&self) {
+        let summaries = self.owner_service.slot_summaries();
+        let mut services = self.slot_services.borrow_mut();
+        services.extend(summaries.iter().map(|summary| summary.service.clone()));
+        for service in services.iter() {
+            let summary = summaries.iter().find(|summary| summary.service == *service);
+            let (waiting, used) = summary.map_or((0, 0), |summary| (summary.waiting, summary.used));
+            metrics::gauge!("cleatshelf_slots_waiting", "service" => service.clone()).set(f64::from(waiting));
+            metrics::gauge!("cleatshelf_slots_used", "service" => service.clone()).set(f64::from(used));
+        }
+    }
+
     fn status(&self) -> String {
         let holding = self.cluster_state.known_versions();
         let directory = self.cluster_state.directory();
--- a/crates/cleatshelf/src/router/owner_service.rs
+++ b/crates/cleatshelf/src/router/owner_service.rs
@@ -1,6 +1,8 @@
 //! Communication about servers with the boxes that own them, and the servers that this box owns itself.
 
+use super::slot_assignment::{SlotAction, SlotAssignment};
 use clock::Clock;
+use dispatch::{ServerSlots, SlotRelease, SlotReply, SlotRequest, Summary};
 use peers::{Millis, MissedReplies, Profile};
 use placement::{
     Fingerprint, LimitUpdate, LivenessEvidence, Owner, PermitReply, PermitRequest, SendReport, SendUpdate,
@@ -12,7 +14,8 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::sync::{mpsc, oneshot};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, Notify};
 
 /// Maximum number of messages queued for the control thread. Messages beyond it are dropped; queries among them get no
 /// reply.
@@ -25,6 +28,9 @@
 /// within the last second.
 const FIRST_PERMIT_DELAY: Millis = 1_500;
 
+/// Interval of the timer that drives the assignment of slots.
+const SLOT_TICK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Senders for the replies to pending queries, by number.
 struct PendingReplies<T>(HashMap<u64, oneshot::Sender<T>>);
 
@@ -43,6 +49,11 @@
         self.0.insert(number, sender);
     }
 
+    /// Ends the wait of a request without a reply.
+    fn abandon(&mut self, number: u64) {
+        self.0.remove(&number);
+    }
+
     /// Sends a reply to the request that waits for it.
     fn resolve(&mut self, number: u64, value: T) {
         if let Some(sender) = self.0.remove(&number) {
@@ -76,6 +87,14 @@
         #[serde(rename = "asks")]
         wants_reply: bool,
     },
+    /// Requests a slot at a plain server from the dispatcher of its service.
+    Slot(SlotRequest),
+    SlotReply(SlotReply),
+    /// Reports that the request with this number is queued at the dispatcher.
+    SlotQueued(u64),
+    SlotRelease(SlotRelease),
+    /// Announces that the sender is stopping and assigns no slots any more.
+    SlotStop,
     /// Hints that servers addressed to all boxes: instances that are leaving, and limits of instances. `wants_reply`
     /// requests the receiver's hints.
     Notices {
@@ -96,6 +115,11 @@
             Self::Permit { .. } => "permit",
             Self::Permitted { .. } => "permitted",
             Self::Suspects { .. } => "suspects",
+            Self::Slot(_) => "slot",
+            Self::SlotReply(_) => "slot_reply",
+            Self::SlotQueued(_) => "slot_queued",
+            Self::SlotRelease(_) => "slot_release",
+            Self::SlotStop => "slot_stop",
             Self::Notices { .. } => "notices",
         }
     }
@@ -109,6 +133,8 @@
     /// Creation time by that clock.
     began: Millis,
     state: Mutex<State>,
+    /// Notified when the assignment of slots may no longer be idle.
+    slots_active: Notify,
     out: mpsc::Sender<(Destination, Message)>,
 }
 
@@ -123,9 +149,11 @@
     AllViaWatchers,
 }
 
-#[derive(Default)]
 struct State {
     owner: Owner,
+    slots: SlotAssignment,
+    /// Requests that wait for a slot.
+    slot_requests: PendingReplies<SlotReply>,
     /// Boxes by hall, including this one. No hall is empty.
     halls: HashMap<String, Vec<SocketAddr>>,
     /// True once another box has reported the same set of boxes. Until then this box may wrongly consider itself the
@@ -141,12 +169,28 @@
     lease_owners: HashMap<u64, SocketAddr>,
 }
 
+impl State {
+    fn new(me: SocketAddr) -> Self {
+        Self {
+            owner: Owner::default(),
+            slots: SlotAssignment::new(me),
+            slot_requests: PendingReplies::default(),
+            halls: HashMap::new(),
+            converged: false,
+            missed_replies: MissedReplies::default(),
+            status_queries: PendingReplies::default(),
+            permit_requests: PendingReplies::default(),
+            lease_owners: HashMap::new(),
+        }
+    }
+}
+
 impl OwnerService {
     /// Creates the service for the box `me`, and the queue of messages that it sends.
     pub(super) fn new(me: SocketAddr, clock: Arc<dyn Clock>) -> (Arc<Self>, mpsc::Receiver<(Destination, Message)>) {
         let (out, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let began = clock.now();
-        let service = Self { me, clock, began, state: Mutex::default(), out };
+        let service = Self { me, clock, began, state: Mutex::new(State::new(me)), slots_active: Notify::new(), out };
         (Arc::new(service), messages)
     }
 
@@ -168,6 +212,74 @@
         }
     }
 
+    /// Sets the boxes of this box's region, including this one, with their capacities.
+    pub(super) fn set_region_boxes(&self, boxes: Vec<(SocketAddr, u32)>, converged: bool) {
+        self.state().slots.set_boxes(boxes, converged);
+    }
+
+    /// Sets the servers of the services whose slots are assigned in this box's region.
+    pub(super) fn set_plain_servers(&self, services: Vec<(String, Vec<ServerSlots>)>) {
+        let now = self.now();
+        self.update_slots(|slots| slots.set_servers(services, now));
+    }
+
+    /// Records a message of any kind from another box.
+    pub(super) fn on_contact(&self, from: SocketAddr) {
+        self.state().slots.on_contact(from);
+    }
+
+    /// Handles a lost connection to another box.
+    pub(super) fn on_link_lost(&self, to: SocketAddr) {
+        let now = self.now();
+        self.update_slots(|slots| slots.on_link_lost(to, now));
+    }
+
+    /// Begins a planned stop: this box assigns no slots any more.
+    pub(super) fn begin_stop(&self) {
+        self.update_slots(SlotAssignment::stop);
+    }
+
+    /// Returns the state of the services that this box assigns slots for.
+    pub(super) fn slot_summaries(&self) -> Vec<Summary> {
+        self.state().slots.summaries()
+    }
+
+    /// Drives the assignment of slots while it isn't idle, for as long as the process runs.
+    pub(super) async fn run_slots(self: Arc<Self>) {
+        loop {
+            self.slots_active.notified().await;
+            while !self.state().slots.is_idle() {
+                actix_rt::time::sleep(SLOT_TICK_INTERVAL).await;
+                let now = self.now();
+                self.update_slots(|slots| slots.tick(now));
+            }
+        }
+    }
+
+    /// Updates the assignment of slots and carries out the actions.
+    fn update_slots(&self, update: impl FnOnce(&mut SlotAssignment) -> Vec<SlotAction>) {
+        let mut state = self.state();
+        let actions = update(&mut state.slots);
+        self.run_slot_actions(&mut state, actions);
+    }
+
+    fn run_slot_actions(&self, state: &mut State, actions: Vec<SlotAction>) {
+        for action in actions {
+            match action {
+                SlotAction::Request(to, request) => self.send(Destination::One(to), Message::Slot(request)),
+                SlotAction::Reply(to, reply) => self.send(Destination::One(to), Message::SlotReply(reply)),
+                SlotAction::Queued(to, number) => self.send(Destination::One(to), Message::SlotQueued(number)),
+                SlotAction::Release(to, release) => self.send(Destination::One(to), Message::SlotRelease(release)),
+                SlotAction::AnnounceStop => self.send(Destination::AllDirect, Message::SlotStop),
+                SlotAction::Resolve(reply) => state.slot_requests.resolve(reply.number(), reply),
+                SlotAction::Abandon(number) => state.slot_requests.abandon(number),
+            }
+        }
+        if !state.slots.is_idle() {
+            self.slots_active.notify_one();
+        }
+    }
+
     /// Removes the state of servers that are no longer listed.
     pub(super) fn retain_servers(&self, instances: &HashSet<&str>) {
         self.state().owner.retain(|id| instances.contains(id));
@@ -209,6 +321,27 @@
                 state.status_queries.resolve(status.number, status);
                 None
             }
+            Message::Slot(request) => {
+                let actions = state.slots.on_request(from, request, now);
+                self.run_slot_actions(&mut state, actions);
+                None
+            }
+            Message::SlotReply(reply) => {
+                let actions = state.slots.on_reply(from, reply);
+                self.run_slot_actions(&mut state, actions);
+                None
+            }
+            Message::SlotRelease(release) => {
+                let actions = state.slots.on_release(from, &release, now);
+                self.run_slot_actions(&mut state, actions);
+                None
+            }
+            Message::SlotStop => {
+                state.slots.on_stopping(from, now);
+                None
+            }
+            // Only the contact with the dispatcher matters, which `Peering` has recorded.
+            Message::SlotQueued(_) => None,
             // Handled by `Peering`, for the quarantine and the placement.
             Message::Suspects { .. } | Message::Notices { .. } => None,
         }
@@ -295,6 +428,27 @@
         Some(receiver)
     }
 
+    fn request_slot(&self, request: SlotRequest) -> Option<oneshot::Receiver<SlotReply>> {
+        let service = &self.0;
+        let (number, now) = (request.number, service.now());
+        let mut state = service.state();
+        let actions = state.slots.request(request, now)?;
+        let (sender, receiver) = oneshot::channel();
+        state.slot_requests.insert(number, sender);
+        service.run_slot_actions(&mut state, actions);
+        Some(receiver)
+    }
+
+    fn check_dispatcher(&self, number: u64) -> bool {
+        let now = self.0.now();
+        self.0.state().slots.check_dispatcher(number, now)
+    }
+
+    fn release_slot(&self, release: SlotRelease) {
+        let now = self.0.now();
+        self.0.update_slots(|slots| slots.release(release, now));
+    }
+
     fn report(&self, server: &Server, report: SendReport) {
         let service = &self.0;
         let now = service.now();
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -4,8 +4,9 @@
 use super::codec::encode;
 use super::follower::PublisherHealth;
 use super::owner_service::{self, Destination, OwnerService};
+use dispatch::ServerSlots;
 use peers::{Action, Message, Millis, Peers, WatchRole};
-use placement::{LimitUpdate, LivenessEvidence};
+use placement::{LimitUpdate, LivenessEvidence, PlainServer};
 use relay::Shared;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -115,6 +116,7 @@
                 return;
             };
             count_frame(&envelope, "received");
+            this.owner_service.on_contact(from);
             match envelope {
                 Envelope::Peers(message) => {
                     if matches!(message, Message::Heartbeat(_)) {
@@ -203,6 +205,28 @@
         let role = self.peers.borrow().watch_role(self.shared.now());
         self.watch_role.send_if_modified(|current| std::mem::replace(current, role) != role);
         self.publish_members();
+        self.publish_plain_servers();
+    }
+
+    /// Passes the servers whose slots are assigned to the owner service. Their admission states may change without an
+    /// update.
+    fn publish_plain_servers(&self) {
+        let now = self.shared.now();
+        let services = {
+            let placement = self.shared.placement();
+            let region = placement.region().map(String::as_str);
+            let servers =
+                |service: &str| placement.plain_servers(service, region, now).into_iter().map(to_slots).collect();
+            let names = placement.assigned_services(now);
+            names
+                .into_iter()
+                .map(|name| {
+                    let servers = servers(&name);
+                    (name, servers)
+                })
+                .collect()
+        };
+        self.owner_service.set_plain_servers(services);
     }
 
     /// Removes the state of servers that are no longer listed, at most once per interval.
@@ -275,8 +299,17 @@
         if self.published_members.replace(Some(members)) == Some(members) {
             return;
         }
-        self.shared.placement().set_box_count(peers.box_count());
-        self.owner_service.set_boxes(peers.members(), peers.has_converged());
+        let boxes = peers.members();
+        let in_region: Vec<(SocketAddr, u32)> = {
+            let mut placement = self.shared.placement();
+            let in_region = boxes.iter().filter(|(_, profile)| placement.shares_region(&profile.hall));
+            let in_region: Vec<_> = in_region.map(|(address, profile)| (*address, profile.capacity)).collect();
+            placement.set_box_count(peers.box_count());
+            placement.set_region_boxes(in_region.len());
+            in_region
+        };
+        self.owner_service.set_boxes(boxes, peers.has_converged());
+        self.owner_service.set_region_boxes(in_region, peers.has_converged());
     }
 
     /// Sends a box the suspect requests and evidence of live servers; `wants_reply` requests its records.
@@ -297,14 +330,22 @@
     fn send(&self, to: SocketAddr, envelope: &Envelope) {
         count_frame(envelope, "sent");
         let mut links = self.links.borrow_mut();
-        let link = links
-            .entry(to)
-            .or_insert_with(|| Link::open(&self.key, &self.me.to_string(), &to.to_string(), to, Box::new(|| {})));
+        let link = links.entry(to).or_insert_with(|| {
+            let owner_service = Arc::clone(&self.owner_service);
+            let on_disconnect = Box::new(move || owner_service.on_link_lost(to));
+            Link::open(&self.key, &self.me.to_string(), &to.to_string(), to, on_disconnect)
+        });
         // A full queue drops and counts the frame; the next heartbeat compensates for it.
         let _ = link.send(envelope);
     }
 }
 
+/// Returns a plain server as the dispatcher takes it.
+fn to_slots(server: PlainServer) -> ServerSlots {
+    let PlainServer { id, slots, usable } = server;
+    ServerSlots { id, slots, usable }
+}
+
 /// Returns the actions by which a watcher broadcasts an update to its hall. Other boxes don't broadcast, and so need
 /// not compress anything.
 fn broadcast_actions(peers: &Peers, update: &Update) -> Vec<Action> {
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -13,6 +13,7 @@
 use placement::{Placement, RetryBudget};
 use relay::{Frontend, ReadinessServer, Shared};
 use routing::{rank, Publisher, Subject};
+use std::cell::RefCell;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -59,8 +60,16 @@
     let (done, mut traffic_done) = watch::channel(false);
     let traffic = actix::Arbiter::new();
     start_traffic(&settings, &shared, &traffic, stopped, done)?;
-    let (peering, cluster_state) = start_control(&settings, &shared, owner_service, messages)?;
-    let operators = Operators { recorder, shared: Arc::clone(&shared), cluster_state, logger };
+    let (peering, cluster_state) = start_control(&settings, &shared, Arc::clone(&owner_service), messages)?;
+    actix_rt::spawn(Arc::clone(&owner_service).run_slots());
+    let operators = Operators {
+        recorder,
+        shared: Arc::clone(&shared),
+        cluster_state,
+        owner_service: Arc::clone(&owner_service),
+        slot_services: RefCell::default(),
+        logger,
+    };
     actix_rt::spawn(operators.run(into_tokio(bind(settings.operators)?)?));
     let hangup = Rc::new(tokio::sync::Notify::new());
     let reloader = Reloader { path, settings: settings.clone(), peering: Rc::clone(&peering) };
@@ -70,6 +79,7 @@
     telemetry::emit(Event::StopBegun, format_args!("running={}", shared.running.load(Ordering::Relaxed)));
     shared.begin_stop();
     peering.announce_leaving();
+    owner_service.begin_stop();
     let began = Instant::now();
     // The front end holds the receiver until it has finished.
     let _ = stop.send(true);
