--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -57,9 +57,14 @@
 
 /// A request of the most urgent class without a gap limit, which may run anywhere.
 pub fn request(prompt: &Prompt) -> PlacementRequest<'_> {
+    PlacementRequest { prompt: Some(prompt), ..request_without_prompt() }
+}
+
+/// The same without a prompt.
+pub fn request_without_prompt<'a>() -> PlacementRequest<'a> {
     PlacementRequest {
         service: MODEL,
-        prompt: Some(prompt),
+        prompt: None,
         target: Duration::from_millis(1_500),
         gap_limit: None,
         urgency: 0,
