cleatshelf: a box that has just returned isn't asked for slots

Ruled out: to skip a box after an `Unmanaged` reply, since boxes would learn this at different times and ask different dispatchers.

Change: a box that is heard again after its connection was lost is asked only 2 s later. A stopping box is not asked for 120 s, the longest planned stop in the example settings, unless it returns before.

--- a/crates/cleatshelf/src/router/owner_service.rs
+++ b/crates/cleatshelf/src/router/owner_service.rs
@@ -225,7 +225,8 @@
 
     /// Records a message of any kind from another box.
     pub(super) fn on_contact(&self, from: SocketAddr) {
-        self.state().slots.on_contact(from);
+        let now = self.now();
+        self.state().slots.on_contact(from, now);
     }
 
     /// Handles a lost connection to another box.
--- a/crates/cleatshelf/src/router/slot_assignment.rs
+++ b/crates/cleatshelf/src/router/slot_assignment.rs
@@ -12,9 +12,13 @@
 /// whose requests still run.
 const FIRST_GRANT_DELAY: Millis = 1_500;
 
-/// Time for which a box that has announced its stop is not asked for slots: the longest planned stop of a deployment,
-/// after which it doesn't respond. It must pass before a successor at the same address is asked.
-const STOP_DURATION: Millis = 10_000;
+/// Time for which a box that has announced its stop is not asked for slots: the longest planned stop in the example
+/// settings. It ends earlier for a successor at the same address, see [`RETURN_DELAY`].
+const STOP_DURATION: Millis = 120_000;
+
+/// Time for which a box that is heard again after its connection was lost isn't asked for slots. It may have started
+/// anew and assigns none yet, and all boxes would switch to it from the one that replaced it.
+const RETURN_DELAY: Millis = 2_000;
 
 /// Time without a message and without a connection after which a box counts as gone and its slots are assigned again.
 /// Assigning them at once would double the requests at a server after each short network fault.
@@ -84,8 +88,8 @@
     /// Boxes that have sent nothing since the connection to them was lost, with the time of the loss.
     lost_since: HashMap<SocketAddr, Millis>,
     missed_replies: MissedReplies,
-    /// Boxes that are stopping, with the time until which they are not asked.
-    stopping_until: HashMap<SocketAddr, Millis>,
+    /// Boxes that are stopping or have just returned, with the time until which they are not asked.
+    excluded_until: HashMap<SocketAddr, Millis>,
 }
 
 impl SlotAssignment {
@@ -104,7 +108,7 @@
             messages: HashMap::new(),
             lost_since: HashMap::new(),
             missed_replies: MissedReplies::default(),
-            stopping_until: HashMap::new(),
+            excluded_until: HashMap::new(),
         }
     }
 
@@ -149,8 +153,8 @@
         if *address == self.me {
             return !self.stopping;
         }
-        let is_stopping = self.stopping_until.get(address).is_some_and(|until| now < *until);
-        !is_stopping && !self.missed_replies.is_unresponsive(address, now)
+        let is_excluded = self.excluded_until.get(address).is_some_and(|until| now < *until);
+        !is_excluded && !self.missed_replies.is_unresponsive(address, now)
     }
 
     /// True if this box assigns the slots of a service.
@@ -208,9 +212,11 @@
     }
 
     /// Records a message of any kind from another box.
-    pub fn on_contact(&mut self, from: SocketAddr) {
+    pub fn on_contact(&mut self, from: SocketAddr, now: Millis) {
         *self.messages.entry(from).or_default() += 1;
-        self.lost_since.remove(&from);
+        if self.lost_since.remove(&from).is_some() {
+            self.excluded_until.insert(from, now + RETURN_DELAY);
+        }
         self.missed_replies.record_reply(from);
     }
 
@@ -276,7 +282,7 @@
 
     /// Handles the announcement that another box is stopping.
     pub fn on_stopping(&mut self, from: SocketAddr, now: Millis) {
-        self.stopping_until.insert(from, now + STOP_DURATION);
+        self.excluded_until.insert(from, now + STOP_DURATION);
     }
 
     /// Handles a lost connection to another box, or a failed attempt to open one: this box's requests there no longer
--- a/crates/cleatshelf/tests/slot_assignment.rs
+++ b/crates/cleatshelf/tests/slot_assignment.rs
@@ -92,12 +92,15 @@
     assert_eq!(asked(one, 2, START + 250), first, "one missed reply may be a pause");
     assert!(!one.check_dispatcher(2, START + 275));
     assert_ne!(asked(one, 3, START + 275), first);
-    one.on_contact(first);
+    one.on_contact(first, START + 300);
     assert!(one.check_dispatcher(2, START + 300), "any message counts");
     assert_eq!(asked(one, 4, START + 300), first);
     let waiting = one.on_link_lost(first, START + 300);
     assert!([1, 2, 4].iter().all(|number| waiting.contains(&Abandon(*number))), "{waiting:?}");
     assert!(!waiting.contains(&Abandon(3)), "asked elsewhere");
+    one.on_contact(first, START + 400);
+    assert_ne!(asked(one, 5, START + 2_399), first, "it may have started anew");
+    assert_eq!(asked(one, 6, START + 2_400), first);
 }
 
 /// Guards against a planned stop that leaves requests waiting, and against a crowd without a dispatcher after it.
@@ -123,7 +126,7 @@
     let one = &mut boxes()[0];
     assert_eq!(one.on_request(address(8), request(1), START).len(), 1);
     assert_eq!(one.on_link_lost(address(8), START), []);
-    one.on_contact(address(8));
+    one.on_contact(address(8), START + 100);
     assert_eq!(one.on_link_lost(address(8), START + 900), [], "it was heard in between");
     assert_eq!(one.on_request(address(3), request(1), START + 1_500), [Queued(address(3), 1)]);
     assert_eq!(one.on_link_lost(address(8), START + 1_900), [reply(granted(1))]);
