cleatshelf: all boxes change to a restarted dispatcher at the same time

Cause: a trial with the process test, with the killed dispatcher restarted under the crowd: in the 6 s after the restart 452 and 123 sends were turned away, since boxes heard of its return up to seconds apart and it or its substitute answered `Unmanaged` meanwhile.

Answering for boxes that still ask the substitute: both would assign all slots.

Change: `SlotPause` replaces the announcement of a stop and carries the milliseconds for which its sender assigns no slots. A box that has just started sends it when it is asked, and sends 0 once it is in charge.

--- a/crates/cleatshelf/src/router/owner_service.rs
+++ b/crates/cleatshelf/src/router/owner_service.rs
@@ -93,8 +93,8 @@
     /// Reports that the request with this number is queued at the dispatcher.
     SlotQueued(u64),
     SlotRelease(SlotRelease),
-    /// Announces that the sender is stopping and assigns no slots any more.
-    SlotStop,
+    /// Announces that the sender assigns no slots for this many milliseconds; 0 if it does from now on.
+    SlotPause(u32),
     /// Hints that servers addressed to all boxes: instances that are leaving, and limits of instances. `wants_reply`
     /// requests the receiver's hints.
     Notices {
@@ -119,7 +119,7 @@
             Self::SlotReply(_) => "slot_reply",
             Self::SlotQueued(_) => "slot_queued",
             Self::SlotRelease(_) => "slot_release",
-            Self::SlotStop => "slot_stop",
+            Self::SlotPause(_) => "slot_pause",
             Self::Notices { .. } => "notices",
         }
     }
@@ -271,7 +271,7 @@
                 SlotAction::Reply(to, reply) => self.send(Destination::One(to), Message::SlotReply(reply)),
                 SlotAction::Queued(to, number) => self.send(Destination::One(to), Message::SlotQueued(number)),
                 SlotAction::Release(to, release) => self.send(Destination::One(to), Message::SlotRelease(release)),
-                SlotAction::AnnounceStop => self.send(Destination::AllDirect, Message::SlotStop),
+                SlotAction::AnnouncePause(ms) => self.send(Destination::AllDirect, Message::SlotPause(ms)),
                 SlotAction::Resolve(reply) => state.slot_requests.resolve(reply.number(), reply),
                 SlotAction::Abandon(number) => state.slot_requests.abandon(number),
             }
@@ -337,8 +337,8 @@
                 self.run_slot_actions(&mut state, actions);
                 None
             }
-            Message::SlotStop => {
-                state.slots.on_stopping(from, now);
+            Message::SlotPause(pause_ms) => {
+                state.slots.on_pause(from, pause_ms, now);
                 None
             }
             // Only the contact with the dispatcher matters, which `Peering` has recorded.
--- a/crates/cleatshelf/src/router/slot_assignment.rs
+++ b/crates/cleatshelf/src/router/slot_assignment.rs
@@ -12,9 +12,17 @@
 /// whose requests still run.
 const FIRST_GRANT_DELAY: Millis = 1_500;
 
-/// Time for which a box that has announced its stop is not asked for slots: the longest planned stop in the example
-/// settings. It ends earlier for a successor at the same address, see [`RETURN_DELAY`].
-const STOP_DURATION: Millis = 120_000;
+/// Time for which a stopping box isn't asked for slots: the longest planned stop in the example settings. It ends earlier
+/// for a successor at the same address, see [`RETURN_DELAY`].
+const STOP_PAUSE_MS: u32 = 120_000;
+
+/// Time for which a box that has just started isn't asked again, once it was asked. It takes up to some seconds to know
+/// all boxes. With a delay of its own at each box, a restart of the dispatcher left half of all requests unmanaged
+/// for seconds.
+const START_PAUSE_MS: u32 = 1_000;
+
+/// Minimum interval between two announcements of a box that has just started.
+const ANNOUNCEMENT_INTERVAL: Millis = 500;
 
 /// Time for which a box that is heard again after its connection was lost isn't asked for slots. It may have started
 /// anew and assigns none yet, and all boxes would switch to it from the one that replaced it.
@@ -40,8 +48,8 @@
     Queued(SocketAddr, u64),
     /// Sends a release to the dispatcher.
     Release(SocketAddr, SlotRelease),
-    /// Announces to all boxes that this one is stopping and assigns no slots any more.
-    AnnounceStop,
+    /// Announces to all boxes that this one assigns no slots for this many milliseconds; 0 if it does from now on.
+    AnnouncePause(u32),
     /// Passes a reply to the request of this box that waits for it.
     Resolve(SlotReply),
     /// Ends the wait of this box's request with this number without a reply.
@@ -88,7 +96,11 @@
     /// Boxes that have sent nothing since the connection to them was lost, with the time of the loss.
     lost_since: HashMap<SocketAddr, Millis>,
     missed_replies: MissedReplies,
-    /// Boxes that are stopping or have just returned, with the time until which they are not asked.
+    /// True once this box has announced that it assigns slots.
+    announced_ready: bool,
+    /// Time of the last announcement that this box has just started.
+    announced: Option<Millis>,
+    /// Boxes that are stopping, are starting or have just returned, with the time until which they are not asked.
     excluded_until: HashMap<SocketAddr, Millis>,
 }
 
@@ -108,6 +120,8 @@
             messages: HashMap::new(),
             lost_since: HashMap::new(),
             missed_replies: MissedReplies::default(),
+            announced_ready: false,
+            announced: None,
             excluded_until: HashMap::new(),
         }
     }
@@ -136,7 +150,12 @@
                 replies.extend(self.dispatcher.set_servers(&service, &self.servers[&service], now));
             }
         }
-        self.deliver(replies)
+        let mut actions = self.deliver(replies);
+        if !self.managed.is_empty() && !std::mem::replace(&mut self.announced_ready, true) {
+            // All boxes change to this one at the same time. Otherwise some would still ask the box that it replaces.
+            actions.push(SlotAction::AnnouncePause(0));
+        }
+        actions
     }
 
     /// Returns the box that assigns the slots of a service: of the responsive boxes with the most capacity, the one that
@@ -225,7 +244,13 @@
     pub fn on_request(&mut self, from: SocketAddr, request: SlotRequest, now: Millis) -> Vec<SlotAction> {
         let number = request.number;
         if !self.is_in_charge(&request.service, now) {
-            return self.deliver(vec![Reply { to: from, reply: SlotReply::Unmanaged { number } }]);
+            let mut actions = self.deliver(vec![Reply { to: from, reply: SlotReply::Unmanaged { number } }]);
+            let is_starting = !self.converged || now < FIRST_GRANT_DELAY;
+            if is_starting && self.announced.is_none_or(|at| now >= at + ANNOUNCEMENT_INTERVAL) {
+                self.announced = Some(now);
+                actions.push(SlotAction::AnnouncePause(START_PAUSE_MS));
+            }
+            return actions;
         }
         let mut replies = Vec::new();
         if let Some(servers) = self.servers.get(&request.service).filter(|_| !self.managed.contains(&request.service)) {
@@ -280,9 +305,9 @@
         }
     }
 
-    /// Handles the announcement that another box is stopping.
-    pub fn on_stopping(&mut self, from: SocketAddr, now: Millis) {
-        self.excluded_until.insert(from, now + STOP_DURATION);
+    /// Handles the announcement that another box assigns no slots for `pause_ms`.
+    pub fn on_pause(&mut self, from: SocketAddr, pause_ms: u32, now: Millis) {
+        self.excluded_until.insert(from, now + Millis::from(pause_ms.min(STOP_PAUSE_MS)));
     }
 
     /// Handles a lost connection to another box, or a failed attempt to open one: this box's requests there no longer
@@ -323,7 +348,8 @@
     pub fn stop(&mut self) -> Vec<SlotAction> {
         self.stopping = true;
         let replies = self.dispatcher.stop();
-        let mut actions = if self.managed.is_empty() { Vec::new() } else { vec![SlotAction::AnnounceStop] };
+        let mut actions =
+            if self.managed.is_empty() { Vec::new() } else { vec![SlotAction::AnnouncePause(STOP_PAUSE_MS)] };
         actions.extend(self.deliver(replies));
         actions
     }
