--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -62,7 +62,7 @@
                 "all servers rest"
             }
             Refusal::Overloaded { wait_ms } => {
-                let _ = write!(self.trail, "crowded, {wait_ms:.0} ms to a place");
+                let _ = write!(self.trail, " crowded, {wait_ms:.0} ms to a place");
                 "all places are taken"
             }
             Refusal::Shed { retry_ms } => {
@@ -96,6 +96,10 @@
         if !matches!(cause, Cause::NotPlaced(Refusal::Overloaded { .. })) {
             return cause.delay(&queue);
         }
+        if let Some(delay) = self.slot_retry {
+            // The dispatcher has spread the delays of the requests that it refuses.
+            return delay;
+        }
         let (urgency, request) = (self.urgency(), self.fingerprint());
         let mut returns = self.shared.returns();
         let (waiting, interval_ms) = returns.queue(&self.service, urgency, request, now);
@@ -111,7 +115,8 @@
     }
 
     pub(crate) fn on_deadline(&mut self) -> Response<Body> {
-        if let Some(server) = self.tried.last().filter(|_| !self.route.kind.is_stream()) {
+        let server = self.tried.last().filter(|_| !self.awaits_slot && !self.route.kind.is_stream());
+        if let Some(server) = server {
             // A plain server that doesn't answer within the deadline is considered broken; an engine may only be busy.
             let now = self.shared.now();
             self.shared.placement().record_ending(&self.service, server, Ending::Broken, now);
