--- a/crates/placement/src/plain.rs
+++ b/crates/placement/src/plain.rs
@@ -10,12 +10,17 @@
 pub struct PlainServer {
     /// Id of the instance.
     pub id: String,
-    /// Number of requests that it runs concurrently.
+    /// Number of requests that it may have at a time: those that it runs, and some that wait there.
     pub slots: u32,
     /// True if any suitable request may be sent to it.
     pub usable: bool,
 }
 
+/// Slots of a server for each request that may wait there. Between the end of a request and the start of the next one lie
+/// four messages, some milliseconds in which the slot of a server that answers within 15 ms would be idle for a quarter
+/// of the time.
+const SLOTS_PER_WAITING: u32 = 4;
+
 impl Placement {
     /// Sets the number of boxes in this box's region, including this one; 0 if the region isn't known. Slots of a plain
     /// service are assigned by a dispatcher where a region has more boxes than the service has slots there.
@@ -43,7 +48,7 @@
         let members = pool.into_iter().flat_map(|pool| pool.members_in(region));
         let to_server = |member: &Member| PlainServer {
             id: member.server.id.clone(),
-            slots: member.server.slots,
+            slots: member.server.slots + member.server.slots.div_ceil(SLOTS_PER_WAITING),
             usable: member.admission_state(now) == AdmissionState::Open,
         };
         members.map(to_server).collect()
--- a/crates/placement/src/shedding.rs
+++ b/crates/placement/src/shedding.rs
@@ -27,10 +27,10 @@
 /// Most lost requests of a class within the window that are ignored: half of the ten that must not be lost.
 const IGNORED_LOSSES: u32 = 5;
 
-/// Lost share of a class from which less urgent classes are shed, and from which they are shed entirely: half and three
-/// quarters of the twelfth that it must not lose.
-const MIN_LOST_RATIO: f64 = 1.0 / 24.0;
-const MAX_LOST_RATIO: f64 = 1.0 / 16.0;
+/// Lost share of a class from which less urgent classes are shed, and from which they are shed entirely: a quarter and
+/// half of the twelfth that it must not lose. The rest covers what is lost before all boxes have heard of it.
+const MIN_LOST_RATIO: f64 = 1.0 / 48.0;
+const MAX_LOST_RATIO: f64 = 1.0 / 24.0;
 
 /// Requests of one urgency class within the last five seconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/placement/tests/plain.rs
+++ b/crates/placement/tests/plain.rs
@@ -63,7 +63,7 @@
         let servers = placement.plain_servers(MODEL, Some("east"), now);
         servers.into_iter().map(|server| (server.id, server.slots, server.usable)).collect()
     };
-    assert_eq!(usable(&placement, 0), [("s1".to_owned(), 6, true), ("s2".to_owned(), 6, true)]);
+    assert_eq!(usable(&placement, 0), [("s1".to_owned(), 8, true), ("s2".to_owned(), 8, true)]);
     assert_eq!(placement.choose_server(&request(&[], None), "s2").expect("a server").server.id, "s2");
     placement.record_back_off("s1", 150);
     placement.record_leaving("s2", Some(false), 0);
--- a/crates/placement/tests/shedding.rs
+++ b/crates/placement/tests/shedding.rs
@@ -64,12 +64,12 @@
         shortage.apply(&counts(classes), 0);
         (0..8).map(|urgency| (shortage.shed_ratio(urgency, 0) * 100.0).round() / 100.0).collect()
     };
-    // 125 of the first 2,400, less the first five, are halfway from a 24th to a 16th: half of the work below.
-    let some = [(0, 2_400, 130), (3, 200, 0), (6, 100, 0), (7, 100, 90)];
+    // 80 of the first 2,400, less the first five, are halfway from a 48th to a 24th: half of the work below.
+    let some = [(0, 2_400, 80), (3, 200, 0), (6, 100, 0), (7, 100, 90)];
     assert_eq!(shed(&some), [0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 1.0, 1.0]);
-    let less = [(0, 2_400, 117), (3, 200, 0), (6, 100, 0), (7, 100, 90)];
+    let less = [(0, 2_400, 67), (3, 200, 0), (6, 100, 0), (7, 100, 90)];
     assert_eq!(shed(&less), [0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.96]);
-    let all = [(0, 2_400, 155), (3, 200, 0), (6, 100, 0)];
+    let all = [(0, 2_400, 106), (3, 200, 0), (6, 100, 0)];
     assert_eq!([shed(&all)[3], shed(&all)[6]], [1.0, 1.0]);
     let few = [(0, 20, 5), (3, 200, 0), (6, 100, 0)];
     assert_eq!(shed(&few), [0.0; 8], "five losses in five seconds are half of what counts");
@@ -103,7 +103,7 @@
     shortage.apply(&counts(&[(0, 1_000, 0), (3, 200, 0), (6, 100, 0)]), 0);
     assert_eq!([0, 3, 6].map(|urgency| shortage.is_least_urgent(urgency, 0)), [false, false, true]);
     // 60 % of the 410 below are shed: 7, 6, and a part of 3.
-    shortage.apply(&counts(&[(0, 2_400, 135), (3, 200, 0), (6, 200, 0), (7, 10, 0)]), 0);
+    shortage.apply(&counts(&[(0, 2_400, 85), (3, 200, 0), (6, 200, 0), (7, 10, 0)]), 0);
     assert_eq!([0, 3, 6].map(|urgency| shortage.is_least_urgent(urgency, 0)), [false, true, true]);
 }
 
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -19,6 +19,10 @@
 /// parts all of them are cheap servers.
 const MAX_STATUS_REQUESTS: usize = 9;
 
+/// Number of a request's queries that carry the demand on this box: so many that under load each owner hears of most
+/// boxes every second.
+const DEMAND_REPORTS: usize = 4;
+
 /// Time limit for status and permit replies. Owners are a few milliseconds away, and a slow one must not make requests
 /// late.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(25);
@@ -156,9 +160,12 @@
     /// Queries the owners of these servers and returns the statuses that arrive in time.
     async fn query_owners(&self, servers: &[Arc<Server>], prompt: &Prompt) -> Vec<(String, ServerStatus)> {
         let gap_ms = self.route.gap_target.map_or(0, |gap| gap.as_millis() as u32);
-        let mut demand = Some(self.shared.placement().demand_report(&self.service, self.shared.now()));
-        let query = |server| PendingStatus::request(&self.shared, server, prompt, gap_ms, demand.take());
-        let pending: Vec<PendingStatus> = servers.iter().filter_map(query).collect();
+        let demand = self.shared.placement().demand_report(&self.service, self.shared.now());
+        let query = |(index, server)| {
+            let demand = (index < DEMAND_REPORTS).then(|| demand.clone());
+            PendingStatus::request(&self.shared, server, prompt, gap_ms, demand)
+        };
+        let pending: Vec<PendingStatus> = servers.iter().enumerate().filter_map(query).collect();
         let until = Instant::now() + STATUS_TIMEOUT;
         let mut statuses = Vec::new();
         for request in pending {
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -134,6 +134,11 @@
             // Sends that failed to reach a server don't count, and are no sign of load.
             Some(Cause::NotTaken) if self.sends == 0 => None,
             Some(cause) => cause.loss(),
+            // A caller that leaves earlier has reasons of its own.
+            None if outcome == Outcome::Disconnected => {
+                let was_late = self.timing.first.is_none() && self.started.elapsed() > self.route.latency_target;
+                was_late.then_some(Loss::NoSlot)
+            }
             None => (outcome == Outcome::DeadlineExceeded).then_some(Loss::NoSlot),
         }
     }
