placement: queues of servers aren't filled, and requests are shed by their own size

Cause: chats were sent to engines known to have 36 and more requests, which turn away (400 of 1,000 losses in 4 to 8 s of the log): only those that a request waits for counted. Less urgent requests over twice a chat's size were not shed, since their class is small on average. Change: an owner keeps the number of requests at which its server turned one away for 5 s, and half of the queue is kept for the most urgent; a request is shed for a class if it is larger than that class's mean.

--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -64,7 +64,7 @@
         });
         self.shortage.record(urgency, work, now);
         self.customers.record(customer, work, now);
-        let shed = self.shortage.shed_ratio(urgency, now);
+        let shed = self.shortage.shed_ratio(urgency, work, now);
         let shed = self.with_floor(shed, urgency, now);
         let refused = self.shortage.refused_of(urgency, now);
         let has_to_share = self.has_to_share(urgency, now) && (shed > 0.0 || refused > 0.0);
@@ -115,9 +115,9 @@
         self.shortage.record_lost(urgency, loss, now);
     }
 
-    /// Returns the share of a class that is shed in favour of more urgent ones, for metrics.
+    /// Returns the share of a class's largest requests that is shed in favour of more urgent ones, for metrics.
     pub(crate) fn shed_ratio(&self, urgency: u8, now: Millis) -> f64 {
-        self.shortage.shed_ratio(urgency, now)
+        self.shortage.shed_ratio(urgency, u32::MAX, now)
     }
 
     /// Returns the demand that this box counted. Customers are told only while a class is short of slots.
@@ -136,13 +136,22 @@
         }
     }
 
+    /// True if requests of more urgent classes came recently.
+    pub(crate) fn has_more_urgent(&self, request: &PlacementRequest<'_>) -> bool {
+        self.more_urgent(request) > 0
+    }
+
+    /// Returns the number of more urgent classes with recent requests.
+    fn more_urgent(&self, request: &PlacementRequest<'_>) -> usize {
+        let present = |last: &&Option<Millis>| last.is_some_and(|at| request.now < at + PRESENCE_WINDOW);
+        self.last_request[..class_index(request.urgency)].iter().filter(present).count()
+    }
+
     /// True if a request may be sent although it would wait `wait_ms` for a slot.
     ///
     /// Each more urgent class that is present reduces the wait allowed to a half, a third, and so on, so that less
     /// urgent classes are refused first.
     pub(crate) fn admits(&self, request: &PlacementRequest<'_>, wait_ms: f64) -> bool {
-        let present = |last: &&Option<Millis>| last.is_some_and(|at| request.now < at + PRESENCE_WINDOW);
-        let more_urgent = self.last_request[..class_index(request.urgency)].iter().filter(present).count();
-        wait_ms <= request.target.as_secs_f64() * 1e3 / (1.0 + more_urgent as f64)
+        wait_ms <= request.target.as_secs_f64() * 1e3 / (1.0 + self.more_urgent(request) as f64)
     }
 }
--- a/crates/placement/src/member.rs
+++ b/crates/placement/src/member.rs
@@ -209,6 +209,16 @@
         now < self.full_until || self.status_within(FULL_TTL, now).is_some_and(|status| status.full)
     }
 
+    /// Returns how many requests it takes before it turns further ones away, its queue included, for a request that has
+    /// more urgent ones beside it or hasn't. Half of the queue is kept for the most urgent: a full queue turns them away,
+    /// whatever waits there. `None` if it hasn't turned requests away recently.
+    pub(crate) fn max_running(&self, status: &ServerStatus, has_more_urgent: bool) -> Option<u32> {
+        let slots = self.server.slots;
+        // With fewer requests than slots it was not full for want of room.
+        let max = Some(status.max_running).filter(|max| *max >= slots)?;
+        Some(if has_more_urgent { slots + (max - slots) / 2 } else { max })
+    }
+
     /// Returns the speed last reported by its owner, whatever its age.
     pub(crate) fn speed(&self) -> Option<&Speed> {
         self.status.as_ref().map(|(status, _)| &status.speed)
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -23,6 +23,9 @@
 /// Time after which a lease without a reported end is dropped: its box has died, since no request takes longer.
 const LEASE_TTL: Millis = 60_000;
 
+/// Time for which the number of requests at which a server turned one away counts as its limit.
+const MAX_RUNNING_TTL: Millis = 5_000;
+
 /// Largest share of a prompt that is assumed to be read before its first event shows that all of it was.
 const MAX_PARTIAL_PREFILL_RATIO: f64 = 0.8;
 
@@ -83,6 +86,8 @@
     pub arrivals: u32,
     /// True if it recently turned a request away as full.
     pub full: bool,
+    /// Requests that were there when it last turned one away: it takes no more; 0 if it hasn't recently.
+    pub max_running: u32,
     /// Possible restarts of the server.
     #[serde(rename = "broke")]
     pub disconnect: Disconnect,
@@ -180,6 +185,8 @@
     disconnects: Disconnects,
     /// Until when it is taken to be full, since it turned a request away; in the past if it isn't.
     full_until: Millis,
+    /// Requests that were there when it last turned one away, and until when that counts.
+    max_running: Option<(u32, Millis)>,
     cache_directory: CacheDirectory,
     /// By sending box and number. The total of their work is `load`.
     leases: BTreeMap<(SocketAddr, u64), Lease>,
@@ -214,6 +221,7 @@
             short_prefill_ratio: owned.short_prefill.ratio(now),
             arrivals: owned.arrivals.count_within(COLD_WINDOW, now),
             full: now < owned.full_until,
+            max_running: owned.max_running.filter(|(_, until)| now < *until).map_or(0, |(running, _)| running),
             disconnect: owned.disconnects.elapsed(now),
             demand: None,
             cached_by: last_shared_part(&query.parts).map_or_else(Vec::new, |part| owned.cache_directory.servers(part)),
@@ -335,6 +343,7 @@
     fn record_end(&mut self, key: &(SocketAddr, u64), ending: Ending, pause_ms: u32, now: Millis) {
         if ending == Ending::NotRun {
             self.full_until = now + FULL_TTL;
+            self.record_turned_away(now);
         }
         self.health.record(ending, now);
         self.disconnects.record(ending, now);
@@ -358,6 +367,14 @@
         self.load.record_end(lease.work);
     }
 
+    /// Records how many requests were there when the server turned one away, which the load still includes. Fewer than its
+    /// slots say nothing: it was not full.
+    fn record_turned_away(&mut self, now: Millis) {
+        let running = self.load.running.saturating_sub(1);
+        let known = self.max_running.filter(|(_, until)| now < *until).map_or(u32::MAX, |(known, _)| known);
+        self.max_running = Some((running.min(known), now + MAX_RUNNING_TTL));
+    }
+
     /// Updates the speed estimate from a complete answer.
     fn update_estimator(&mut self, lease: &Lease, pause_ms: u32, now: Millis) {
         let Some(prefilled_at) = lease.prefilled_at else { return };
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -431,6 +431,15 @@
         request.allows_region(member.region.as_deref()) && !request.tried.contains(id) && !request.denied.contains(id)
     }
 
+    /// True if a server would turn the request away, or take the room that more urgent requests need there.
+    fn is_queue_full(&self, member: &Member, request: &PlacementRequest<'_>) -> bool {
+        let has_more_urgent = self.admission.has_more_urgent(request);
+        member.is_full(request.now)
+            || request.status(&member.server.id).is_some_and(|status| {
+                member.max_running(status, has_more_urgent).is_some_and(|max| status.load.running >= max)
+            })
+    }
+
     /// True if a server that requires permits is known to grant no more, or must not be asked again.
     fn is_full(&self, member: &Member, request: &PlacementRequest<'_>) -> bool {
         let Quotas { cold, limit } = member.quotas(self.cold_quota, request.now);
@@ -482,7 +491,7 @@
         let mut known = eligible.iter().filter(|member| request.status(&member.server.id).is_some()).peekable();
         known.peek().is_none()
             || known.any(|member| {
-                !member.is_full(request.now)
+                !self.is_queue_full(member, request)
                     && !self.is_at_cold_quota(member, request)
                     && self.admission.admits(request, model.candidate(member).estimate.slot_wait_ms)
             })
@@ -501,7 +510,7 @@
         let candidates = self.candidates(request, &eligible, &model);
         // A request that was sent before is not refused: it may have run.
         let admitted = |c: &&Candidate<'_>| {
-            let full = request.prompt.is_some() && c.member.is_full(request.now);
+            let full = request.prompt.is_some() && self.is_queue_full(c.member, request);
             !full && (!request.tried.is_empty() || self.admission.admits(request, c.estimate.slot_wait_ms))
         };
         let at_cold_quota = |c: &Candidate<'_>| self.is_at_cold_quota(c.member, request);
--- a/crates/placement/src/shedding.rs
+++ b/crates/placement/src/shedding.rs
@@ -93,6 +93,11 @@
         self.requests > 0 && product(self.work, other.requests) > product(other.work, self.requests)
     }
 
+    /// True if its requests have less work than this on average.
+    fn has_less_work(&self, work: u64) -> bool {
+        u128::from(work) * u128::from(self.requests) > u128::from(self.work)
+    }
+
     /// Returns the lost share, ignoring the first losses.
     fn lost_ratio(self) -> f64 {
         ratio(self.lost.saturating_sub(IGNORED_LOSSES), self.requests)
@@ -151,16 +156,14 @@
         }
     }
 
-    /// Returns the share of a class that is shed for more urgent ones.
-    fn shed_ratio(&self, class: usize) -> f64 {
-        let work = (self.0[class].work as f64).max(1.0);
-        let above = (0..class).filter(|above| self.0[class].is_larger(&self.0[*above]));
-        let shed_for = |above: usize| {
-            let larger = |from: usize| self.0[from..].iter().filter(|below| below.is_larger(&self.0[above]));
-            let below = |from: usize| larger(from).fold(0, |sum: u64, tally| sum.saturating_add(tally.work)) as f64;
-            self.0[above].shed_ratio_below() * below(above + 1) - below(class + 1)
-        };
-        above.map(|above| (shed_for(above) / work).clamp(0.0, 1.0)).fold(0.0, f64::max)
+    /// Returns the share of a class's requests with this work, in tokens, that is shed for more urgent ones.
+    fn shed_ratio(&self, class: usize, work: u64) -> f64 {
+        let class_work = (self.0[class].work as f64).max(1.0);
+        let below =
+            |from: usize| self.0[from..].iter().fold(0, |sum: u64, tally| sum.saturating_add(tally.work)) as f64;
+        let shed_for = |above: usize| self.0[above].shed_ratio_below() * below(above + 1) - below(class + 1);
+        let above = (0..class).filter(|above| self.0[*above].has_less_work(work));
+        above.map(|above| (shed_for(above) / class_work).clamp(0.0, 1.0)).fold(0.0, f64::max)
     }
 
     fn requests(&self) -> u64 {
@@ -268,12 +271,14 @@
 
     /// Returns the share of a class that has to be shed in favour of more urgent classes; from 0 to 1.
     ///
+    /// Returns the share of a class's requests with this work, in tokens, that has to be shed; from 0 to 1.
+    ///
     /// Each class that loses requests has a share of the work below it shed, the least urgent first. So a class is shed
-    /// only where all classes below it are shed entirely. Classes whose requests are no larger than the lost ones are not
-    /// shed for them: they take few slots for a short time, and many of them would be lost for one more urgent request.
+    /// only where all classes below it are shed entirely. Requests that are no larger than the lost ones are not shed for
+    /// them: they take few slots for a short time, and many of them would be lost for one more urgent request.
     #[must_use]
-    pub fn shed_ratio(&self, urgency: u8, now: Millis) -> f64 {
-        self.known(now).shed_ratio(class_index(urgency))
+    pub fn shed_ratio(&self, urgency: u8, work: u32, now: Millis) -> f64 {
+        self.known(now).shed_ratio(class_index(urgency), work.into())
     }
 
     /// True if a less urgent class has larger requests.
@@ -290,7 +295,7 @@
         let tallies = self.known(now);
         let class = class_index(urgency);
         let mut larger = (class + 1..tallies.0.len()).filter(|below| tallies.0[*below].is_larger(&tallies.0[class]));
-        larger.all(|below| tallies.shed_ratio(below) >= 1.0)
+        larger.all(|below| tallies.shed_ratio(below, u64::MAX) >= 1.0)
     }
 
     fn add(&mut self, urgency: u8, tally: Tally, now: Millis) {
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -562,3 +562,25 @@
         assert_eq!(choice.server.id, further[0].id, "the one below the quota");
     }
 }
+
+/// A queue full of less urgent requests turned the most urgent ones away, since these don't wait for them in the queue.
+#[test]
+fn a_server_known_to_turn_requests_away_is_not_filled_and_keeps_room_for_the_most_urgent() {
+    let prompt = quick_prompt(100);
+    // 64 slots; it turned a request away with 100 requests there, most of them less urgent than those of this test.
+    let status = |running: u32| ServerStatus {
+        load: Load { running, urgencies: [(9, running)].into(), ..Load::default() },
+        max_running: 100,
+        ..ServerStatus::default()
+    };
+    let admitted = |running: u32, urgency: u8| {
+        let mut placement = placement(servers(1));
+        let statuses = [("s0".to_owned(), status(running))];
+        let request = |urgency| PlacementRequest { urgency, ..quick_request(&prompt, &statuses) };
+        // A request of the most urgent class was there before.
+        let _ = placement.choose(&request(0));
+        placement.choose(&request(urgency)).is_ok()
+    };
+    assert_eq!([81, 99, 100].map(|running| admitted(running, 0)), [true, true, false]);
+    assert_eq!([81, 82, 99].map(|running| admitted(running, 3)), [true, false, false], "half of the queue of 36");
+}
--- a/crates/placement/tests/plain.rs
+++ b/crates/placement/tests/plain.rs
@@ -76,6 +76,6 @@
     ] {
         assert_eq!(placement.choose_server(&request(&tried, None), id).err(), Some(refusal), "{id}");
     }
-    assert_eq!(usable(&placement, 149), [("s1".to_owned(), 6, false), ("s2".to_owned(), 6, false)]);
+    assert_eq!(usable(&placement, 149), [("s1".to_owned(), 8, false), ("s2".to_owned(), 8, false)]);
     assert!(usable(&placement, 150)[0].2, "a back-off ends");
 }
--- a/crates/placement/tests/shedding.rs
+++ b/crates/placement/tests/shedding.rs
@@ -62,7 +62,7 @@
     let shed = |classes: &[(u8, u32, u32)]| -> Vec<f64> {
         let mut shortage = Shortage::default();
         shortage.apply(&counts(classes), 0);
-        (0..8).map(|urgency| (shortage.shed_ratio(urgency, 0) * 100.0).round() / 100.0).collect()
+        (0..8).map(|urgency| (shortage.shed_ratio(urgency, u32::MAX, 0) * 100.0).round() / 100.0).collect()
     };
     // 80 of the first 2,400, less the first five, are halfway from a 48th to a 24th: half of the work below.
     let some = [(0, 2_400, 80), (3, 200, 0), (6, 100, 0), (7, 100, 90)];
@@ -84,16 +84,22 @@
     }
 }
 
-/// Guards against many short requests that are shed for a few more urgent ones with long answers.
+/// Guards against many short requests that are shed for a few more urgent ones with long answers, and against large ones
+/// that are served since their class is small on average.
 #[test]
-fn a_class_of_smaller_requests_is_not_shed() {
-    let mut shortage = Shortage::default();
-    let class = |urgency, work_k, lost| ClassCount { urgency, requests: 1_000, work_k, lost, ..ClassCount::default() };
-    shortage.apply(&ClassCounts { classes: vec![class(0, 3_700, 200), class(3, 2_700, 0), class(6, 15_900, 0)] }, 0);
-    assert_eq!([0, 3, 6].map(|urgency| shortage.shed_ratio(urgency, 0)), [0.0, 0.0, 1.0]);
-    shortage
-        .apply(&ClassCounts { classes: vec![class(0, 3_700, 0), class(3, 2_700, 200), class(6, 15_900, 0)] }, 2_000);
-    assert_eq!([0, 3, 6].map(|urgency| shortage.shed_ratio(urgency, 2_000)), [0.0, 0.0, 1.0]);
+fn requests_no_larger_than_the_lost_ones_are_not_shed() {
+    let shed = |lost_urgency: u8| {
+        let mut shortage = Shortage::default();
+        let class = |urgency: u8, work_k| {
+            let lost = if urgency == lost_urgency { 200 } else { 0 };
+            ClassCount { urgency, requests: 1_000, work_k, lost, ..ClassCount::default() }
+        };
+        shortage.apply(&ClassCounts { classes: vec![class(0, 3_700), class(3, 2_700), class(6, 15_900)] }, 0);
+        [(0, 90_000), (3, 2_600), (3, 3_800), (6, 2_600), (6, 3_800)]
+            .map(|(urgency, work)| shortage.shed_ratio(urgency, work, 0))
+    };
+    assert_eq!(shed(0), [0.0, 0.0, 1.0, 0.0, 1.0]);
+    assert_eq!(shed(3), [0.0, 0.0, 0.0, 0.0, 1.0]);
 }
 
 /// Guards against customers that are told apart in a class while a less urgent one is served.
@@ -148,7 +154,7 @@
             );
             shortage.record_lost(urgency, Loss::NoSlot, now);
             shortage.apply(if rng.random() { &sum } else { &hostile }, now);
-            for ratio in [shortage.refused_of(urgency, now), shortage.shed_ratio(urgency, now)] {
+            for ratio in [shortage.refused_of(urgency, now), shortage.shed_ratio(urgency, rng.random(), now)] {
                 assert!((0.0..=1.0).contains(&ratio), "seed {seed}: {ratio}");
             }
             let _ = shortage.is_least_urgent(urgency, now);
