--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -102,6 +102,7 @@
             Verdict::Held { retry_ms } => return Err(NotSent::Quarantined { retry_ms }),
         }
         self.permit_expires = permit_expires;
+        self.sent_to_busy = choice.load.running >= choice.server.slots;
         self.log_choice(&choice);
         let slot = SlotGuard::new(&self.shared, &self.service, &choice, self.call.prompt.as_ref());
         Ok((choice, slot))
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -131,8 +131,8 @@
     /// Returns what the request got nothing for, if that has to do with load.
     fn loss(&self, outcome: Outcome) -> Option<Loss> {
         match self.refusal {
-            // Sends that failed to reach a server don't count, and are no sign of load.
-            Some(Cause::NotTaken) if self.sends == 0 => None,
+            // Servers also turn requests away while they have free slots, which is a fault and no sign of load.
+            Some(Cause::NotTaken) if !self.sent_to_busy => None,
             Some(cause) => cause.loss(),
             // A caller that leaves earlier has reasons of its own.
             None if outcome == Outcome::Disconnected => {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -60,6 +60,8 @@
     pub(crate) sends: u32,
     /// Number of sends that failed to reach a server.
     pub(crate) unreached: usize,
+    /// True if the server of the last send had no free slot, as far as this box knew.
+    pub(crate) sent_to_busy: bool,
     /// Expiry of the permit for the current send; `None` if the server needs no permit.
     pub(crate) permit_expires: Option<Millis>,
     /// True while the request waits for a slot: no server has it.
--- a/crates/relay/src/frontend.rs
+++ b/crates/relay/src/frontend.rs
@@ -249,6 +249,7 @@
             permit_expires: None,
             awaits_slot: false,
             slot_retry: None,
+            sent_to_busy: false,
             may_have_run: false,
             in_flight: Cell::default(),
             finished: false,
