--- a/crates/cleatshelf/src/router/operators.rs
+++ b/crates/cleatshelf/src/router/operators.rs
@@ -10,7 +10,7 @@
 use placement::Fingerprint;
 use relay::Shared;
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -27,6 +27,8 @@
     pub(super) owner_service: Arc<OwnerService>,
     /// Services whose slots this box has assigned.
     pub(super) slot_services: RefCell<BTreeSet<String>>,
+    /// Services and customers whose excess was last shown.
+    pub(super) listed_customers: RefCell<HashSet<(String, String)>>,
     pub(super) logger: JsonLogger,
 }
 
@@ -86,9 +88,33 @@
         metrics::gauge!("cleatshelf_requests_held").set(self.shared.quarantine().held().count() as f64);
         metrics::gauge!("cleatshelf_log_lines_dropped").set(self.logger.dropped() as f64);
         self.set_slot_gauges();
+        self.set_admission_gauges();
         self.recorder.render()
     }
 
+    /// Sets the gauges of what admission holds back. Customers that are no longer among the heaviest are zeroed.
+    fn set_admission_gauges(&self) {
+        let summaries = self.shared.placement().admission_summaries(self.shared.now());
+        let excess = |service: &str, customer: &str| metrics::gauge!("cleatshelf_customer_excess", "service" => service.to_owned(), "customer" => customer.to_owned());
+        let mut listed = self.listed_customers.borrow_mut();
+        for (service, customer) in listed.drain() {
+            excess(&service, &customer).set(0.0);
+        }
+        let table = self.shared.view().table.clone();
+        for (service, summary) in summaries {
+            for (urgency, ratio) in summary.shed_ratios {
+                metrics::gauge!("cleatshelf_shed_ratio", "service" => service.clone(), "urgency" => urgency.to_string())
+                    .set(ratio);
+            }
+            let names = || table.iter().flat_map(|table| table.customer_names());
+            for (hash, ratio) in summary.excesses {
+                let Some(name) = names().find(|name| routing::rank(0, name) == hash) else { continue };
+                excess(&service, name).set(ratio);
+                listed.insert((service.clone(), name.to_owned()));
+            }
+        }
+    }
+
     /// Sets the gauges of the services that this box assigns slots for, and zeroes those of former ones.
     fn set_slot_gauges(&self) {
         let summaries = self.owner_service.slot_summaries();
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -68,6 +68,7 @@
         cluster_state,
         owner_service: Arc::clone(&owner_service),
         slot_services: RefCell::default(),
+        listed_customers: RefCell::default(),
         logger,
     };
     actix_rt::spawn(operators.run(into_tokio(bind(settings.operators)?)?));
--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -23,9 +23,20 @@
 /// Share of its requests that a starved class gets.
 const STARVED_RATIO: f64 = 0.05;
 
-/// Factor from the share of a class that found no slot to the share that is held back from customers beyond their fair
-/// share. What the others lose is then a sixth of what the class lacks.
-const HELD_BACK_PER_REFUSED: f64 = 5.0;
+/// Rate per second at which the share that is held back from a class's customers beyond their fair share follows the share
+/// that found no slot. Counts are a second old, so a higher rate would overshoot.
+const HELD_BACK_RATE: f64 = 1.0;
+
+/// Share of a class that may find no slot before more is held back.
+const MIN_REFUSED_RATIO: f64 = 0.01;
+
+/// Part of the held-back share that is released per second while fewer find no slot, to see whether slots have become
+/// free, and the least share released: a crowd's is gone within ten seconds.
+const RELEASED_PART: f64 = 0.2;
+const MIN_RELEASED: f64 = 0.01;
+
+/// Longest time for which one update of the held-back share counts.
+const MAX_UPDATE_INTERVAL: Millis = 1_000;
 
 /// Time after which shed callers may return: by then the counts of the last second are others.
 const SHED_RETRY_MS: u64 = 1_000;
@@ -33,6 +44,15 @@
 /// Customers listed in the report of one box.
 const MAX_CUSTOMERS: usize = 4;
 
+/// What admission holds back of one service, for metrics.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AdmissionSummary {
+    /// For each urgency with requests, the share of its largest requests that is shed for more urgent ones, from 0 to 1.
+    pub shed_ratios: Vec<(u8, f64)>,
+    /// The heaviest customers by the hash of their names, each with the part of its work beyond its fair share, from 0 to 1.
+    pub excesses: Vec<(u64, f64)>,
+}
+
 /// Admission control for one service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Admission {
@@ -42,6 +62,8 @@
     shed_since: PerUrgency<Option<Millis>>,
     /// Time since which all less urgent classes are shed entirely; `None` if one of them is served.
     least_urgent_since: PerUrgency<Option<Millis>>,
+    /// Share of each urgency that is held back from customers beyond their fair share, and when it was last updated.
+    held_back: PerUrgency<(f64, Millis)>,
     shortage: Shortage,
     customers: Customers,
 }
@@ -67,11 +89,13 @@
         let shed = self.shortage.shed_ratio(urgency, work, now);
         let shed = self.with_floor(shed, urgency, now);
         let refused = self.shortage.refused_of(urgency, now);
-        let has_to_share = self.has_to_share(urgency, now) && (shed > 0.0 || refused > 0.0);
+        let has_to_share = self.has_to_share(urgency, now);
+        let held_back = self.update_held_back(if has_to_share { refused } else { 0.0 }, urgency, now);
+        let has_to_share = has_to_share && (shed > 0.0 || held_back > 0.0);
         if shed >= 1.0 || !has_to_share {
             return if draw < shed { Err(Refusal::Shed { retry_ms: SHED_RETRY_MS }) } else { Ok(()) };
         }
-        let served = (1.0 - shed) * (1.0 - HELD_BACK_PER_REFUSED * refused).max(0.0);
+        let served = self.served_ratio(shed, urgency);
         let excess = self.customers.excess(customer, served, now);
         if draw < excess {
             return Err(Refusal::CustomerShare { retry_ms: SHED_RETRY_MS });
@@ -115,9 +139,31 @@
         self.shortage.record_lost(urgency, loss, now);
     }
 
-    /// Returns the share of a class's largest requests that is shed in favour of more urgent ones, for metrics.
-    pub(crate) fn shed_ratio(&self, urgency: u8, now: Millis) -> f64 {
-        self.shortage.shed_ratio(urgency, u32::MAX, now)
+    /// Returns what is held back now, for metrics.
+    pub(crate) fn summary(&self, now: Millis) -> AdmissionSummary {
+        let shed = |urgency| (urgency, self.shortage.shed_ratio(urgency, u32::MAX, now));
+        let served = |urgency| self.served_ratio(self.shortage.shed_ratio(urgency, u32::MAX, now), urgency);
+        let least_served = self.shortage.urgencies(now).map(served).fold(1.0, f64::min);
+        AdmissionSummary {
+            shed_ratios: self.shortage.urgencies(now).map(shed).collect(),
+            excesses: self.customers.heaviest(least_served, now),
+        }
+    }
+
+    /// Returns the share of a class that can be served without customers' excess, if this share of it is shed.
+    fn served_ratio(&self, shed: f64, urgency: u8) -> f64 {
+        (1.0 - shed) * (1.0 - self.held_back[class_index(urgency)].0)
+    }
+
+    /// Updates the held-back share of a class, of which this share found no slot, and returns it.
+    fn update_held_back(&mut self, refused: f64, urgency: u8, now: Millis) -> f64 {
+        let (share, updated_at) = &mut self.held_back[class_index(urgency)];
+        let elapsed_s = now.saturating_sub(*updated_at).min(MAX_UPDATE_INTERVAL) as f64 / 1e3;
+        let release = *share * RELEASED_PART + MIN_RELEASED;
+        let rate = if refused > MIN_REFUSED_RATIO { refused * HELD_BACK_RATE } else { -release };
+        *share = (*share + rate * elapsed_s).clamp(0.0, 1.0);
+        *updated_at = now;
+        *share
     }
 
     /// Returns the demand that this box counted. Customers are told only while a class is short of slots.
--- a/crates/placement/src/customers.rs
+++ b/crates/placement/src/customers.rs
@@ -239,6 +239,13 @@
         }
     }
 
+    /// Returns the heaviest customers, each with the part of its work beyond its fair share; see [`Customers::excess`].
+    #[must_use]
+    pub fn heaviest(&self, served_ratio: f64, now: Millis) -> Vec<(u64, f64)> {
+        let listed = self.with_report(now, |report| report.heaviest.clone());
+        listed.iter().map(|listed| (listed.customer, self.excess(listed.customer, served_ratio, now))).collect()
+    }
+
     /// Returns the share of all customers' work that is excess, from 0 to 1.
     #[must_use]
     pub fn excess_total(&self, served_ratio: f64, now: Millis) -> f64 {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -45,6 +45,7 @@
 mod stalls;
 mod urgency;
 
+pub use admission::AdmissionSummary;
 pub use admission_state::AdmissionState;
 pub use cached_parts::CachedParts;
 pub use cold::{ColdAllowance, Disconnect};
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,5 +1,6 @@
 //! Placement for all services of a box.
 
+use crate::admission::AdmissionSummary;
 use crate::notices::Notices;
 use crate::pool::Pool;
 use crate::{
@@ -294,10 +295,11 @@
         }
     }
 
-    /// Returns the share of a class that is shed in favour of more urgent ones, from 0 to 1.
+    /// Returns what is held back of each service with engines.
     #[must_use]
-    pub fn shed_ratio(&self, service: &str, urgency: u8, now: Millis) -> f64 {
-        self.pools.get(service).map_or(0.0, |pool| pool.shed_ratio(urgency, now))
+    pub fn admission_summaries(&self, now: Millis) -> Vec<(String, AdmissionSummary)> {
+        let summaries = self.pools.iter().map(|(service, pool)| (service, pool.admission_summary(now)));
+        summaries.filter_map(|(service, summary)| Some((service.clone(), summary?))).collect()
     }
 
     /// Returns the demand for a service that this box counted, for queries to owners.
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -1,6 +1,6 @@
 //! The servers of one service.
 
-use crate::admission::Admission;
+use crate::admission::{Admission, AdmissionSummary};
 use crate::cost::{Candidate, CostModel, Source, MIN_FETCH_TOKENS};
 use crate::demand::{Demand, Side};
 use crate::homes::homes;
@@ -363,9 +363,9 @@
         }
     }
 
-    /// Returns the share of a class that is shed in favour of more urgent ones.
-    pub(crate) fn shed_ratio(&self, urgency: u8, now: Millis) -> f64 {
-        self.admission.shed_ratio(urgency, now)
+    /// Returns what is held back now; `None` for plain servers.
+    pub(crate) fn admission_summary(&self, now: Millis) -> Option<AdmissionSummary> {
+        self.engine.is_some().then(|| self.admission.summary(now))
     }
 
     /// Returns the demand that this box counted, for queries.
@@ -723,7 +723,7 @@
         return eligible.iter().map(|member| model.candidate(member)).collect();
     }
     let is_known = |member: &&&'a Member| member.has_old_status(request.now);
-    let (known, unknown): (Vec<&'a Member>, Vec<&'a Member>) = eligible.iter().partition(|member| is_known(&member));
+    let (known, unknown): (Vec<&'a Member>, Vec<&'a Member>) = eligible.iter().partition(|member| is_known(member));
     let mut candidates: Vec<_> =
         known.iter().map(|member| model.candidate_with_load(member, member.last_load(request.now))).collect();
     let others: Vec<_> = if candidates.is_empty() {
--- a/crates/placement/src/shedding.rs
+++ b/crates/placement/src/shedding.rs
@@ -281,6 +281,12 @@
         self.known(now).shed_ratio(class_index(urgency), work.into())
     }
 
+    /// Returns the urgencies that have requests.
+    pub fn urgencies(&self, now: Millis) -> impl Iterator<Item = u8> {
+        let tallies = self.known(now).0;
+        (0..).zip(tallies).filter(|(_, tally)| tally.requests > 0).map(|(urgency, _)| urgency)
+    }
+
     /// True if a less urgent class has larger requests.
     #[must_use]
     pub fn has_less_urgent(&self, urgency: u8, now: Millis) -> bool {
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -63,6 +63,12 @@
         self
     }
 
+    /// Returns the names of all customers.
+    pub fn customer_names(&self) -> impl Iterator<Item = &str> {
+        let names: std::collections::BTreeSet<&str> = self.customers.values().map(|c| c.name.as_str()).collect();
+        names.into_iter()
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
