placement: the first home of a short prompt is queried within the region only, and one refusal a second is ignored

Change: a home in another region isn't queried for few shared tokens; the first refusal of a second is ignored.

--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -32,7 +32,7 @@
 
 /// Part of the held-back share that is released per second while fewer find no slot, to see whether slots have become
 /// free, and the least share released: a crowd's is gone within ten seconds.
-const RELEASED_PART: f64 = 0.2;
+const RELEASED_PART: f64 = 0.15;
 const MIN_RELEASED: f64 = 0.01;
 
 /// Longest time for which one update of the held-back share counts.
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -311,9 +311,10 @@
     /// Returns the servers whose owners should be queried before a choice, the most likely choice first.
     #[must_use]
     pub fn servers_to_query(&mut self, request: &PlacementRequest<'_>, max: usize) -> Vec<Arc<Server>> {
-        self.pools
-            .get_mut(request.service)
-            .map_or_else(Vec::new, |pool| pool.servers_to_query(request, &self.hall, max))
+        self.pools.get_mut(request.service).map_or_else(Vec::new, |pool| {
+            let region = self.regions.get(&self.hall).map(String::as_str);
+            pool.servers_to_query(request, &self.hall, region, max)
+        })
     }
 
     /// Returns further servers whose owners should be queried since none of those that answered has room.
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -207,6 +207,7 @@
         &mut self,
         request: &PlacementRequest<'_>,
         hall: &str,
+        region: Option<&str>,
         max: usize,
     ) -> Vec<Arc<Server>> {
         self.update_positions();
@@ -217,7 +218,11 @@
         let shares = request.prompt.is_some_and(|prompt| prompt.shared_tokens() >= MIN_FETCH_TOKENS);
         let answering = |member: &&Member| !member.is_owner_silent(request.now);
         let mut likely = likely_holders(&model);
-        likely.truncate(if shares { likely.len() } else { 1 });
+        if !shares {
+            // Owners in other regions don't answer in time, and few shared tokens aren't worth the wait.
+            likely.truncate(1);
+            likely.retain(|home| home.region.as_deref() == region);
+        }
         likely.retain(answering);
         let cheap = || candidates.iter().map(|candidate| candidate.member);
         // Servers with silent owners look idle. If every request queried those, the owners would stay silent.
--- a/crates/placement/src/shedding.rs
+++ b/crates/placement/src/shedding.rs
@@ -27,6 +27,10 @@
 /// Most lost requests of a class within the window that are ignored: half of the ten that must not be lost.
 const IGNORED_LOSSES: u32 = 5;
 
+/// Requests of a class that found no slot within a second and are ignored: one may find none at the servers that answered
+/// while others have free slots.
+const IGNORED_RECENT: u32 = 1;
+
 /// Lost share of a class from which less urgent classes are shed, and from which they are shed entirely: a quarter and
 /// half of the twelfth that it must not lose. The rest covers what is lost before all boxes have heard of it.
 const MIN_LOST_RATIO: f64 = 1.0 / 48.0;
@@ -262,11 +266,12 @@
         }
     }
 
-    /// Returns the share of a class's requests of the last second that found no slot; from 0 to 1.
+    /// Returns the share of a class's requests of the last second that found no slot, ignoring the first one; from 0 to
+    /// 1.
     #[must_use]
     pub fn refused_of(&self, urgency: u8, now: Millis) -> f64 {
         let tally = self.known(now).0[class_index(urgency)];
-        ratio(tally.recent_refused, tally.recent)
+        ratio(tally.recent_refused.saturating_sub(IGNORED_RECENT), tally.recent)
     }
 
     /// Returns the share of a class that has to be shed in favour of more urgent classes; from 0 to 1.
