--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -1,8 +1,9 @@
 //! Admission control: whether a request is sent or refused for now.
 //!
-//! Before anything is asked of other boxes, a request is shed if a more urgent class of its service is short of slots, or
-//! if its own class is and its customer is beyond its fair share. What is admitted is refused later if it would wait for
-//! a slot beyond its latency target, since sending it would make it late and delay those after it.
+//! Before anything is asked of other boxes, a request is shed if a more urgent class of its service loses requests and it
+//! is larger than those, or if its own class is the last one served, is short of slots, and its customer is beyond its
+//! fair share. What is admitted is refused later if it would wait for a slot beyond its latency target, since sending it
+//! would make it late and delay those after it.
 
 use crate::urgency::{class_index, PerUrgency};
 use crate::{CustomerReport, Customers, DemandReport, Loss, Millis, PlacementRequest, Refusal, Shortage};
@@ -101,10 +102,10 @@
             return Err(Refusal::CustomerShare { retry_ms: SHED_RETRY_MS });
         }
         // What the customers' excess doesn't cover is shed from all alike.
-        let held_back = self.customers.excess_total(served, now);
-        let rest = ((shed - held_back) / (1.0 - held_back).max(f64::MIN_POSITIVE)).max(0.0);
-        let left = (draw - excess) / (1.0 - excess).max(f64::MIN_POSITIVE);
-        if left < rest {
+        let covered = self.customers.excess_total(served, now);
+        let rest = ((shed - covered) / (1.0 - covered).max(f64::MIN_POSITIVE)).max(0.0);
+        let rescaled_draw = (draw - excess) / (1.0 - excess).max(f64::MIN_POSITIVE);
+        if rescaled_draw < rest {
             return Err(Refusal::Shed { retry_ms: SHED_RETRY_MS });
         }
         Ok(())
