--- a/crates/placement/src/demand_report.rs
+++ b/crates/placement/src/demand_report.rs
@@ -10,7 +10,7 @@
 /// Demand for one service, on one box or on all.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandReport {
-    /// Requests of the last second by urgency class.
+    /// Requests of the last five seconds by urgency class.
     pub classes: ClassCounts,
     /// The customers with the most work; empty while no class is short of slots.
     pub customers: CustomerReport,
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -40,7 +40,7 @@
     pub parts: Vec<Part>,
     /// Longest inter-token gap of the answer that is still in time, in milliseconds; 0 if no gap makes it late.
     pub gap_ms: u32,
-    /// Demand on the requesting box; `None` in all but one query of a request, since one exchange tells enough.
+    /// Demand on the requesting box; `None` in all but the first few queries of a request, which tell enough owners.
     pub demand: Option<ServiceDemand>,
 }
 
--- a/crates/placement/src/shedding.rs
+++ b/crates/placement/src/shedding.rs
@@ -274,8 +274,6 @@
         ratio(tally.recent_refused.saturating_sub(IGNORED_RECENT), tally.recent)
     }
 
-    /// Returns the share of a class that has to be shed in favour of more urgent classes; from 0 to 1.
-    ///
     /// Returns the share of a class's requests with this work, in tokens, that has to be shed; from 0 to 1.
     ///
     /// Each class that loses requests has a share of the work below it shed, the least urgent first. So a class is shed
