admission: metrics of what is held back, and of losses by kind

After a surge requests are refused although slots are free. Two hypotheses, shedding that counts its own refusals as losses and shares that are released too slowly, could not be told apart: shed requests and those held back for their customers' shares were one kind of loss, and the share held back was not shown.

`Loss` now has a variant for each, `Refusal::loss` maps refusals to them, and `cleatshelf_losses_total` and `cleatshelf_held_back_ratio` show them. Decisions are unchanged.

--- a/crates/cleatshelf/src/router/operators.rs
+++ b/crates/cleatshelf/src/router/operators.rs
@@ -106,6 +106,10 @@
                 metrics::gauge!("cleatshelf_shed_ratio", "service" => service.clone(), "urgency" => urgency.to_string())
                     .set(ratio);
             }
+            for (urgency, ratio) in summary.held_back {
+                metrics::gauge!("cleatshelf_held_back_ratio", "service" => service.clone(), "urgency" => urgency.to_string())
+                    .set(ratio);
+            }
             let names = || table.iter().flat_map(|table| table.customer_names());
             for (hash, ratio) in summary.excesses {
                 let Some(name) = names().find(|name| routing::rank(0, name) == hash) else { continue };
--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -50,6 +50,8 @@
 pub struct AdmissionSummary {
     /// For each urgency with requests, the share of its largest requests that is shed for more urgent ones, from 0 to 1.
     pub shed_ratios: Vec<(u8, f64)>,
+    /// For each urgency with requests, the share that is held back from customers beyond their fair share, from 0 to 1.
+    pub held_back: Vec<(u8, f64)>,
     /// The heaviest customers by the hash of their names, each with the part of its work beyond its fair share, from 0 to 1.
     pub excesses: Vec<(u64, f64)>,
 }
@@ -147,6 +149,11 @@
         let least_served = self.shortage.urgencies(now).map(served).fold(1.0, f64::min);
         AdmissionSummary {
             shed_ratios: self.shortage.urgencies(now).map(shed).collect(),
+            held_back: self
+                .shortage
+                .urgencies(now)
+                .map(|urgency| (urgency, self.held_back[class_index(urgency)].0))
+                .collect(),
             excesses: self.customers.heaviest(least_served, now),
         }
     }
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests to a placement, and its results.
 
-use crate::{Load, Millis, Prompt, Quotas, ServerStatus, Speed, Work};
+use crate::{Load, Loss, Millis, Prompt, Quotas, ServerStatus, Speed, Work};
 use routing::{AllowedRegions, Server};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -125,3 +125,16 @@
         retry_ms: Millis,
     },
 }
+
+impl Refusal {
+    /// Returns what the request got nothing for, if that has to do with load.
+    #[must_use]
+    pub fn loss(self) -> Option<Loss> {
+        match self {
+            Self::Overloaded { .. } => Some(Loss::NoSlot),
+            Self::CustomerShare { .. } => Some(Loss::CustomerShare),
+            Self::Shed { .. } => Some(Loss::Shed),
+            Self::NoServer | Self::Cold | Self::BackingOff { .. } | Self::Limited { .. } => None,
+        }
+    }
+}
--- a/crates/placement/src/shedding.rs
+++ b/crates/placement/src/shedding.rs
@@ -65,10 +65,24 @@
 pub enum Loss {
     /// It found no slot in time.
     NoSlot,
-    /// It was shed for a more urgent class, or held back for its customer's share.
+    /// It was held back for its customer's share.
+    CustomerShare,
+    /// It was shed for a more urgent class.
     Shed,
 }
 
+impl Loss {
+    /// Returns the word for metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoSlot => "no_slot",
+            Self::CustomerShare => "customer_share",
+            Self::Shed => "shed",
+        }
+    }
+}
+
 /// Requests and losses of one class.
 #[derive(Clone, Copy, Debug, Default)]
 struct Tally {
--- a/crates/placement/tests/admission.rs
+++ b/crates/placement/tests/admission.rs
@@ -87,8 +87,10 @@
         let placement = &mut self.boxes[index];
         let request = PlacementRequest { urgency: load.urgency, now, ..request(&load.prompt) };
         match placement.admit(&request, load.customer, self.rng.random_range(0.0..1.0)) {
-            Err(Refusal::Shed { .. } | Refusal::CustomerShare { .. }) => {
-                placement.record_lost(MODEL, load.urgency, Loss::Shed, now);
+            Err(refusal @ (Refusal::Shed { .. } | Refusal::CustomerShare { .. })) => {
+                if let Some(loss) = refusal.loss() {
+                    placement.record_lost(MODEL, load.urgency, loss, now);
+                }
                 return false;
             }
             Err(other) => panic!("{other:?}"),
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Returns the request's urgency as a metric label.
+    fn urgency_label(&self) -> &'static str {
+        URGENCY_LABELS[usize::from(self.urgency()).min(URGENCY_LABELS.len() - 1)]
+    }
+
     /// Logs and counts the outcome of the request.
     pub(crate) fn finish(&mut self, outcome: Outcome) {
         if std::mem::replace(&mut self.finished, true) {
@@ -163,12 +168,19 @@
         if let Some(loss) = self.loss(outcome) {
             let now = self.shared.now();
             self.shared.placement().record_lost(&self.service, self.urgency(), loss, now);
+            metrics::counter!(
+                "cleatshelf_losses_total",
+                "service" => self.service.clone(),
+                "urgency" => self.urgency_label(),
+                "loss" => loss.as_str()
+            )
+            .increment(1);
         }
         if let Some(cause) = self.refusal {
             metrics::counter!(
                 "cleatshelf_refusals_total",
                 "service" => self.service.clone(),
-                "urgency" => URGENCY_LABELS[usize::from(self.urgency()).min(URGENCY_LABELS.len() - 1)],
+                "urgency" => self.urgency_label(),
                 "why" => cause.as_str()
             )
             .increment(1);
--- a/crates/relay/src/retry_delay.rs
+++ b/crates/relay/src/retry_delay.rs
@@ -89,9 +89,9 @@
     #[must_use]
     pub fn loss(self) -> Option<Loss> {
         match self {
-            Self::NotPlaced(Refusal::Overloaded { .. }) | Self::NotTaken => Some(Loss::NoSlot),
-            Self::NotPlaced(Refusal::Shed { .. } | Refusal::CustomerShare { .. }) => Some(Loss::Shed),
-            _ => None,
+            Self::NotPlaced(refusal) => refusal.loss(),
+            Self::NotTaken => Some(Loss::NoSlot),
+            Self::Deadline | Self::Quarantined { .. } => None,
         }
     }
 
