admission: nothing is held back for customers' shares while slots are free

After a surge callers were refused for ten seconds and more with slots free. Cause: the share held back from customers is released by a timer, whatever is free.

Owners know which slots are free. While they report a free slot a server on average, and at most one request of all boxes found none within a second, nothing is held back, and requests are shed for a more urgent class only if it has lost nearly the twelfth that must not be lost. The timer stays for a surge that goes on, where a sudden release would cost the others.

Owners in the tests of admission reported idle servers while requests found no slot; they now report what is in use.

--- a/crates/placement/examples/customers.rs
+++ b/crates/placement/examples/customers.rs
@@ -46,6 +46,6 @@
         time("  Customers::report", |_| customers.report(4, 0));
         time("  Customers::record", |round| own.record(round.wrapping_mul(7_919) % CUSTOMERS, 1_000, round));
         println!("  state of Customers: {} bytes", customers.state_bytes());
-        time("  Shortage::shed_ratio", |_| shortage.shed_ratio(9, u32::MAX, 0));
+        time("  Shortage::shed_ratio", |_| shortage.shed_ratio(9, u32::MAX, true, 0));
     }
 }
--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -67,6 +67,8 @@
     least_urgent_since: PerUrgency<Option<Millis>>,
     /// Share of each urgency that is held back from customers beyond their fair share, and when it was last updated.
     held_back: PerUrgency<(f64, Millis)>,
+    /// True if slots were short at the last request.
+    is_short: bool,
     shortage: Shortage,
     customers: Customers,
 }
@@ -77,24 +79,33 @@
         self.last_request[class_index(urgency)] = Some(now);
     }
 
-    /// Decides whether a new request of `customer` is shed. `draw` is uniform in 0..1 and independent of the request.
+    /// Decides whether a new request of `customer` is shed. `has_free_slots` tells whether owners reported free slots;
+    /// `draw` is uniform in 0..1 and independent of the request.
     ///
     /// The order of classes follows from the comparison of their urgency: the share of a class that is shed depends only
     /// on the losses of more urgent classes, whatever the targets of either. Customers are told apart only within the
     /// least urgent class that is served, since what another class loses would be served to less urgent requests.
-    pub(crate) fn admit(&mut self, request: &PlacementRequest<'_>, customer: u64, draw: f64) -> Result<(), Refusal> {
+    pub(crate) fn admit(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        customer: u64,
+        has_free_slots: bool,
+        draw: f64,
+    ) -> Result<(), Refusal> {
         let (urgency, now) = (request.urgency, request.now);
         let work = request.prompt.map_or(1, |prompt| {
             prompt.tokens.saturating_add(prompt.expected_out_tokens().saturating_mul(PROMPT_TOKENS_PER_OUT_TOKEN))
         });
         self.shortage.record(urgency, work, now);
         self.customers.record(customer, work, now);
-        let shed = self.shortage.shed_ratio(urgency, work, now);
+        self.is_short = !has_free_slots || self.shortage.has_refused(now);
+        let shed = self.shortage.shed_ratio(urgency, work, self.is_short, now);
         let shed = self.with_floor(shed, urgency, now);
         let refused = self.shortage.refused_of(urgency, now);
         let has_to_share = self.has_to_share(urgency, now);
         let held_back = self.update_held_back(if has_to_share { refused } else { 0.0 }, urgency, now);
-        let has_to_share = has_to_share && (shed > 0.0 || held_back > 0.0);
+        // The held-back share falls slowly, as counts are a second old, so it must not count where slots are free.
+        let has_to_share = has_to_share && self.is_short && (shed > 0.0 || held_back > 0.0);
         if shed >= 1.0 || !has_to_share {
             return if draw < shed { Err(Refusal::Shed { retry_ms: SHED_RETRY_MS }) } else { Ok(()) };
         }
@@ -144,17 +155,14 @@
 
     /// Returns what is held back now, for metrics.
     pub(crate) fn summary(&self, now: Millis) -> AdmissionSummary {
-        let shed = |urgency| (urgency, self.shortage.shed_ratio(urgency, u32::MAX, now));
-        let served = |urgency| self.served_ratio(self.shortage.shed_ratio(urgency, u32::MAX, now), urgency);
+        let shed = |urgency| self.shortage.shed_ratio(urgency, u32::MAX, self.is_short, now);
+        let held_back = |urgency| if self.is_short { self.held_back[class_index(urgency)].0 } else { 0.0 };
+        let served = |urgency| self.served_ratio(shed(urgency), urgency);
         let least_served = self.shortage.urgencies(now).map(served).fold(1.0, f64::min);
         AdmissionSummary {
-            shed_ratios: self.shortage.urgencies(now).map(shed).collect(),
-            held_back: self
-                .shortage
-                .urgencies(now)
-                .map(|urgency| (urgency, self.held_back[class_index(urgency)].0))
-                .collect(),
-            excesses: self.customers.heaviest(least_served, now),
+            shed_ratios: self.shortage.urgencies(now).map(|urgency| (urgency, shed(urgency))).collect(),
+            held_back: self.shortage.urgencies(now).map(|urgency| (urgency, held_back(urgency))).collect(),
+            excesses: self.customers.heaviest(if self.is_short { least_served } else { 1.0 }, now),
         }
     }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -39,6 +39,7 @@
 mod retry_budget;
 mod sample;
 mod shedding;
+mod slot_usage;
 mod speed;
 mod speed_estimator;
 mod split;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -8,6 +8,7 @@
 use crate::notices::Notices;
 use crate::order::Order;
 use crate::sample::Sample;
+use crate::slot_usage::SlotUsageCache;
 use crate::split::{self, Split};
 use crate::{
     AdmissionState, Choice, ColdAllowance, DemandReport, Ending, Loss, Millis, PlacementRequest, Prefill, Prompt,
@@ -75,6 +76,7 @@
     /// Ids of members with a status from their owner.
     with_status: BTreeSet<String>,
     admission: Admission,
+    slot_usage: SlotUsageCache,
     /// Earliest time of the next query of further owners; see [`Pool::further_servers_to_query`].
     next_search_at: Millis,
     /// Orders servers with equal costs. Differs between boxes, so that they don't all choose the same one.
@@ -358,7 +360,9 @@
         if self.engine.is_none() {
             return Ok(());
         }
-        self.admission.admit(request, customer, draw)
+        let reported = self.with_status.iter().filter_map(|id| self.members.get(id));
+        let usage = self.slot_usage.get(reported, request.now);
+        self.admission.admit(request, customer, usage.has_free(), draw)
     }
 
     /// Records that a request got nothing.
--- a/crates/placement/src/shedding.rs
+++ b/crates/placement/src/shedding.rs
@@ -36,6 +36,10 @@
 const MIN_LOST_RATIO: f64 = 1.0 / 48.0;
 const MAX_LOST_RATIO: f64 = 1.0 / 24.0;
 
+/// Lost share of a class from which all work below it is shed although slots are free: three quarters of the twelfth, as
+/// counts are up to a second old. Fewer losses call for nothing then, since none will follow.
+const MAX_LOST_RATIO_FREE: f64 = 1.0 / 16.0;
+
 /// Requests of one urgency class within the last five seconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClassCount {
@@ -121,8 +125,11 @@
         ratio(self.lost.saturating_sub(IGNORED_LOSSES), self.requests)
     }
 
-    /// Returns the share of the work below this class that is shed for it.
-    fn shed_ratio_below(self) -> f64 {
+    /// Returns the share of the work below this class that is shed for it. `is_short` is false where slots are free.
+    fn shed_ratio_below(self, is_short: bool) -> f64 {
+        if !is_short {
+            return f64::from(u8::from(self.lost_ratio() >= MAX_LOST_RATIO_FREE));
+        }
         ((self.lost_ratio() - MIN_LOST_RATIO) / (MAX_LOST_RATIO - MIN_LOST_RATIO)).clamp(0.0, 1.0)
     }
 }
@@ -174,16 +181,22 @@
         }
     }
 
-    /// Returns the share of a class's requests with this work, in tokens, that is shed for more urgent ones.
-    fn shed_ratio(&self, class: usize, work: u64) -> f64 {
+    /// Returns the share of a class's requests with this work, in tokens, that is shed for more urgent ones. `is_short` is
+    /// false where slots are free: more urgent classes lose nothing more then, but what they have lost still counts.
+    fn shed_ratio(&self, class: usize, work: u64, is_short: bool) -> f64 {
         let class_work = (self.0[class].work as f64).max(1.0);
         let below =
             |from: usize| self.0[from..].iter().fold(0, |sum: u64, tally| sum.saturating_add(tally.work)) as f64;
-        let shed_for = |above: usize| self.0[above].shed_ratio_below() * below(above + 1) - below(class + 1);
+        let shed_for = |above: usize| self.0[above].shed_ratio_below(is_short) * below(above + 1) - below(class + 1);
         let above = (0..class).filter(|above| self.0[*above].has_less_work(work));
         above.map(|above| (shed_for(above) / class_work).clamp(0.0, 1.0)).fold(0.0, f64::max)
     }
 
+    /// Returns the requests of the last second that found no slot.
+    fn recent_refused(&self) -> u32 {
+        self.0.iter().fold(0, |sum, tally| sum.saturating_add(tally.recent_refused))
+    }
+
     fn requests(&self) -> u64 {
         self.0.iter().map(|tally| u64::from(tally.requests)).sum()
     }
@@ -295,14 +308,21 @@
         ratio(tally.recent_refused.saturating_sub(IGNORED_RECENT), tally.recent)
     }
 
-    /// Returns the share of a class's requests with this work, in tokens, that has to be shed; from 0 to 1.
+    /// True if requests of any class found no slot within the last second, ignoring the first one.
+    #[must_use]
+    pub fn has_refused(&self, now: Millis) -> bool {
+        self.known(now).recent_refused() > IGNORED_RECENT
+    }
+
+    /// Returns the share of a class's requests with this work, in tokens, that has to be shed; from 0 to 1. `is_short` is
+    /// false where slots are free.
     ///
     /// Each class that loses requests has a share of the work below it shed, the least urgent first. So a class is shed
     /// only where all classes below it are shed entirely. Requests that are no larger than the lost ones are not shed for
     /// them: they take few slots for a short time, and many of them would be lost for one more urgent request.
     #[must_use]
-    pub fn shed_ratio(&self, urgency: u8, work: u32, now: Millis) -> f64 {
-        self.known(now).shed_ratio(class_index(urgency), work.into())
+    pub fn shed_ratio(&self, urgency: u8, work: u32, is_short: bool, now: Millis) -> f64 {
+        self.known(now).shed_ratio(class_index(urgency), work.into(), is_short)
     }
 
     /// Returns the urgencies that have requests.
@@ -325,7 +345,7 @@
         let tallies = self.known(now);
         let class = class_index(urgency);
         let mut larger = (class + 1..tallies.0.len()).filter(|below| tallies.0[*below].is_larger(&tallies.0[class]));
-        larger.all(|below| tallies.shed_ratio(below, u64::MAX) >= 1.0)
+        larger.all(|below| tallies.shed_ratio(below, u64::MAX, true) >= 1.0)
     }
 
     fn add(&mut self, urgency: u8, tally: Tally, now: Millis) {
--- a/crates/placement/tests/admission.rs
+++ b/crates/placement/tests/admission.rs
@@ -12,6 +12,7 @@
 
 const BOXES: usize = 40;
 const OWNERS: usize = 30;
+const SLOTS: u32 = 64;
 
 /// Requests of one class and one customer per second, with their work.
 struct Load {
@@ -21,6 +22,12 @@
     prompt: Prompt,
 }
 
+impl Load {
+    fn work(&self) -> f64 {
+        f64::from(self.prompt.tokens) + 10.0 * f64::from(self.prompt.expected_out_tokens())
+    }
+}
+
 fn load(urgency: u8, customer: u64, per_s: f64, tokens: u32) -> Load {
     let part = |id| Part { id, tokens: tokens / 2 };
     Load { urgency, customer, per_s, prompt: prompt(part(1), part(2)) }
@@ -41,6 +48,8 @@
     owners: Vec<Owner>,
     rng: ChaCha8Rng,
     now: u64,
+    /// Slots in use as owners report them: the part of the capacity that was used in the last step.
+    running: u32,
 }
 
 impl Fleet {
@@ -50,7 +59,13 @@
         for one in &mut boxes {
             common::update(one, &table, (0..4).map(|index| server(index, "here")).collect(), &[], 0);
         }
-        Self { boxes, owners: vec![Owner::default(); OWNERS], rng: ChaCha8Rng::seed_from_u64(seed), now: 10_000 }
+        Self {
+            boxes,
+            owners: vec![Owner::default(); OWNERS],
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: 10_000,
+            running: 0,
+        }
     }
 
     /// Runs for some seconds with a capacity in thousands of work units per second; returns what each load got in the
@@ -62,13 +77,14 @@
         let half = self.now + seconds * 500;
         for _ in 0..seconds * 10 {
             self.now += 100;
-            let mut left = capacity_k * 1_000.0 / 10.0;
+            let capacity = capacity_k * 1_000.0 / 10.0;
+            let mut left = capacity;
             for index in &order {
                 let load = &loads[*index];
                 let arrivals = load.per_s / 10.0;
                 let count = arrivals as u32 + u32::from(self.rng.random_bool(arrivals.fract()));
                 for _ in 0..count {
-                    let work = f64::from(load.prompt.tokens) + 10.0 * f64::from(load.prompt.expected_out_tokens());
+                    let work = load.work();
                     let admitted = self.request(load, &mut left, work);
                     if self.now > half {
                         served[*index].offered += 1.0;
@@ -77,6 +93,9 @@
                     }
                 }
             }
+            // What is too little for a request of the largest class is no free slot.
+            let largest = loads.iter().map(Load::work).fold(0.0, f64::max);
+            self.running = if left < largest { SLOTS } else { (f64::from(SLOTS) * (1.0 - left / capacity)) as u32 };
         }
         served
     }
@@ -102,7 +121,8 @@
             let owner = &mut self.owners[self.rng.random_range(0..OWNERS)];
             let query = StatusQuery { server: "s0".to_owned(), ..StatusQuery::default() };
             let demand = owner.exchange_demand(from, &ServiceDemand { service: 1, report }, now);
-            let status = placement::ServerStatus { demand: Some(demand), ..owner.on_query(&query, now) };
+            let mut status = placement::ServerStatus { demand: Some(demand), ..owner.on_query(&query, now) };
+            status.load.running = self.running;
             self.boxes[index].on_status(MODEL, "s0", status, now);
         }
         if *left >= work {
--- a/crates/placement/tests/shedding.rs
+++ b/crates/placement/tests/shedding.rs
@@ -62,7 +62,7 @@
     let shed = |classes: &[(u8, u32, u32)]| -> Vec<f64> {
         let mut shortage = Shortage::default();
         shortage.apply(&counts(classes), 0);
-        (0..8).map(|urgency| (shortage.shed_ratio(urgency, u32::MAX, 0) * 100.0).round() / 100.0).collect()
+        (0..8).map(|urgency| (shortage.shed_ratio(urgency, u32::MAX, true, 0) * 100.0).round() / 100.0).collect()
     };
     // 80 of the first 2,400, less the first five, are halfway from a 48th to a 24th: half of the work below.
     let some = [(0, 2_400, 80), (3, 200, 0), (6, 100, 0), (7, 100, 90)];
@@ -96,7 +96,7 @@
         };
         shortage.apply(&ClassCounts { classes: vec![class(0, 3_700), class(3, 2_700), class(6, 15_900)] }, 0);
         [(0, 90_000), (3, 2_600), (3, 3_800), (6, 2_600), (6, 3_800)]
-            .map(|(urgency, work)| shortage.shed_ratio(urgency, work, 0))
+            .map(|(urgency, work)| shortage.shed_ratio(urgency, work, true, 0))
     };
     assert_eq!(shed(0), [0.0, 0.0, 1.0, 0.0, 1.0]);
     assert_eq!(shed(3), [0.0, 0.0, 0.0, 0.0, 1.0]);
@@ -154,7 +154,7 @@
             );
             shortage.record_lost(urgency, Loss::NoSlot, now);
             shortage.apply(if rng.random() { &sum } else { &hostile }, now);
-            for ratio in [shortage.refused_of(urgency, now), shortage.shed_ratio(urgency, rng.random(), now)] {
+            for ratio in [shortage.refused_of(urgency, now), shortage.shed_ratio(urgency, rng.random(), true, now)] {
                 assert!((0.0..=1.0).contains(&ratio), "seed {seed}: {ratio}");
             }
             let _ = shortage.is_least_urgent(urgency, now);
@@ -171,3 +171,16 @@
     shortage.apply(&counts(&[(1, 950, 0)]), 100);
     assert_eq!(shortage.refused_of(1, 100), 0.0);
 }
+
+/// Guards against requests that are shed for a class that loses nothing more, and against less urgent ones that begin within
+/// five seconds after a class has lost a twelfth.
+#[test]
+fn with_free_slots_requests_are_shed_only_for_nearly_a_twelfth() {
+    let shed = |lost, is_short| {
+        let mut shortage = Shortage::default();
+        shortage.apply(&counts(&[(0, 2_400, lost), (6, 100, 0)]), 0);
+        shortage.shed_ratio(6, u32::MAX, is_short, 0)
+    };
+    // Without the first five, 150 of 2,400 are three quarters of a twelfth.
+    assert_eq!([shed(154, true), shed(154, false), shed(155, false), shed(205, false)], [1.0, 0.0, 1.0, 1.0]);
+}
