admission: what is shed for a class is no loss that sheds others

After a surge callers were refused as shed for twelve seconds with slots free. Cause: a class is shed by the losses of five seconds above it, and its own shed requests counted as such losses, so each class kept the next one shed for five more seconds.

A shed request is no loss now. The order of classes doesn't rest on it: the class that is short has all work below it shed, the least urgent first.

--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -127,14 +127,13 @@
 }
 
 impl Refusal {
-    /// Returns what the request got nothing for, if that has to do with load.
+    /// Returns the loss that the refusal is for the request's class, if it is one.
     #[must_use]
     pub fn loss(self) -> Option<Loss> {
         match self {
             Self::Overloaded { .. } => Some(Loss::NoSlot),
             Self::CustomerShare { .. } => Some(Loss::CustomerShare),
-            Self::Shed { .. } => Some(Loss::Shed),
-            Self::NoServer | Self::Cold | Self::BackingOff { .. } | Self::Limited { .. } => None,
+            Self::Shed { .. } | Self::NoServer | Self::Cold | Self::BackingOff { .. } | Self::Limited { .. } => None,
         }
     }
 }
--- a/crates/placement/src/shedding.rs
+++ b/crates/placement/src/shedding.rs
@@ -49,11 +49,11 @@
     pub requests: u32,
     /// Work of these requests, in thousands of tokens.
     pub work_k: u32,
-    /// Number of requests that got nothing, for any reason that has to do with load; at most `requests`.
+    /// Number of requests that found no slot or were held back for their customer's share; at most `requests`.
     pub lost: u32,
     /// Number of requests within the last second; at most `requests`.
     pub recent: u32,
-    /// Number of these that found no slot: neither shed nor held back for their customer's share; at most `recent`.
+    /// Number of these that found no slot; at most `recent`.
     pub recent_refused: u32,
 }
 
@@ -64,15 +64,14 @@
     pub classes: Vec<ClassCount>,
 }
 
-/// The reason why a request got nothing.
+/// The reason why a request got nothing, where that is a loss of its class. What is shed for a more urgent class is none: the
+/// class that needs the slots has all below it shed, so nothing has to be shed for the ones between.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Loss {
     /// It found no slot in time.
     NoSlot,
     /// It was held back for its customer's share.
     CustomerShare,
-    /// It was shed for a more urgent class.
-    Shed,
 }
 
 impl Loss {
@@ -82,7 +81,6 @@
         match self {
             Self::NoSlot => "no_slot",
             Self::CustomerShare => "customer_share",
-            Self::Shed => "shed",
         }
     }
 }
--- a/crates/placement/tests/recovery.rs
+++ b/crates/placement/tests/recovery.rs
@@ -263,3 +263,22 @@
     }
     assert_eq!(faults, Vec::<u64>::new(), "seeds with requests that are refused although slots are free");
 }
+
+/// Guards against requests that are shed because others were shed: the refusals of each class kept up those of the next
+/// one for five further seconds.
+#[test]
+fn what_is_shed_for_a_class_sheds_no_other() {
+    let mut faults = Vec::new();
+    for seed in 0..8 {
+        let surge = Surge { classes: [9.0, 1.0, 1.0, 1.0], heavy: 1.0 };
+        let (refused, asked) = Fleet::new(seed).play(&classes(), &surge, 24);
+        let no_slot = refused.iter().rfind(|one| matches!(one.cause, Refusal::Overloaded { .. }));
+        let until = no_slot.map_or(0, |one| one.at) + ORDER_MS + NEWS_MS;
+        let (all, later) = (by_class(&refused, |_| true), by_class(&refused, |one| one.at > until));
+        println!("seed {seed}: {all:?} of {asked:?} refused, {later:?} after {until} ms");
+        if later != [0; 4] {
+            faults.push(seed);
+        }
+    }
+    assert_eq!(faults, Vec::<u64>::new(), "seeds with requests that are refused after the losses have expired");
+}
--- a/crates/placement/tests/shedding.rs
+++ b/crates/placement/tests/shedding.rs
@@ -33,7 +33,7 @@
         for now in 0..10_000 {
             let skewed = (rng.random_range(0.0..1.0_f64).powi(3) * 87.0) as usize;
             let (urgency, lost) = (rng.random_range(0..4), rng.random_bool(0.1));
-            let loss = if rng.random() { Loss::NoSlot } else { Loss::Shed };
+            let loss = if rng.random() { Loss::NoSlot } else { Loss::CustomerShare };
             boxes[skewed].record(urgency, 1_000, now);
             if lost {
                 boxes[skewed].record_lost(urgency, loss, now);
