dispatch: a refused request that returns early, to any box, is told the rest of its time

At plain servers a caller that came back at once queued a second time, ahead of those that returned as told; the box that it came to didn't matter, as the dispatcher kept no promises. Same cause as in the relay: the stated time was read by nobody.

Requests without a body carry no fingerprint: they are the same for many callers.

--- a/crates/cleatshelf/tests/slot_assignment.rs
+++ b/crates/cleatshelf/tests/slot_assignment.rs
@@ -17,7 +17,7 @@
 
 fn request(number: u64) -> SlotRequest {
     let (service, tried) = ("svc".to_owned(), Vec::new());
-    SlotRequest { number, service, urgency: 0, customer: 0, max_wait_ms: 1_000, expires_ms: 5_000, tried }
+    SlotRequest { number, service, urgency: 0, customer: 0, max_wait_ms: 1_000, expires_ms: 5_000, tried, request: 0 }
 }
 
 fn unused(number: u64) -> SlotRelease {
--- a/crates/dispatch/examples/cost.rs
+++ b/crates/dispatch/examples/cost.rs
@@ -9,7 +9,16 @@
 fn request(number: u64, customer: u64) -> SlotRequest {
     let urgency = (number % 3) as u8;
     let service = SERVICE.to_owned();
-    SlotRequest { number, service, urgency, customer, max_wait_ms: 600_000, expires_ms: 900_000, tried: Vec::new() }
+    SlotRequest {
+        number,
+        service,
+        urgency,
+        customer,
+        max_wait_ms: 600_000,
+        expires_ms: 900_000,
+        tried: Vec::new(),
+        request: number,
+    }
 }
 
 fn address(index: u64) -> SocketAddr {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,12 +8,14 @@
 mod ended;
 mod forecast;
 mod message;
+mod promises;
 mod queue;
 mod server;
 mod service;
 
 pub use dispatcher::{Dispatcher, Reply, ServerSlots, Summary};
 pub use message::{SlotEnding, SlotRelease, SlotReply, SlotRequest};
+pub use promises::{Promises, EARLY_TOLERANCE};
 
 /// Milliseconds on a monotonic clock.
 pub type Millis = u64;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -19,6 +19,8 @@
     pub expires_ms: u32,
     /// Ids of the servers that it must not be sent to again.
     pub tried: Vec<String>,
+    /// Fingerprint by which the request is known when its caller returns; 0 if it can't be told from others.
+    pub request: u64,
 }
 
 /// Reply to a [`SlotRequest`]. Each request gets exactly one.
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -55,6 +55,8 @@
     pub(crate) expires_at: Millis,
     /// Ids of the servers that it must not be sent to again.
     pub(crate) tried: Box<[String]>,
+    /// Fingerprint of the request; 0 if unknown.
+    pub(crate) request: u64,
 }
 
 /// A request that was picked for a slot.
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -4,6 +4,7 @@
 use crate::dispatcher::{Reply, ServerSlots, Summary};
 use crate::ended::Ended;
 use crate::forecast::{self, Late, Spread, Throughput};
+use crate::promises::Promises;
 use crate::queue::{Account, Key, Picked, Queue, Waiting, MAX_WAITING, URGENCY_CLASSES};
 use crate::server::Server;
 use crate::{Millis, SlotEnding, SlotReply, SlotRequest};
@@ -33,6 +34,8 @@
     lapses: BTreeSet<(Millis, Key)>,
     queue: Queue,
     ended: Ended,
+    /// Returns of the callers of refused requests.
+    promises: Promises,
     /// By class.
     spreads: [Spread; URGENCY_CLASSES],
 }
@@ -85,22 +88,28 @@
             self.advance(now, &mut replies);
             return replies;
         }
+        if let Some(retry_ms) = self.early_ms(request.request, now) {
+            // Another try may get the slot of a caller that returns as told.
+            self.ended.record(key);
+            return vec![Reply { to: from, reply: SlotReply::Refused { number: request.number, retry_ms } }];
+        }
         let waiting = Waiting {
             key,
             deadline: now + Millis::from(request.max_wait_ms.min(request.expires_ms)),
             expires_at: now + Millis::from(request.expires_ms),
             tried: request.tried.into_boxed_slice(),
+            request: request.request,
         };
         let class = usize::from(request.urgency).min(URGENCY_CLASSES - 1);
         self.queue.push(waiting, class, request.customer, now);
         self.advance(now, &mut replies);
         let throughput = self.throughput();
         if let Some(late) = forecast::late_request(&self.queue, key, throughput, now) {
-            replies.extend(self.refuse(late, throughput));
+            replies.extend(self.refuse(late, throughput, now));
         } else if self.queue.len() > MAX_WAITING {
             let wait_ms = self.queue.len() as f64 * throughput.interval_ms;
             let last = self.queue.last().map(|key| Late { key, wait_ms });
-            replies.extend(last.and_then(|last| self.refuse(last, throughput)));
+            replies.extend(last.and_then(|last| self.refuse(last, throughput, now)));
         }
         replies
     }
@@ -138,7 +147,7 @@
         self.advance(now, &mut replies);
         let throughput = self.throughput();
         for late in forecast::late(&self.queue, throughput, now) {
-            replies.extend(self.refuse(late, throughput));
+            replies.extend(self.refuse(late, throughput, now));
         }
         replies
     }
@@ -169,12 +178,19 @@
         Reply { to: self.boxes.address(key.0), reply: SlotReply::Unmanaged { number: key.1 } }
     }
 
-    fn refuse(&mut self, late: Late, throughput: Throughput) -> Option<Reply> {
+    /// Returns the milliseconds until the caller of a request was told to return, if slots are short until then.
+    fn early_ms(&self, request: u64, now: Millis) -> Option<u32> {
+        let is_short = !self.queue.is_empty() || !self.servers.values().any(|server| server.is_free(now));
+        self.promises.left_ms(request, now).filter(|_| is_short)
+    }
+
+    fn refuse(&mut self, late: Late, throughput: Throughput, now: Millis) -> Option<Reply> {
         let Late { key, wait_ms } = late;
         let class = self.queue.class_of(&key)?;
-        self.queue.remove(&key);
+        let refused = self.queue.remove(&key)?;
         self.ended.record(key);
         let retry_ms = self.spreads[class].retry_ms(wait_ms, throughput);
+        self.promises.record(refused.request, now + Millis::from(retry_ms), now);
         Some(Reply { to: self.boxes.address(key.0), reply: SlotReply::Refused { number: key.1, retry_ms } })
     }
 
@@ -186,7 +202,7 @@
         while let Some(key) = self.queue.first_overdue(now) {
             let throughput = self.throughput();
             let late = forecast::late_request(&self.queue, key, throughput, now);
-            replies.extend(late.and_then(|late| self.refuse(late, throughput)));
+            replies.extend(late.and_then(|late| self.refuse(late, throughput, now)));
         }
         while let Some(reply) = self.grant_next(now) {
             replies.push(reply);
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -24,7 +24,7 @@
 
 pub fn request(number: u64, urgency: u8, customer: u64, max_wait_ms: u32) -> SlotRequest {
     let service = "plain".to_owned();
-    SlotRequest { number, service, urgency, customer, max_wait_ms, expires_ms: 60_000, tried: Vec::new() }
+    SlotRequest { number, service, urgency, customer, max_wait_ms, expires_ms: 60_000, tried: Vec::new(), request: 0 }
 }
 
 pub fn release(number: u64, ending: SlotEnding) -> SlotRelease {
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -205,6 +205,16 @@
         })
     }
 
+    /// Returns the fingerprint under which a return is promised to the caller. Requests without a body are the same for
+    /// many callers, so nothing is promised to one of them: 0.
+    pub(crate) fn promise_key(&self) -> u64 {
+        if self.body.is_empty() {
+            0
+        } else {
+            self.fingerprint().0
+        }
+    }
+
     /// Returns the quarantine's verdict on the request.
     pub(crate) fn verdict(&self) -> Verdict {
         if self.shared.quarantine().is_empty() {
--- a/crates/relay/src/retry_delay.rs
+++ b/crates/relay/src/retry_delay.rs
@@ -1,5 +1,6 @@
 //! Causes of refusals, and the delay after which a refused caller should retry.
 
+use dispatch::EARLY_TOLERANCE;
 use placement::{Fingerprint, Loss, Millis, Refusal};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -193,7 +194,7 @@
     #[must_use]
     pub fn turn(&mut self, service: &str, urgency: u8, request: Fingerprint, now: Millis) -> Turn {
         let promised = &self.history(service, urgency).promised;
-        let own = promised.iter().filter(|promise| promise.request == request && promise.at > now);
+        let own = promised.iter().filter(|promise| promise.request == request && promise.at > now + EARLY_TOLERANCE);
         own.map(|promise| promise.at).min().map_or(Turn::Due, |promised_at| Turn::Early { promised_at })
     }
 
--- a/crates/relay/src/slot.rs
+++ b/crates/relay/src/slot.rs
@@ -124,6 +124,7 @@
             max_wait_ms: to_ms(max_wait),
             expires_ms: to_ms(self.left()),
             tried: excluded.to_vec(),
+            request: self.promise_key(),
         };
         let reply = self.shared.peer_client.request_slot(request)?;
         let lease = SlotLease {
