relay: an early return to another box of the hall is told the rest of its time

A caller that returned at once to another box got a second draw, since only the box that had refused it knew when it was told to return.

The box of the hall that ranks first for a request's fingerprint keeps the promise, and boxes ask it while slots are short. Nothing is stored elsewhere: promises of a box that dies are lost, and their callers count as new.

--- a/crates/cleatshelf/src/router/owner_service.rs
+++ b/crates/cleatshelf/src/router/owner_service.rs
@@ -2,7 +2,7 @@
 
 use super::slot_assignment::{SlotAction, SlotAssignment};
 use clock::Clock;
-use dispatch::{ServerSlots, SlotRelease, SlotReply, SlotRequest, Summary};
+use dispatch::{Promises, ServerSlots, SlotRelease, SlotReply, SlotRequest, Summary};
 use peers::{Millis, MissedReplies, Profile};
 use placement::{
     Fingerprint, LimitUpdate, LivenessEvidence, Owner, PermitReply, PermitRequest, SendReport, SendUpdate,
@@ -93,6 +93,21 @@
     /// Reports that the request with this number is queued at the dispatcher.
     SlotQueued(u64),
     SlotRelease(SlotRelease),
+    /// Asks in how many milliseconds the caller of this request was told to return.
+    PromiseQuery {
+        number: u64,
+        request: u64,
+    },
+    /// 0 if nothing was promised or the time has come.
+    PromiseReply {
+        number: u64,
+        left_ms: u32,
+    },
+    /// Tells that the caller of this request was told to return in so many milliseconds.
+    Promise {
+        request: u64,
+        left_ms: u32,
+    },
     /// Announces that the sender assigns no slots for this many milliseconds; 0 if it does from now on.
     SlotPause(u32),
     /// Hints that servers addressed to all boxes: instances that are leaving, and limits of instances. `wants_reply`
@@ -120,6 +135,9 @@
             Self::SlotQueued(_) => "slot_queued",
             Self::SlotRelease(_) => "slot_release",
             Self::SlotPause(_) => "slot_pause",
+            Self::PromiseQuery { .. } => "promise_query",
+            Self::PromiseReply { .. } => "promise_reply",
+            Self::Promise { .. } => "promise",
             Self::Notices { .. } => "notices",
         }
     }
@@ -165,6 +183,11 @@
     status_queries: PendingReplies<ServerStatus>,
     /// Pending permit requests.
     permit_requests: PendingReplies<PermitReply>,
+    /// Returns of callers that boxes of this hall refused, as far as this box keeps them.
+    promises: Promises,
+    /// Pending queries for promises, and the number of the next one.
+    promise_queries: PendingReplies<u32>,
+    next_promise_query: u64,
     /// The owner that receives the reports on a lease, until the lease ends.
     lease_owners: HashMap<u64, SocketAddr>,
 }
@@ -180,6 +203,9 @@
             missed_replies: MissedReplies::default(),
             status_queries: PendingReplies::default(),
             permit_requests: PendingReplies::default(),
+            promises: Promises::default(),
+            promise_queries: PendingReplies::default(),
+            next_promise_query: 0,
             lease_owners: HashMap::new(),
         }
     }
@@ -341,6 +367,18 @@
                 state.slots.on_pause(from, pause_ms, now);
                 None
             }
+            Message::PromiseQuery { number, request } => {
+                let left_ms = state.promises.left_ms(request, now).unwrap_or(0);
+                Some(Message::PromiseReply { number, left_ms })
+            }
+            Message::PromiseReply { number, left_ms } => {
+                state.promise_queries.resolve(number, left_ms);
+                None
+            }
+            Message::Promise { request, left_ms } => {
+                state.promises.record(request, now + Millis::from(left_ms), now);
+                None
+            }
             // Only the contact with the dispatcher matters, which `Peering` has recorded.
             Message::SlotQueued(_) => None,
             // Handled by `Peering`, for the quarantine and the placement.
@@ -382,6 +420,14 @@
         same_hall.or_else(|| highest_ranked(self.boxes().filter(|address| is_eligible(address)), key))
     }
 
+    /// Returns the box that keeps the promise to the caller of a request: one of the hall of `me`, since callers come back to
+    /// boxes of their hall.
+    fn promise_keeper(&self, me: SocketAddr, request: u64, now: Millis) -> Option<SocketAddr> {
+        let hall = self.halls.values().find(|boxes| boxes.contains(&me))?;
+        let responsive = |address: &&SocketAddr| !self.missed_replies.is_unresponsive(address, now);
+        highest_ranked(hall.iter().filter(responsive), request)
+    }
+
     /// Returns all boxes, including this one.
     fn boxes(&self) -> impl Iterator<Item = &SocketAddr> {
         self.halls.values().flatten()
@@ -456,6 +502,39 @@
         self.0.update_slots(|slots| slots.release(release, now));
     }
 
+    fn request_promise(&self, request: u64) -> Option<oneshot::Receiver<u32>> {
+        let service = &self.0;
+        let now = service.now();
+        let mut state = service.state();
+        let keeper = state.promise_keeper(service.me, request, now)?;
+        let (sender, receiver) = oneshot::channel();
+        if keeper == service.me {
+            // Can't fail: the receiver is still alive.
+            let _ = sender.send(state.promises.left_ms(request, now).unwrap_or(0));
+            return Some(receiver);
+        }
+        let number = state.next_promise_query;
+        state.next_promise_query += 1;
+        state.promise_queries.insert(number, sender);
+        drop(state);
+        service.send(Destination::One(keeper), Message::PromiseQuery { number, request });
+        Some(receiver)
+    }
+
+    fn report_promise(&self, request: u64, left_ms: u32) {
+        let service = &self.0;
+        let now = service.now();
+        let mut state = service.state();
+        match state.promise_keeper(service.me, request, now) {
+            Some(keeper) if keeper != service.me => {
+                drop(state);
+                service.send(Destination::One(keeper), Message::Promise { request, left_ms });
+            }
+            Some(_) => state.promises.record(request, now + Millis::from(left_ms), now),
+            None => {}
+        }
+    }
+
     fn report(&self, server: &Server, report: SendReport) {
         let service = &self.0;
         let now = service.now();
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -115,14 +115,20 @@
     }
 
     /// Refuses the request if it came back before the time at which its caller was told to return, while slots are short.
-    pub(crate) fn check_turn(&self) -> Result<(), NotSent> {
-        let now = self.shared.now();
-        if self.call.prompt.is_none() || !self.shared.placement().is_short(&self.service, now) {
+    pub(crate) async fn check_turn(&self) -> Result<(), NotSent> {
+        let (now, request) = (self.shared.now(), self.promise_key());
+        if self.call.prompt.is_none() || request == 0 || !self.shared.placement().is_short(&self.service, now) {
             return Ok(());
         }
-        match self.shared.returns().turn(&self.service, self.urgency(), self.fingerprint(), now) {
-            Turn::Due => Ok(()),
-            Turn::Early { promised_at } => Err(NotSent::Early { retry_ms: promised_at - now }),
+        let turn = self.shared.returns().turn(&self.service, self.urgency(), Fingerprint(request), now);
+        if let Turn::Early { promised_at } = turn {
+            return Err(NotSent::Early { retry_ms: promised_at - now });
+        }
+        // The caller may have been refused by another box.
+        let Some(reply) = self.shared.peer_client.request_promise(request) else { return Ok(()) };
+        match tokio::time::timeout(STATUS_TIMEOUT, reply).await {
+            Ok(Ok(left_ms)) if left_ms > 0 => Err(NotSent::Early { retry_ms: left_ms.into() }),
+            _ => Ok(()),
         }
     }
 
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -109,17 +109,28 @@
                 let (waiting, interval_ms) = returns.queue(&self.service, urgency, request, now);
                 let delay = cause.delay(&Queue { waiting, interval_ms, ..queue });
                 returns.promise(&self.service, urgency, request, at(delay));
+                self.report_promise(delay);
                 delay
             }
             Cause::NotPlaced(Refusal::Shed { .. } | Refusal::CustomerShare { .. }) => {
                 let delay = cause.delay(&queue);
                 self.shared.returns().promise_shed(&self.service, urgency, request, at(delay), now);
+                self.report_promise(delay);
                 delay
             }
             _ => cause.delay(&queue),
         }
     }
 
+    /// Tells the box that keeps promises when the caller was told to return. Dispatchers keep those of plain services.
+    fn report_promise(&self, delay: Duration) {
+        let request = self.promise_key();
+        if request != 0 && self.call.prompt.is_some() {
+            let left_ms = u32::try_from(delay.as_millis()).unwrap_or(u32::MAX);
+            self.shared.peer_client.report_promise(request, left_ms);
+        }
+    }
+
     pub(crate) fn fail_unknown(&mut self, why: &'static str) -> Response<Body> {
         self.finish(Outcome::Unknown);
         answer::plain(StatusCode::BAD_GATEWAY, why)
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -104,7 +104,7 @@
         }
         let now = self.shared.now();
         self.shared.placement().record_request(&self.service, now);
-        if let Err(why) = self.check_turn().and_then(|()| self.admit()) {
+        if let Err(why) = self.check_turn().await.and_then(|()| self.admit()) {
             return Reply::Complete(self.not_sent(&why));
         }
         loop {
--- a/crates/relay/src/peer_client.rs
+++ b/crates/relay/src/peer_client.rs
@@ -41,6 +41,14 @@
     /// [`SlotReply::Refused`] or [`SlotReply::Unmanaged`].
     fn release_slot(&self, release: SlotRelease);
 
+    /// Asks the box of this hall that keeps the promise to the caller of `request`, a fingerprint, in how many milliseconds
+    /// the caller was told to return; 0 if nothing was promised or the time has come. Returns `None` if no such box is
+    /// reachable.
+    fn request_promise(&self, request: u64) -> Option<oneshot::Receiver<u32>>;
+
+    /// Tells that box that the caller of `request` was told to return in so many milliseconds.
+    fn report_promise(&self, request: u64, left_ms: u32);
+
     /// Reports the progress of a request to the owner of `server`. All reports of one lease go to the same box.
     fn report(&self, server: &Server, report: SendReport);
 
--- a/crates/relay/tests/retry_delay.rs
+++ b/crates/relay/tests/retry_delay.rs
@@ -1,5 +1,6 @@
 //! Refused callers are told to return one after another, when slots are expected to be free.
 
+use dispatch::Promises;
 use placement::{Fingerprint, Refusal};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -78,6 +79,8 @@
 const TARGET_MS: f64 = 600.0;
 const TIMEOUT_MS: u64 = 30_000;
 const CROWD: std::ops::Range<u64> = 4_000..8_000;
+/// Plays of a crowd over several boxes, which differ in the boxes that callers come to.
+const PLAYS: u64 = 8;
 /// Load outside of the crowd and in it, relative to what the slots serve.
 const LOADS: [f64; 2] = [0.6, 3.0];
 
@@ -115,8 +118,14 @@
 /// Plays a crowd on one box that alone uses the slots. Returns the callers that return as told and those that return
 /// early, and the number of requests that were admitted in the 8 s after the crowd.
 fn crowd(seed: u64, early_share: f64) -> (Group, Group, u32) {
+    crowd_over(1, seed, 0, early_share)
+}
+
+/// Plays the same crowd over some boxes of one hall. Each request, and each return, comes to a box drawn anew.
+fn crowd_over(boxes: usize, seed: u64, box_seed: u64, early_share: f64) -> (Group, Group, u32) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let (mut returns, mut admitted_after) = (Returns::default(), 0);
+    let mut drawn = ChaCha8Rng::seed_from_u64(box_seed);
+    let (mut all_returns, mut promises, mut admitted_after) = (vec![Returns::default(); boxes], Promises::default(), 0);
     let (mut callers, mut events) = (Vec::new(), BinaryHeap::new());
     let mut at = 0.0_f64;
     while at < 40_000.0 {
@@ -131,8 +140,12 @@
         let caller = &mut callers[number];
         let slot = slots.iter_mut().min_by(|a, b| a.total_cmp(b)).expect("a slot");
         let wait_ms = (*slot - now as f64).max(0.0);
-        let request = Fingerprint(number as u64);
-        let turn = returns.turn(SERVICE, 0, request, now);
+        let request = Fingerprint(number as u64 + 1);
+        let returns = &mut all_returns[drawn.random_range(0..boxes)];
+        let turn = match (returns.turn(SERVICE, 0, request, now), promises.left_ms(request.0, now)) {
+            (Turn::Due, Some(left_ms)) => Turn::Early { promised_at: now + u64::from(left_ms) },
+            (turn, _) => turn,
+        };
         if wait_ms <= TARGET_MS && turn == Turn::Due {
             *slot = now as f64 + wait_ms + SERVICE_MS * rng.random_range(0.5..1.5);
             returns.record_start(SERVICE, 0, now);
@@ -151,6 +164,7 @@
         let told_at = now + delay.as_millis() as u64;
         if turn == Turn::Due {
             returns.promise(SERVICE, 0, request, told_at);
+            promises.record(request.0, told_at, now);
         }
         let returns_at_once = caller.early && caller.told_at == 0;
         if caller.early && !returns_at_once && caller.later_ms == 0.0 {
@@ -209,3 +223,32 @@
     }
     assert_eq!(faults, Vec::<u64>::new(), "seeds with a gain or a cost");
 }
+
+/// Guards against early returns that pay since they come to another box than the one that refused them: with 87 boxes, one
+/// return in 87 comes to that.
+#[test]
+fn callers_that_return_at_once_to_other_boxes_gain_nothing_and_cost_the_others_nothing() {
+    let mut faults = Vec::new();
+    for boxes in [8, 87] {
+        for seed in 0..8 {
+            // Plays of the same arrivals differ by up to a tenth with the boxes that are drawn, so means are compared.
+            let mut waits_ms = [0.0; 3];
+            for box_seed in 0..PLAYS {
+                let (alone, _, _) = crowd_over(boxes, seed, box_seed, 0.0);
+                let (patient, early, _) = crowd_over(boxes, seed, box_seed, 0.4);
+                for (sum, group) in waits_ms.iter_mut().zip([&early, &patient, &alone]) {
+                    *sum += group.wait_ms / PLAYS as f64;
+                }
+            }
+            let [early, patient, alone] = waits_ms;
+            println!(
+                "{boxes} boxes, seed {seed}: early returns, others, and others without early returns wait \
+                 {early:.0}, {patient:.0}, {alone:.0} ms"
+            );
+            if early < 0.95 * patient || patient > 1.05 * alone {
+                faults.push((boxes, seed));
+            }
+        }
+    }
+    assert_eq!(faults, Vec::new(), "boxes and seeds with a gain or a cost");
+}
