model: tokens of a lone request beyond an engine's memory are counted

Cause: where the only running request finds no room and nothing can be preempted, its tokens were counted as generated but not as reserved, so more was released than had been counted. They are now counted beyond the capacity.

--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -146,6 +146,8 @@
         for send in generating {
             while !self.cache.reserve_generated(tokens_per_event, capacity) {
                 if !self.preempt_one() {
+                    // The only running request goes on beyond the capacity, since nothing else makes room for it.
+                    self.cache.overcommit_generated(tokens_per_event);
                     break;
                 }
             }
--- a/crates/model/src/kv_cache.rs
+++ b/crates/model/src/kv_cache.rs
@@ -113,6 +113,11 @@
         fits
     }
 
+    /// Counts tokens that a running request generates although they don't fit, so that its release frees what was counted.
+    pub(crate) fn overcommit_generated(&mut self, tokens: u32) {
+        self.generated_tokens += u64::from(tokens);
+    }
+
     /// Inserts parts that were fetched from another engine, unless they don't fit.
     pub(crate) fn insert_fetched(&mut self, parts: &[Part], capacity: u64) {
         if self.pin(parts, capacity) {
--- a/crates/model/tests/simulation.rs
+++ b/crates/model/tests/simulation.rs
@@ -187,3 +187,16 @@
     let without_owners = simulate(&deployment, Arm::WithoutOwners).worth();
     assert!(with_owners > without_owners, "{with_owners} and {without_owners}");
 }
+
+/// Guards against a panic when the only running request of an engine generates more than its memory holds: more was
+/// released than had been counted.
+#[test]
+fn a_lone_request_that_outgrows_the_memory_is_counted_as_it_is_released() {
+    for memory_tokens in [4_400, 4_600, 5_000, 9_000] {
+        let mut deployment = deployment(2.0);
+        deployment.classes[0].out_tokens = 300.0;
+        deployment.engine_spec.memory_tokens = memory_tokens;
+        let outcome = simulate(&deployment, Arm::Least);
+        assert_consistent(&deployment, &outcome, &format!("{memory_tokens} tokens"));
+    }
+}
