policy: a share without slots gets none after failures and load reports

A box could grant a slot at a server of which its share has none. Cause: failures and load reports lower the limit to no less than one slot, which raises a limit of 0. The bound is now one slot or the share, in all four places.

--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -126,6 +126,12 @@
         self.slot_limit as u32
     }
 
+    /// Returns the lowest limit that failures and load reports may set: one slot shows whether it has recovered, but a box
+    /// whose share has none must not grant one.
+    fn min_slot_limit(&self) -> f64 {
+        f64::from(self.slots.min(1))
+    }
+
     /// Returns true if its last sample is so old that a speed probe is due.
     #[must_use]
     pub fn should_probe_speed(&self, now: Time) -> bool {
@@ -170,7 +176,7 @@
 
     fn record_failure(&mut self, now: Time) -> Option<HealthChange> {
         self.failures += 1;
-        self.slot_limit = (self.slot_limit / 2.0).max(1.0);
+        self.slot_limit = (self.slot_limit / 2.0).max(self.min_slot_limit());
         if self.failures < EJECT_AFTER_FAILURES {
             return None;
         }
@@ -180,7 +186,7 @@
         }
         self.ejected_until = Some(now.after(self.ejection_backoff_ms));
         self.ejection_backoff_ms = (self.ejection_backoff_ms * 2).min(MAX_EJECTION_BACKOFF_MS);
-        self.slot_limit = 1.0;
+        self.slot_limit = self.min_slot_limit();
         let first = !self.ejected;
         self.ejected = true;
         first.then_some(HealthChange::Ejected)
@@ -188,7 +194,7 @@
 
     fn shrink(&mut self, now: Time) {
         if now.since(self.last_shrink) >= SHRINK_INTERVAL_MS {
-            self.slot_limit = (self.slot_limit * 0.8).max(1.0);
+            self.slot_limit = (self.slot_limit * 0.8).max(self.min_slot_limit());
             self.last_shrink = now;
         }
     }
@@ -213,7 +219,7 @@
     pub fn record_load(&mut self, load: Load, now: Time) {
         self.leaving_by_report = load.leaving;
         if load.waiting > 0 && now.since(self.last_shrink) >= SHRINK_INTERVAL_MS {
-            self.slot_limit = (self.slot_limit * 0.9).max(1.0);
+            self.slot_limit = (self.slot_limit * 0.9).max(self.min_slot_limit());
             self.last_shrink = now;
         }
     }
