placement: free slots are counted from the reports of the last second

The use of slots was summed over all servers of which a box has ever heard, some thousands on a large fleet, at each request. Now the reports of the last second are kept apart, 1,024 at most.

--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -8,7 +8,7 @@
 use crate::notices::Notices;
 use crate::order::Order;
 use crate::sample::Sample;
-use crate::slot_usage::SlotUsageCache;
+use crate::slot_usage::SlotUsageTracker;
 use crate::split::{self, Split};
 use crate::{
     AdmissionState, Choice, ColdAllowance, DemandReport, Ending, Loss, Millis, PlacementRequest, Prefill, Prompt,
@@ -76,7 +76,7 @@
     /// Ids of members with a status from their owner.
     with_status: BTreeSet<String>,
     admission: Admission,
-    slot_usage: SlotUsageCache,
+    slot_usage: SlotUsageTracker,
     /// Earliest time of the next query of further owners; see [`Pool::further_servers_to_query`].
     next_search_at: Millis,
     /// Orders servers with equal costs. Differs between boxes, so that they don't all choose the same one.
@@ -366,8 +366,7 @@
 
     /// True if engines' slots are short: owners report none that are free, or requests found none within the last second.
     pub(crate) fn is_short(&mut self, now: Millis) -> bool {
-        let reported = self.with_status.iter().filter_map(|id| self.members.get(id));
-        let has_free = self.slot_usage.get(reported, now).has_free();
+        let has_free = self.slot_usage.get(&self.members, now).has_free();
         self.engine.is_some() && (!has_free || self.admission.has_refused(now))
     }
 
@@ -396,6 +395,7 @@
         if let Some(member) = self.members.get_mut(id) {
             member.record_status(status, now);
             self.with_status.insert(id.to_owned());
+            self.slot_usage.record(id, now);
         }
     }
 
