--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,43 +1,10 @@
 //! The dispatcher of the services that this box hands out slots for.
 
 use crate::service::Service;
-use crate::{Millis, SlotRelease, SlotReply, SlotRequest};
+use crate::{Millis, Reply, ServerSlots, SlotRelease, SlotReply, SlotRequest, Summary};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// A server whose slots are handed out.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServerSlots {
-    /// Id of the server.
-    pub id: String,
-    /// Requests that it works on at a time.
-    pub slots: u32,
-    /// True if it may get new requests: it isn't leaving, paused, evacuated or cold.
-    pub usable: bool,
-}
-
-/// A reply to be sent to a box.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Reply {
-    /// The requesting box.
-    pub to: SocketAddr,
-    /// The reply.
-    pub reply: SlotReply,
-}
-
-/// State of one service, for metrics.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Summary {
-    /// Name of the service.
-    pub service: String,
-    /// Slots of its usable servers.
-    pub slots: u32,
-    /// Slots in use.
-    pub used: u32,
-    /// Requests that wait for a slot.
-    pub waiting: u32,
-}
-
 /// Hands out the slots of services.
 #[derive(Clone, Debug, Default)]
 pub struct Dispatcher {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,12 +10,16 @@
 mod message;
 mod promises;
 mod queue;
+mod reply;
 mod server;
 mod service;
+mod summary;
 
-pub use dispatcher::{Dispatcher, Reply, ServerSlots, Summary};
+pub use dispatcher::Dispatcher;
 pub use message::{SlotEnding, SlotRelease, SlotReply, SlotRequest};
 pub use promises::{Promises, EARLY_TOLERANCE};
+pub use reply::Reply;
+pub use summary::{ServerSlots, Summary};
 
 /// Milliseconds on a monotonic clock.
 pub type Millis = u64;
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -1,13 +1,12 @@
 //! The servers, leases and waiting requests of one service.
 
 use crate::boxes::Boxes;
-use crate::dispatcher::{Reply, ServerSlots, Summary};
 use crate::ended::Ended;
 use crate::forecast::{self, Late, Spread, Throughput};
 use crate::promises::Promises;
 use crate::queue::{Account, Key, Picked, Queue, Waiting, MAX_WAITING, URGENCY_CLASSES};
 use crate::server::Server;
-use crate::{Millis, SlotEnding, SlotReply, SlotRequest};
+use crate::{Millis, Reply, ServerSlots, SlotEnding, SlotReply, SlotRequest, Summary};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -10,6 +10,7 @@
 mod arrivals;
 mod cache_directory;
 mod cached_parts;
+mod candidates;
 mod cold;
 mod completions;
 mod cost;
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -1,13 +1,14 @@
 //! Admission of a request and choice of its server.
 
-use crate::attempt::SlotGuard;
 use crate::crash::LostRequest;
 use crate::exchange::Exchange;
+use crate::not_sent::NotSent;
 use crate::owner_requests::{self, PendingStatus};
 use crate::retry_delay::Turn;
+use crate::slot_guard::SlotGuard;
 use http::uri::PathAndQuery;
 use http::{header, HeaderValue};
-use placement::{Choice, Fingerprint, Millis, PermitReply, PlacementRequest, Prompt, Refusal, ServerStatus, Verdict};
+use placement::{Choice, Fingerprint, Millis, PermitReply, PlacementRequest, Prompt, ServerStatus, Verdict};
 use rand::Rng;
 use routing::Server;
 use std::sync::Arc;
@@ -38,30 +39,6 @@
 /// also advances while a machine is suspended.
 const PERMIT_TTL_MS: Millis = 100;
 
-/// The reason why a request is not sent.
-pub(crate) enum NotSent {
-    /// The placement found no server.
-    Refused(Refusal),
-    /// The deadline has passed.
-    DeadlineExceeded,
-    /// The caller came back before the time at which it was told to return.
-    Early {
-        /// Delay until that time.
-        retry_ms: Millis,
-    },
-    /// The request is quarantined, because servers repeatedly terminated while running it.
-    Quarantined {
-        /// Delay after which the caller may retry.
-        retry_ms: Millis,
-    },
-}
-
-impl From<Refusal> for NotSent {
-    fn from(refusal: Refusal) -> Self {
-        Self::Refused(refusal)
-    }
-}
-
 impl Exchange {
     /// Chooses a server and takes a slot there.
     pub(crate) async fn choose(&mut self) -> Result<(Choice, SlotGuard), NotSent> {
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -1,8 +1,8 @@
 //! Refusals, failures and the final accounting of a request.
 
 use crate::answer;
-use crate::choose::NotSent;
 use crate::exchange::Exchange;
+use crate::not_sent::NotSent;
 use crate::outcome::Outcome;
 use crate::retry_delay::{Cause, Queue};
 use crate::Body;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,14 +1,15 @@
 //! One request, from its head to its outcome.
 
 use crate::answer::{self, strip_hop_by_hop};
-use crate::attempt::{self, Answer, OutgoingRequest, SendOutcome, SlotGuard};
-use crate::choose::NotSent;
+use crate::attempt::{self, Answer, OutgoingRequest, SendOutcome};
 use crate::connections::Connections;
 use crate::crash::CrashDetector;
 use crate::header_codec::{Call, Dispatch};
+use crate::not_sent::NotSent;
 use crate::outcome::Outcome;
 use crate::retry_delay::Cause;
 use crate::shared::Shared;
+use crate::slot_guard::SlotGuard;
 use crate::timing::Timing;
 use crate::Body;
 use bytes::Bytes;
--- a/crates/relay/src/slot.rs
+++ b/crates/relay/src/slot.rs
@@ -1,10 +1,10 @@
 //! Slots at plain servers that a dispatcher assigns.
 
-use crate::attempt::SlotGuard;
-use crate::choose::NotSent;
 use crate::exchange::Exchange;
+use crate::not_sent::NotSent;
 use crate::peer_client::DispatcherState;
 use crate::shared::Shared;
+use crate::slot_guard::SlotGuard;
 use dispatch::{SlotEnding, SlotRelease, SlotReply, SlotRequest};
 use placement::{Choice, Ending, Millis, Refusal};
 use std::fmt::Write;
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -1,10 +1,11 @@
 //! Forwards the events of a stream as they arrive, and resumes the stream at another server where the route allows it.
 
 use crate::answer::strip_hop_by_hop;
-use crate::attempt::{Answer, SlotGuard};
+use crate::attempt::Answer;
 use crate::event_splitter::EventSplitter;
 use crate::exchange::Exchange;
 use crate::outcome::Outcome;
+use crate::slot_guard::SlotGuard;
 use crate::{Body, TruncatedAnswer};
 use bytes::Bytes;
 use futures_util::stream;
