placement: a queue at one server takes no free slot of the others

Cause: free slots were the difference of all slots and all requests, so requests that wait at one server took the free slots of others. Each server's free slots count for themselves now. The new test failed before.

--- a/crates/placement/src/slot_usage.rs
+++ b/crates/placement/src/slot_usage.rs
@@ -15,11 +15,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct SlotUsage {
     /// Number of the servers.
-    pub(crate) servers: u32,
-    /// Slots of all of them.
-    pub(crate) slots: u32,
-    /// Requests there, waiting ones included.
-    pub(crate) running: u32,
+    servers: u32,
+    /// Free slots of all of them. Requests that wait at one server take no slot of another.
+    free: u32,
 }
 
 impl SlotUsage {
@@ -28,12 +26,11 @@
         let mut usage = Self::default();
         for member in members.filter(|member| member.admission_state(now) == AdmissionState::Open) {
             let Some(status) = member.status_within(REPORT_TTL, now) else { continue };
-            let slots = member.server.slots;
-            // A server that turns requests away has no free slot, whatever was counted.
-            let running = if member.is_full(now) { status.load.running.max(slots) } else { status.load.running };
             usage.servers += 1;
-            usage.slots = usage.slots.saturating_add(slots);
-            usage.running = usage.running.saturating_add(running);
+            // A server that turns requests away has no free slot, whatever was counted.
+            if !member.is_full(now) {
+                usage.free = usage.free.saturating_add(member.server.slots.saturating_sub(status.load.running));
+            }
         }
         usage
     }
@@ -41,7 +38,7 @@
     /// True if the servers have a free slot each on average, so that a request finds one wherever it goes, or if no load was
     /// reported.
     pub(crate) fn has_free(self) -> bool {
-        self.running.saturating_add(self.servers) <= self.slots
+        self.free >= self.servers
     }
 }
 
--- a/crates/placement/tests/recovery.rs
+++ b/crates/placement/tests/recovery.rs
@@ -4,8 +4,8 @@
 
 use common::{prompt, request, route, server, service, MODEL};
 use placement::{
-    Ending, Owner, Part, Placement, PlacementRequest, Prompt, Refusal, RetryBudget, SendReport, SendUpdate,
-    ServiceDemand, StatusQuery, Work,
+    Ending, Load, Owner, Part, Placement, PlacementRequest, Prompt, Refusal, RetryBudget, SendReport, SendUpdate,
+    ServerStatus, ServiceDemand, StatusQuery, Work,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -282,3 +282,21 @@
     }
     assert_eq!(faults, Vec::<u64>::new(), "seeds with requests that are refused after the losses have expired");
 }
+
+/// Guards against requests that are held back since one server has a long queue, while the others have free slots.
+#[test]
+fn a_queue_at_one_server_takes_no_free_slot_of_the_others() {
+    let table = Table::new(1, vec![route(None)], vec![service(64, 4, None)]);
+    let mut placement = Placement::new("here", RetryBudget::new(0.2, 50.0, 10_000));
+    common::update(&mut placement, &table, (0..4).map(|index| server(index, "here")).collect(), &[], 0);
+    let mut is_short = |running: [u32; 4], now: u64| {
+        for (index, running) in running.into_iter().enumerate() {
+            let load = Load { running, ..Load::default() };
+            placement.on_status(MODEL, &format!("s{index}"), ServerStatus { load, ..ServerStatus::default() }, now);
+        }
+        placement.is_short(MODEL, now)
+    };
+    assert!(!is_short([164, 60, 60, 60], 1_000));
+    assert!(is_short([164, 63, 64, 64], 2_000), "less than one free slot each");
+    assert!(!is_short([60, 60, 60, 60], 3_000));
+}
