relay, dispatch: nothing is promised to a caller that is told more than it can wait

Callers with short time limits were refused as early and got nothing.

Cause: early returns were refused by any stated delay, also by one that tells a caller to give up. The bounds of the crowds' tests hold as they are. The new test of the dispatcher fails without the rule; the tests of front ends use callers with enough time.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use dispatcher::Dispatcher;
 pub use message::{SlotEnding, SlotRelease, SlotReply, SlotRequest};
-pub use promises::{Promises, EARLY_TOLERANCE};
+pub use promises::{Promises, EARLY_TOLERANCE, MAX_WAIT_RATIO};
 pub use reply::Reply;
 pub use summary::{ServerSlots, Summary};
 
--- a/crates/dispatch/src/promises.rs
+++ b/crates/dispatch/src/promises.rs
@@ -9,6 +9,10 @@
 /// A return that comes up to this much before its time counts as due: times are rounded, and the network's delay varies.
 pub const EARLY_TOLERANCE: Millis = 50;
 
+/// Part of the remaining time that callers wait at most before a retry; callers that are told to wait longer give up, or
+/// come back as newcomers: nothing is promised to them.
+pub const MAX_WAIT_RATIO: f64 = 1.0 / 3.0;
+
 /// Times at which the callers of refused requests were told to return, by the fingerprints of the requests.
 #[derive(Clone, Debug, Default)]
 pub struct Promises {
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -3,7 +3,7 @@
 use crate::boxes::Boxes;
 use crate::ended::Ended;
 use crate::forecast::{self, Late, Spread, Throughput};
-use crate::promises::Promises;
+use crate::promises::{Promises, MAX_WAIT_RATIO};
 use crate::queue::{Account, Key, Picked, Queue, Waiting, MAX_WAITING, URGENCY_CLASSES};
 use crate::server::Server;
 use crate::{Millis, Reply, ServerSlots, SlotEnding, SlotReply, SlotRequest, Summary};
@@ -189,7 +189,10 @@
         let refused = self.queue.remove(&key)?;
         self.ended.record(key);
         let retry_ms = self.spreads[class].retry_ms(wait_ms, throughput);
-        self.promises.record(refused.request, now + Millis::from(retry_ms), now);
+        let left_ms = refused.expires_at.saturating_sub(now) as f64;
+        if f64::from(retry_ms) <= left_ms * MAX_WAIT_RATIO {
+            self.promises.record(refused.request, now + Millis::from(retry_ms), now);
+        }
         Some(Reply { to: self.boxes.address(key.0), reply: SlotReply::Refused { number: key.1, retry_ms } })
     }
 
--- a/crates/dispatch/tests/returns.rs
+++ b/crates/dispatch/tests/returns.rs
@@ -38,3 +38,27 @@
     }
     assert!(matches!(ask(&mut dispatcher, 2, 301, fingerprint, 40), Some(SlotReply::Granted { .. })));
 }
+
+/// Guards against callers with little time that come back before the stated time, as they must, and are turned away for it.
+#[test]
+fn nothing_is_promised_to_a_caller_that_is_told_more_than_a_third_of_its_time() {
+    for (expires_ms, is_promised) in [(60_000, true), (2_000, false)] {
+        let mut dispatcher = dispatcher(&[(1, 400.0)]);
+        let mut ask = |number: u64, now: u64| {
+            let request = SlotRequest { request: 100 + number, expires_ms, ..request(number, 0, 0, MAX_WAIT_MS) };
+            let replies = dispatcher.on_request(address(0), request, now);
+            replies.into_iter().map(|reply| reply.reply).find(|reply| reply.number() == number)
+        };
+        let refused = |reply: Option<SlotReply>| match reply {
+            Some(SlotReply::Refused { retry_ms, .. }) => Some(retry_ms),
+            _ => None,
+        };
+        let (number, told_ms) =
+            (1..100).find_map(|number| Some((number, refused(ask(number, 0))?))).expect("a refusal");
+        // The same request under another number, since numbers are used once.
+        let again = SlotRequest { request: 100 + number, expires_ms, ..request(1_000, 0, 0, MAX_WAIT_MS) };
+        let replies = dispatcher.on_request(address(1), again, 20);
+        let rest = replies.into_iter().map(|reply| reply.reply).find(|reply| reply.number() == 1_000);
+        assert_eq!(refused(rest) == Some(told_ms - 20), is_promised, "{expires_ms} ms left, told {told_ms} ms");
+    }
+}
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -6,8 +6,9 @@
 use crate::outcome::Outcome;
 use crate::retry_delay::{Cause, Queue};
 use crate::Body;
+use dispatch::MAX_WAIT_RATIO;
 use http::{Response, StatusCode};
-use placement::{Ending, Loss, Refusal};
+use placement::{Ending, Fingerprint, Loss, Refusal};
 use rand::Rng;
 use std::fmt::{self, Display, Formatter, Write};
 use std::time::Duration;
@@ -92,7 +93,7 @@
         answer::refused(text, delay)
     }
 
-    /// Returns the delay after which the caller should retry. If slots are short, its return is recorded, so that an
+    /// Returns the delay after which the caller should retry. If all slots are taken, its return is recorded, so that an
     /// earlier one can be told, and callers that find no slot later return after it.
     fn retry_delay(&self, cause: Cause) -> Duration {
         let (now, left, draw) = (self.shared.now(), self.left(), rand::rng().random_range(0.0..1.0));
@@ -108,14 +109,14 @@
                 let mut returns = self.shared.returns();
                 let (waiting, interval_ms) = returns.queue(&self.service, urgency, request, now);
                 let delay = cause.delay(&Queue { waiting, interval_ms, ..queue });
-                returns.promise(&self.service, urgency, request, at(delay));
-                self.report_promise(delay);
-                delay
-            }
-            Cause::NotPlaced(Refusal::Shed { .. } | Refusal::CustomerShare { .. }) => {
-                let delay = cause.delay(&queue);
-                self.shared.returns().promise_shed(&self.service, urgency, request, at(delay), now);
-                self.report_promise(delay);
+                // A caller that is told more than it can wait gives up, or comes back as a newcomer: it has lost nothing to
+                // wait for.
+                let is_promise = delay.as_secs_f64() <= left.as_secs_f64() * MAX_WAIT_RATIO;
+                let promised_to = if is_promise { request } else { Fingerprint(0) };
+                returns.promise(&self.service, urgency, promised_to, at(delay));
+                if is_promise {
+                    self.report_promise(delay);
+                }
                 delay
             }
             _ => cause.delay(&queue),
--- a/crates/relay/src/retry_delay.rs
+++ b/crates/relay/src/retry_delay.rs
@@ -1,6 +1,6 @@
 //! Causes of refusals, and the delay after which a refused caller should retry.
 
-use dispatch::EARLY_TOLERANCE;
+use dispatch::{EARLY_TOLERANCE, MAX_WAIT_RATIO};
 use placement::{Fingerprint, Loss, Millis, Refusal};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -24,9 +24,6 @@
 /// the same instant.
 const BACKOFF_SPREAD_FACTOR: f64 = 1.2;
 
-/// Part of the remaining time that callers wait at most before a retry; callers that are told to wait longer give up.
-const MAX_WAIT_RATIO: f64 = 1.0 / 3.0;
-
 /// Time for which starts count: some answers that take a second end within it.
 const RATE_WINDOW_MS: Millis = 2_000;
 
@@ -162,8 +159,6 @@
 struct Promise {
     request: Fingerprint,
     at: Millis,
-    /// True if it was refused for want of a slot, and so waits for one. Others were shed, and don't delay these.
-    awaits_slot: bool,
 }
 
 /// What happened to the requests of one service and urgency.
@@ -204,27 +199,17 @@
         let history = self.history(service, urgency);
         // A caller that comes back early loses its place, and its promise doesn't delay the others any longer.
         history.promised.retain(|promise| promise.at > now && promise.request != request);
-        let waiting = history.promised.iter().filter(|promise| promise.awaits_slot).count();
-        (waiting, history.interval_ms(now))
+        (history.promised.len(), history.interval_ms(now))
     }
 
-    /// Records that the caller of `request`, which found no slot, was told to return at `at`.
+    /// Records that the caller of `request` was told to return at `at`. Fingerprint 0 counts as a caller that waits, and is
+    /// nobody's.
     pub fn promise(&mut self, service: &str, urgency: u8, request: Fingerprint, at: Millis) {
-        self.record(service, urgency, Promise { request, at, awaits_slot: true });
-    }
-
-    /// Records that the caller of `request`, which was shed, was told to return at `at`.
-    pub fn promise_shed(&mut self, service: &str, urgency: u8, request: Fingerprint, at: Millis, now: Millis) {
-        self.history(service, urgency).promised.retain(|promise| promise.at > now);
-        self.record(service, urgency, Promise { request, at, awaits_slot: false });
-    }
-
-    fn record(&mut self, service: &str, urgency: u8, promise: Promise) {
         let history = self.history(service, urgency);
         if history.promised.len() == MAX_PROMISES {
             history.promised.pop_front();
         }
-        history.promised.push_back(promise);
+        history.promised.push_back(Promise { request, at });
     }
 
     fn history(&mut self, service: &str, urgency: u8) -> &mut History {
