relay: log and count the loss of a box's own path to the servers

A box that can't reach any server logged nothing but the refusals of its requests, with a cause (no_server) that also stands for an empty list, and no metric counted connections that failed. Events 517 and 518 report when connections to several servers failed with none opened in between, and when one is opened again; cleatshelf_connections_failed_total counts failures by kind. What requests get is unchanged.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -8,13 +8,15 @@
 use http::{header, HeaderMap};
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
-use placement::Millis;
+use placement::{Millis, Path};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use telemetry::Event;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -61,29 +63,57 @@
     idle: Rc<RefCell<HashMap<String, Vec<IdleConnection>>>>,
     /// Time limit for new connections.
     connect_timeout: Rc<Cell<ConnectTimeout>>,
+    /// This box's path to the servers.
+    path: Rc<RefCell<Path>>,
 }
 
 impl Connections {
     pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
-        Self { clock, idle: Rc::default(), connect_timeout: Rc::default() }
+        Self { clock, idle: Rc::default(), connect_timeout: Rc::default(), path: Rc::default() }
     }
 
     /// Returns the most recently used idle connection to a server, or opens a new one.
     pub(crate) async fn open(&self, instance: &str, address: SocketAddr) -> std::io::Result<Connection> {
         match self.take_idle(instance) {
             Some(connection) => Ok(connection),
-            None => self.open_new(address).await,
+            None => self.open_new(instance, address).await,
         }
     }
 
     /// Checks whether a server accepts new connections. A successful connection is kept in the pool.
     pub(crate) async fn probe(&self, instance: &str, address: SocketAddr) -> std::io::Result<()> {
-        let connection = self.open_new(address).await?;
+        let connection = self.open_new(instance, address).await?;
         self.release(instance, connection, &HeaderMap::new());
         Ok(())
     }
 
-    async fn open_new(&self, address: SocketAddr) -> std::io::Result<Connection> {
+    async fn open_new(&self, instance: &str, address: SocketAddr) -> std::io::Result<Connection> {
+        let connected = self.connect(address).await;
+        self.record_connect(instance, &connected);
+        connected
+    }
+
+    /// Counts the result of a connection attempt, and logs when this box's path to the servers is lost or restored.
+    fn record_connect(&self, instance: &str, connected: &std::io::Result<Connection>) {
+        let now = self.clock.now();
+        let mut path = self.path.borrow_mut();
+        match connected {
+            Ok(_) => {
+                if let Some(ms) = path.record_opened(now) {
+                    telemetry::emit(Event::ServerPathRestored, format_args!("server={instance} ms={ms}"));
+                }
+            }
+            Err(why) => {
+                metrics::counter!("cleatshelf_connections_failed_total", "why" => failure_label(why.kind()))
+                    .increment(1);
+                if let Some(servers) = path.record_failed(instance, now) {
+                    telemetry::emit(Event::ServerPathLost, format_args!("servers={servers} why=\"{why}\""));
+                }
+            }
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<Connection> {
         let mut connect_timeout = self.connect_timeout.get();
         let started = Instant::now();
         let connected = tokio::time::timeout(connect_timeout.timeout(), connect(address)).await;
@@ -96,7 +126,7 @@
             Err(_) => connect_timeout.record_timeout(),
         }
         self.connect_timeout.set(connect_timeout);
-        connected.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+        connected.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
     }
 
     fn take_idle(&self, instance: &str) -> Option<Connection> {
@@ -138,6 +168,15 @@
     }
 }
 
+/// Returns the metric label of a failed connection attempt.
+fn failure_label(kind: ErrorKind) -> &'static str {
+    match kind {
+        ErrorKind::ConnectionRefused => "refused",
+        ErrorKind::TimedOut => "timed_out",
+        _ => "other",
+    }
+}
+
 /// Returns the idle time limit after a response with these headers, or `None` if the connection must be closed.
 fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = |name: header::HeaderName| headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default();
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -138,6 +138,10 @@
     ServerLimits = 515, Info;
     /// A response has an unknown header.
     WordUnknown = 516, Warn;
+    /// This box can't open connections to servers any more, while it has not been shown that they are down.
+    ServerPathLost = 517, Warn;
+    /// This box opened a connection to a server again.
+    ServerPathRestored = 518, Info;
     /// The count of leases granted no longer equals those held, returned and expired.
     LeaseCountBroken = 900, Error;
     /// A grant exceeded the class's floor while a more urgent request was waiting.
