relay, tunnel: a box without a path to the servers reaches them through other boxes

Cause: a box knew one way to a server, its own link. Class: a fault of the own path taken for faults of all peers, with no alternative path. That other boxes one hop away reach every server was used nowhere.

Fix: placement::Path tells a lost path from servers that are down, by the results of the box's own connections. While it is lost, connections to servers are opened through another box of the region (crate tunnel) that copies bytes. The exchange stays with the box that has the caller, so outcome, attempts, budget, cancellation and the meaning of 'not run' are as before. What fails for want of a path is no failure of servers and no loss that sheds others. A refused connection ends a server only if no other box reaches it.

--- a/crates/cleatshelf/src/router/owner_service.rs
+++ b/crates/cleatshelf/src/router/owner_service.rs
@@ -8,7 +8,7 @@
     Fingerprint, LimitUpdate, LivenessEvidence, Owner, PermitReply, PermitRequest, SendReport, SendUpdate,
     ServerStatus, StatusQuery, SuspectRecord,
 };
-use relay::{DispatcherState, PeerClient};
+use relay::{DispatcherState, PeerClient, TunnelBoxes};
 use routing::{rank, rank_address, Server};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
@@ -172,6 +172,8 @@
     slots: SlotAssignment,
     /// Requests that wait for a slot.
     slot_requests: PendingReplies<SlotReply>,
+    /// The boxes through which this one may reach servers.
+    tunnel_boxes: Arc<TunnelBoxes>,
     /// Boxes by hall, including this one. No hall is empty.
     halls: HashMap<String, Vec<SocketAddr>>,
     /// True once another box has reported the same set of boxes. Until then this box may wrongly consider itself the
@@ -198,6 +200,7 @@
             owner: Owner::default(),
             slots: SlotAssignment::new(me),
             slot_requests: PendingReplies::default(),
+            tunnel_boxes: Arc::default(),
             halls: HashMap::new(),
             converged: false,
             missed_replies: MissedReplies::default(),
@@ -238,6 +241,11 @@
         }
     }
 
+    /// Sets the boxes through which this one may reach servers.
+    pub(super) fn set_tunnel_boxes(&self, boxes: TunnelBoxes) {
+        self.state().tunnel_boxes = Arc::new(boxes);
+    }
+
     /// Sets the boxes of this box's region, including this one, with their capacities.
     pub(super) fn set_region_boxes(&self, boxes: Vec<(SocketAddr, u32)>, converged: bool) {
         self.state().slots.set_boxes(boxes, converged);
@@ -434,6 +442,20 @@
     }
 }
 
+/// Returns those of these boxes that open tunnels, except `me` in `hall`.
+pub(super) fn tunnel_boxes<'a>(
+    me: SocketAddr,
+    hall: &str,
+    boxes: impl Iterator<Item = &'a (SocketAddr, Profile)>,
+) -> TunnelBoxes {
+    let mut tunnel_boxes = TunnelBoxes::default();
+    for (address, profile) in boxes.filter(|(address, profile)| *address != me && profile.tunnel_port != 0) {
+        let group = if profile.hall == hall { &mut tunnel_boxes.same_hall } else { &mut tunnel_boxes.other_halls };
+        group.push(SocketAddr::new(address.ip(), profile.tunnel_port));
+    }
+    tunnel_boxes
+}
+
 /// Returns the highest-ranked box for `key`.
 fn highest_ranked<'a>(boxes: impl Iterator<Item = &'a SocketAddr>, key: u64) -> Option<SocketAddr> {
     boxes.max_by_key(|address| rank_address(key, address)).copied()
@@ -567,6 +589,10 @@
         state.missed_replies.record_missed(owner, now);
     }
 
+    fn tunnel_boxes(&self) -> Arc<TunnelBoxes> {
+        Arc::clone(&self.0.state().tunnel_boxes)
+    }
+
     fn broadcast_suspects(&self, records: Vec<SuspectRecord>, evidence: Vec<LivenessEvidence>) {
         self.0.send(Destination::AllDirect, Message::Suspects { records, evidence, wants_reply: false });
     }
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -308,6 +308,12 @@
             placement.set_region_boxes(in_region.len());
             in_region
         };
+        let tunnel_boxes = {
+            let placement = self.shared.placement();
+            let in_region = boxes.iter().filter(|(_, profile)| placement.shares_region(&profile.hall));
+            owner_service::tunnel_boxes(self.me, peers.hall(), in_region)
+        };
+        self.owner_service.set_tunnel_boxes(tunnel_boxes);
         self.owner_service.set_boxes(boxes, peers.has_converged());
         self.owner_service.set_region_boxes(in_region, peers.has_converged());
     }
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -102,18 +102,27 @@
 ) -> eyre::Result<()> {
     let callers = bind(settings.callers)?;
     let ready = bind(settings.ready)?;
+    let tunnels = settings.tunnels.map(bind).transpose()?;
+    let tunnel_key = wire::Key::new(&settings.link_key);
+    let tunnel_address = settings.tunnels;
     let max_connections = settings.max_files.saturating_sub(RESERVED_FILES).max(RESERVED_FILES / 4);
     let shared = Arc::clone(shared);
     traffic.spawn_fn(move || {
-        let (Ok(callers), Ok(ready)) = (into_tokio(callers), into_tokio(ready)) else {
+        let tunnels = tunnels.map(into_tokio).transpose();
+        let (Ok(callers), Ok(ready), Ok(tunnels)) = (into_tokio(callers), into_tokio(ready), tunnels) else {
             telemetry::emit(Event::StartFailed, format_args!("why=\"listeners\""));
             return;
         };
         let readiness = ReadinessServer { shared: Arc::clone(&shared), path: platform::READY_PATH.to_owned() };
         actix_rt::spawn(readiness.run(ready));
-        let front = Frontend::new(shared, max_connections);
+        let front = Frontend::new(shared, max_connections).with_tunnels(tunnel::Client::new(tunnel_key.clone()));
+        let tunnels =
+            tunnels.zip(tunnel_address).map(|(listener, address)| start_tunnels(listener, tunnel_key, address, &front));
         actix_rt::spawn(async move {
             front.run(callers, stopped).await;
+            if let Some(tunnels) = tunnels {
+                tunnels.wait_until_closed().await;
+            }
             // An error means that the planned stop has timed out.
             let _ = done.send(true);
         });
@@ -121,6 +130,18 @@
     Ok(())
 }
 
+/// Starts to open connections to servers for other boxes.
+fn start_tunnels(
+    listener: tokio::net::TcpListener,
+    key: wire::Key,
+    address: SocketAddr,
+    front: &Frontend,
+) -> tunnel::Listener {
+    let tunnels = tunnel::Listener::new(key, address, front.tunnel_connector());
+    actix_rt::spawn(tunnels.clone().run(listener));
+    tunnels
+}
+
 fn into_tokio(listener: TcpListener) -> std::io::Result<tokio::net::TcpListener> {
     listener.set_nonblocking(true)?;
     tokio::net::TcpListener::from_std(listener)
@@ -151,7 +172,8 @@
         actix_rt::spawn(follower.run());
     }
     let listener = into_tokio(bind(settings.boxes)?)?;
-    let profile = Profile { hall: settings.hall.clone(), capacity: settings.capacity };
+    let tunnel_port = settings.tunnels.map_or(0, |address| address.port());
+    let profile = Profile { hall: settings.hall.clone(), capacity: settings.capacity, tunnel_port };
     let peers = Peers::new(settings.boxes, profile, &settings.seeds);
     let key = wire::Key::new(&settings.link_key);
     let peering = Peering::new(Dependencies {
--- a/crates/cleatshelf/src/router/settings.rs
+++ b/crates/cleatshelf/src/router/settings.rs
@@ -20,6 +20,9 @@
     pub ready: SocketAddr,
     /// Listening address for other boxes.
     pub boxes: SocketAddr,
+    /// Listening address for other boxes that have lost their path to the servers; `None` to open no connections for
+    /// them. Must have the same IP address as `boxes`.
+    pub tunnels: Option<SocketAddr>,
     /// Listening address for operators.
     pub operators: SocketAddr,
     /// Address at which the configuration and the servers are published.
@@ -65,6 +68,13 @@
     reader.tables("halls", |hall| (hall.name("name"), hall.name("region"))).into_iter().collect()
 }
 
+/// Other boxes combine the port with the address at which they know this box.
+fn check_tunnels(reader: &mut TableReader<'_>, tunnels: Option<SocketAddr>, boxes: SocketAddr) {
+    if tunnels.is_some_and(|tunnels| tunnels.ip() != boxes.ip()) {
+        reader.fault("listen_tunnels", "must have the IP address of listen_boxes");
+    }
+}
+
 fn read_seeds(reader: &mut TableReader<'_>) -> Vec<SocketAddr> {
     let texts = reader.strings("seeds");
     let addresses: Vec<SocketAddr> = texts.iter().filter_map(|text| text.parse().ok()).collect();
@@ -87,6 +97,7 @@
             callers: read_address(&mut reader, "listen_callers"),
             ready: read_address(&mut reader, "listen_ready"),
             boxes: read_address(&mut reader, "listen_boxes"),
+            tunnels: reader.parsed_opt("listen_tunnels", "an IP address with a port, such as 10.0.0.5:7000"),
             operators: read_address(&mut reader, "listen_operators"),
             publisher: read_address(&mut reader, "publisher"),
             seeds: read_seeds(&mut reader),
@@ -101,6 +112,7 @@
             regions: read_regions(&mut reader),
         };
         check_link_key(&mut reader, &settings.link_key);
+        check_tunnels(&mut reader, settings.tunnels, settings.boxes);
         let faults = reader.finish();
         if faults.is_empty() {
             Ok(settings)
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -49,6 +49,8 @@
     pub hall: String,
     /// Its capacity to serve other boxes. Boxes with a higher capacity are preferred as watchers.
     pub capacity: u32,
+    /// Port at its address at which it opens connections to servers for other boxes; 0 if it opens none.
+    pub tunnel_port: u16,
 }
 
 /// A message between two boxes.
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -115,6 +115,12 @@
         others.chain([(self.me, self.profile.clone())]).collect()
     }
 
+    /// Returns this box's hall.
+    #[must_use]
+    pub fn hall(&self) -> &str {
+        &self.profile.hall
+    }
+
     /// Returns the addresses of the other known boxes.
     pub fn other_boxes(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         self.members.keys().copied()
--- a/crates/peers/tests/world.rs
+++ b/crates/peers/tests/world.rs
@@ -87,7 +87,7 @@
         let seeds: Vec<SocketAddr> = (0..halls.min(3)).map(|hall| address(hall, 1)).collect();
         let all = (0..halls).flat_map(|hall| (1..=each).map(move |index| address(hall, index)));
         let boxes = all.map(|me| {
-            let profile = Profile { hall: hall_of(&me), capacity: 250 };
+            let profile = Profile { hall: hall_of(&me), capacity: 250, tunnel_port: 0 };
             let peers = Peers::new(me, profile, &seeds);
             (me, Box { peers, known: KnownVersions::default(), watching: false, frozen: false, reachable: true })
         });
@@ -513,7 +513,7 @@
 #[test]
 fn a_box_ignores_messages_from_its_own_address() {
     let me = address(0, 1);
-    let mut peers = Peers::new(me, Profile { hall: "hall-0".to_owned(), capacity: 1 }, &[me]);
+    let mut peers = Peers::new(me, Profile { hall: "hall-0".to_owned(), capacity: 1, tunnel_port: 0 }, &[me]);
     assert!(peers.handle(me, Message::Leave, 0).is_empty());
     assert_eq!(peers.box_count(), 1);
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -60,7 +60,7 @@
 pub use limit::{Limit, LimitUpdate};
 pub use load::{Load, Prefill, Work};
 pub use owner::{Owner, SendReport, SendUpdate, ServerStatus, ServiceDemand, StatusQuery};
-pub use path::Path;
+pub use path::{Path, Way};
 pub use permit::{PermitReply, PermitRequest, Quota, Quotas};
 pub use placement::{Placement, Snapshot};
 pub use plain::PlainServer;
--- a/crates/placement/src/path.rs
+++ b/crates/placement/src/path.rs
@@ -3,46 +3,125 @@
 use crate::Millis;
 use std::collections::HashMap;
 
-/// Number of servers that must fail to connect, with no connection opened in between, before the path counts as lost.
-/// A single one may be down.
+/// Number of servers that must fail to connect, with no connection opened in between, before the path to all servers
+/// counts as lost. A single one may be down.
 const MIN_FAILING_SERVERS: usize = 2;
 
+/// Number of consecutive failures after which the path to one server counts as lost. A single one may be a lost packet.
+const MIN_FAILURES: u32 = 2;
+
 /// Time after which a failed connection says nothing about the path any more.
 const FAILURE_TTL: Millis = 3_000;
 
-/// Distinguishes servers that are down from the loss of this box's path to all of them, by the results of its own
-/// connections.
+/// Interval between probes of the path while it is lost: bounds the time until a restored path is used again.
+const PROBE_INTERVAL: Millis = 300;
+
+/// How a connection to a server should be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// By this box itself.
+    Direct,
+    /// Through another box, since this one has lost its path to the server.
+    Tunnel {
+        /// True if a direct connection should be tried beside it, to find out whether the path is restored.
+        probe: bool,
+    },
+}
+
+/// The failures of one server since its last connection.
+#[derive(Clone, Debug, Default)]
+struct Failures {
+    count: u32,
+    /// Time of the last one.
+    at: Millis,
+    /// True if the last one was a refusal rather than silence.
+    refused: bool,
+    /// Time of the next probe.
+    next_probe: Millis,
+}
+
+/// Distinguishes servers that are down from the loss of this box's path to them, by the results of its own connections.
+///
+/// A server that is down looks like one without a path until another box is asked; so a lost path is a reason to ask
+/// another box, and no statement about the server.
 #[derive(Clone, Debug, Default)]
 pub struct Path {
-    /// Servers whose last connection failed, with the time of that failure. All failures are later than the last
-    /// connection that was opened.
-    failing: HashMap<String, Millis>,
-    /// Time at which the path was found to be lost; `None` while it isn't.
+    /// Servers whose last direct connection failed.
+    failing: HashMap<String, Failures>,
+    /// Time of the last direct connection to any server.
+    last_opened: Millis,
+    /// Time at which the path to all servers was found to be lost; `None` while it isn't.
     lost_since: Option<Millis>,
+    /// Time of the next probe while the path to all servers is lost.
+    next_probe: Millis,
 }
 
 impl Path {
-    /// Records that a connection to a server was opened. Returns how long the path was lost, if it was.
-    pub fn record_opened(&mut self, now: Millis) -> Option<Millis> {
-        self.failing.clear();
-        self.lost_since.take().map(|since| now.saturating_sub(since))
+    /// Records that a direct connection to a server was opened. Returns how long the path to all servers was lost, if it
+    /// was.
+    pub fn record_opened(&mut self, server: &str, now: Millis) -> Option<Millis> {
+        self.failing.remove(server);
+        self.last_opened = now;
+        let lost_since = self.lost_since.take()?;
+        // The path to the others is probably restored as well: they are probed on their next use.
+        self.failing.values_mut().for_each(|failures| failures.next_probe = now);
+        Some(now.saturating_sub(lost_since))
     }
 
-    /// Records that a connection to a server failed. Returns the number of failing servers if the path is lost as of now.
-    pub fn record_failed(&mut self, server: &str, now: Millis) -> Option<usize> {
-        self.failing.retain(|_, at| now < *at + FAILURE_TTL);
-        self.failing.insert(server.to_owned(), now);
-        let is_lost = self.failing.len() >= MIN_FAILING_SERVERS;
-        if !is_lost || self.lost_since.is_some() {
+    /// Records that a direct connection to a server failed; `refused` is false if it was silent. Returns the number of
+    /// failing servers if the path to all servers is lost as of now.
+    pub fn record_failed(&mut self, server: &str, refused: bool, now: Millis) -> Option<usize> {
+        self.failing.retain(|_, failures| now < failures.at + FAILURE_TTL);
+        let failures = self.failing.entry(server.to_owned()).or_default();
+        *failures = Failures { count: failures.count + 1, at: now, refused, next_probe: now + PROBE_INTERVAL };
+        let last_opened = self.last_opened;
+        let failing = self.failing.values().filter(|failures| failures.at >= last_opened).count();
+        if failing < MIN_FAILING_SERVERS || self.lost_since.is_some() {
             return None;
         }
         self.lost_since = Some(now);
-        Some(self.failing.len())
+        self.next_probe = now + PROBE_INTERVAL;
+        Some(failing)
+    }
+
+    /// Returns how to connect to a server.
+    pub fn way(&mut self, server: &str, now: Millis) -> Way {
+        let next_probe = if self.lost_since.is_some() {
+            &mut self.next_probe
+        } else {
+            match self.failing.get_mut(server) {
+                Some(failures) if failures.is_lost(now) => &mut failures.next_probe,
+                _ => return Way::Direct,
+            }
+        };
+        let probe = now >= *next_probe;
+        if probe {
+            *next_probe = now + PROBE_INTERVAL;
+        }
+        Way::Tunnel { probe }
     }
 
-    /// True while the path is lost.
+    /// True while the path to this server is lost.
+    #[must_use]
+    pub fn is_lost_to(&self, server: &str, now: Millis) -> bool {
+        self.is_lost() || self.failing.get(server).is_some_and(|failures| failures.is_lost(now))
+    }
+
+    /// True while the path to all servers is lost.
     #[must_use]
     pub fn is_lost(&self) -> bool {
         self.lost_since.is_some()
     }
+
+    /// True if open connections to a server may still work although new ones fail: these were refused, not silent.
+    #[must_use]
+    pub fn may_use_open(&self, server: &str) -> bool {
+        self.failing.get(server).is_none_or(|failures| failures.refused)
+    }
+}
+
+impl Failures {
+    fn is_lost(&self, now: Millis) -> bool {
+        self.count >= MIN_FAILURES && now < self.at + FAILURE_TTL
+    }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to send a request to one server.
 
+use crate::connect_error::ConnectError;
 use crate::connections::{Connection, Connections};
 use crate::header_codec::{Dispatch, Verdict};
 use crate::shared::Shared;
@@ -10,6 +11,8 @@
 use placement::Millis;
 use routing::Server;
 use std::cell::Cell;
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Size limit of an answer that isn't a stream. Such answers are buffered completely, so that a truncated one is never
 /// forwarded.
@@ -21,8 +24,10 @@
 
 /// The result of one send.
 pub(crate) enum SendOutcome {
-    /// No connection: nothing was sent.
+    /// The server accepts no connection: nothing was sent.
     Unreached(String),
+    /// This box has lost its path to the server, and no other box helped: nothing was sent.
+    NoPath(String),
     /// The server reported that it did not run the request.
     NotRun(String),
     /// Nothing was sent: the send was no longer allowed once a connection was there, for this reason.
@@ -55,20 +60,24 @@
 /// Sends a request and waits for the response head.
 ///
 /// `in_flight` becomes true before the first byte may be sent, and is reset only if the request certainly did not run.
+/// `via` becomes the box that the connection goes through.
 pub(crate) async fn send(
     shared: &Shared,
     connections: &Connections,
-    server: &Server,
+    server: &Arc<Server>,
     message: &OutgoingRequest<'_>,
     dispatch: &Dispatch<'_>,
     in_flight: &Cell<bool>,
+    via: &Cell<Option<SocketAddr>>,
 ) -> SendOutcome {
     let mut request = build_request(shared, server, message, dispatch);
     for _ in 0..MAX_STALE_CONNECTIONS {
-        let mut connection = match connections.open(&server.id, server.address).await {
+        let mut connection = match connections.open(server).await {
             Ok(connection) => connection,
-            Err(why) => return SendOutcome::Unreached(why.to_string()),
+            Err(why @ ConnectError::Server(_)) => return SendOutcome::Unreached(why.to_string()),
+            Err(why @ ConnectError::NoPath(_)) => return SendOutcome::NoPath(why.to_string()),
         };
+        via.set(connection.via);
         if let Some(why) = withdrawal_reason(shared, server, message) {
             return SendOutcome::Withdrawn(why);
         }
--- /dev/null
+++ b/crates/relay/src/connect_error.rs
@@ -0,0 +1,22 @@
+//! Reasons why there is no connection to a server.
+
+use std::fmt;
+use std::io;
+
+/// The reason why a connection to a server could not be opened.
+#[derive(Debug)]
+pub(crate) enum ConnectError {
+    /// The server refuses connections or doesn't answer, as far as this box can tell.
+    Server(io::Error),
+    /// This box has lost its path to the server, and no other box opened a connection. Says nothing about the server.
+    NoPath(String),
+}
+
+impl fmt::Display for ConnectError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Server(why) => why.fmt(f),
+            Self::NoPath(why) => write!(f, "no path: {why}"),
+        }
+    }
+}
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -1,22 +1,22 @@
 //! Connection pool for servers.
 
-use crate::connect_timeout::ConnectTimeout;
-use crate::liveness::enable_dead_peer_detection;
+use crate::connect_error::ConnectError;
+use crate::dialer::Dialer;
 use crate::resettable_stream::ResettableStream;
+use crate::Shared;
 use bytes::Bytes;
-use clock::Clock;
 use http::{header, HeaderMap};
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
-use placement::{Millis, Path};
+use placement::{Millis, Way};
+use routing::Server;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
-use telemetry::Event;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -40,6 +40,8 @@
     task: AbortHandle,
     /// Idle time limit.
     idle_timeout: Duration,
+    /// The box that it goes through; `None` for a direct one.
+    pub(crate) via: Option<SocketAddr>,
     /// Set while an exchange is in progress. The connection is reset if it is dropped in that state.
     busy: Rc<Cell<bool>>,
 }
@@ -59,103 +61,133 @@
 /// Idle connections of one traffic thread, by server instance.
 #[derive(Clone)]
 pub(crate) struct Connections {
-    clock: Arc<dyn Clock>,
+    shared: Arc<Shared>,
     idle: Rc<RefCell<HashMap<String, Vec<IdleConnection>>>>,
-    /// Time limit for new connections.
-    connect_timeout: Rc<Cell<ConnectTimeout>>,
-    /// This box's path to the servers.
-    path: Rc<RefCell<Path>>,
+    dialer: Rc<Dialer>,
 }
 
 impl Connections {
-    pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
-        Self { clock, idle: Rc::default(), connect_timeout: Rc::default(), path: Rc::default() }
+    pub(crate) fn new(shared: &Arc<Shared>, tunnels: Option<tunnel::Client>) -> Self {
+        let dialer = Dialer::new(Arc::clone(shared), tunnels);
+        Self { shared: Arc::clone(shared), idle: Rc::default(), dialer: Rc::new(dialer) }
     }
 
     /// Returns the most recently used idle connection to a server, or opens a new one.
-    pub(crate) async fn open(&self, instance: &str, address: SocketAddr) -> std::io::Result<Connection> {
-        match self.take_idle(instance) {
-            Some(connection) => Ok(connection),
-            None => self.open_new(instance, address).await,
+    pub(crate) async fn open(&self, server: &Arc<Server>) -> Result<Connection, ConnectError> {
+        match self.dialer.way(&server.id) {
+            Way::Direct => {
+                if let Some(connection) = self.take_idle(&server.id, |connection| connection.via.is_none()) {
+                    return Ok(connection);
+                }
+                self.open_new(server).await
+            }
+            Way::Tunnel { probe } => {
+                if probe {
+                    self.probe_path(server);
+                }
+                let use_direct = self.dialer.may_use_open(&server.id);
+                if let Some(connection) =
+                    self.take_idle(&server.id, |connection| use_direct || connection.via.is_some())
+                {
+                    return Ok(connection);
+                }
+                self.open_tunnel(server).await
+            }
         }
     }
 
-    /// Checks whether a server accepts new connections. A successful connection is kept in the pool.
-    pub(crate) async fn probe(&self, instance: &str, address: SocketAddr) -> std::io::Result<()> {
-        let connection = self.open_new(instance, address).await?;
-        self.release(instance, connection, &HeaderMap::new());
-        Ok(())
+    /// Opens a direct connection, or one through another box if the direct one fails since this box has lost its path.
+    async fn open_new(&self, server: &Server) -> Result<Connection, ConnectError> {
+        match self.open_direct(server).await {
+            Ok(connection) => Ok(connection),
+            Err(_) if self.is_lost_to(&server.id) => self.open_tunnel(server).await,
+            Err(why) => Err(ConnectError::Server(why)),
+        }
     }
 
-    async fn open_new(&self, instance: &str, address: SocketAddr) -> std::io::Result<Connection> {
-        let connected = self.connect(address).await;
-        self.record_connect(instance, &connected);
-        connected
+    async fn open_direct(&self, server: &Server) -> std::io::Result<Connection> {
+        let stream = self.dialer.dial(server).await?;
+        start_connection(stream, server.address, None).await
     }
 
-    /// Counts the result of a connection attempt, and logs when this box's path to the servers is lost or restored.
-    fn record_connect(&self, instance: &str, connected: &std::io::Result<Connection>) {
-        let now = self.clock.now();
-        let mut path = self.path.borrow_mut();
-        match connected {
-            Ok(_) => {
-                if let Some(ms) = path.record_opened(now) {
-                    telemetry::emit(Event::ServerPathRestored, format_args!("server={instance} ms={ms}"));
-                }
+    async fn open_tunnel(&self, server: &Server) -> Result<Connection, ConnectError> {
+        let (stream, via) = self.dialer.dial_tunnel(server).await?;
+        start_connection(stream, server.address, Some(via)).await.map_err(|why| ConnectError::NoPath(why.to_string()))
+    }
+
+    /// Opens a direct connection without a request, for another box.
+    pub(crate) async fn open_stream(&self, server: &Server) -> std::io::Result<TcpStream> {
+        self.dialer.dial(server).await
+    }
+
+    /// Tries a direct connection in the background. A successful one is kept in the pool.
+    fn probe_path(&self, server: &Arc<Server>) {
+        let (this, server) = (self.clone(), Arc::clone(server));
+        tokio::task::spawn_local(async move {
+            // The dialer has recorded a failure.
+            if let Ok(connection) = this.open_direct(&server).await {
+                this.release(&server.id, connection, &HeaderMap::new());
             }
-            Err(why) => {
-                metrics::counter!("cleatshelf_connections_failed_total", "why" => failure_label(why.kind()))
-                    .increment(1);
-                if let Some(servers) = path.record_failed(instance, now) {
-                    telemetry::emit(Event::ServerPathLost, format_args!("servers={servers} why=\"{why}\""));
-                }
+        });
+    }
+
+    /// Checks whether a server accepts new connections. A successful connection is kept in the pool. A refusal may come
+    /// from the network between this box and the server, so it counts only if no other box reaches the server.
+    pub(crate) async fn probe(&self, server: &Server) -> std::io::Result<()> {
+        let connection = match self.open_direct(server).await {
+            Ok(connection) => connection,
+            Err(why) if why.kind() == ErrorKind::ConnectionRefused => {
+                self.open_tunnel(server).await.map_err(|_| why)?
             }
-        }
+            Err(why) => return Err(why),
+        };
+        self.release(&server.id, connection, &HeaderMap::new());
+        Ok(())
     }
 
-    async fn connect(&self, address: SocketAddr) -> std::io::Result<Connection> {
-        let mut connect_timeout = self.connect_timeout.get();
-        let started = Instant::now();
-        let connected = tokio::time::timeout(connect_timeout.timeout(), connect(address)).await;
-        // Other tasks may have updated the estimate in the meantime.
-        connect_timeout = self.connect_timeout.get();
-        match &connected {
-            Ok(Ok(_)) => connect_timeout.record_connected(started.elapsed()),
-            // An immediate refusal is no sample of the time that connections take.
-            Ok(Err(_)) => {}
-            Err(_) => connect_timeout.record_timeout(),
-        }
-        self.connect_timeout.set(connect_timeout);
-        connected.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
+    /// True while this box's path to the server instance is lost.
+    pub(crate) fn is_lost_to(&self, instance: &str) -> bool {
+        self.dialer.is_lost_to(instance)
     }
 
-    fn take_idle(&self, instance: &str) -> Option<Connection> {
+    /// True while this box's path to all servers is lost.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.dialer.is_lost()
+    }
+
+    /// Returns the most recently used idle connection to a server that is acceptable. Drops those that can't be used any
+    /// more.
+    fn take_idle(&self, instance: &str, is_acceptable: impl Fn(&Connection) -> bool) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(instance)?;
-        while let Some((connection, since)) = connections.pop() {
-            if self.is_usable(&connection, since) && connection.sender.is_ready() {
-                connection.busy.set(true);
-                return Some(connection);
-            }
+        connections.retain(|(connection, since)| self.is_usable(connection, *since) && connection.sender.is_ready());
+        let position = connections.iter().rposition(|(connection, _)| is_acceptable(connection));
+        let taken = position.map(|position| connections.remove(position).0);
+        if connections.is_empty() {
+            idle.remove(instance);
         }
-        idle.remove(instance);
-        None
+        taken.inspect(|connection| connection.busy.set(true))
     }
 
-    /// Returns true if a connection that is idle since `since` may still be used.
+    /// Returns true if a connection that is idle since `since` may still be used. One through a box that has left would
+    /// hold up that box's stop.
     fn is_usable(&self, connection: &Connection, since: Millis) -> bool {
-        u128::from(self.clock.now().saturating_sub(since)) < connection.idle_timeout.as_millis()
+        let is_fresh = u128::from(self.shared.now().saturating_sub(since)) < connection.idle_timeout.as_millis();
+        is_fresh && connection.via.is_none_or(|via| self.shared.peer_client.tunnel_boxes().contains(via))
     }
 
     /// Returns a connection to the pool after its exchange, unless the server wants it closed.
     pub(crate) fn release(&self, instance: &str, mut connection: Connection, headers: &HeaderMap) {
         let Some(idle_timeout) = idle_timeout(headers) else { return };
+        connection.busy.set(false);
+        if connection.via.is_some() && !self.is_lost_to(instance) {
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(instance.to_owned()).or_default();
         if connections.len() < MAX_IDLE_PER_SERVER {
             connection.idle_timeout = idle_timeout;
-            connection.busy.set(false);
-            connections.push((connection, self.clock.now()));
+            connections.push((connection, self.shared.now()));
         }
     }
 
@@ -168,15 +200,6 @@
     }
 }
 
-/// Returns the metric label of a failed connection attempt.
-fn failure_label(kind: ErrorKind) -> &'static str {
-    match kind {
-        ErrorKind::ConnectionRefused => "refused",
-        ErrorKind::TimedOut => "timed_out",
-        _ => "other",
-    }
-}
-
 /// Returns the idle time limit after a response with these headers, or `None` if the connection must be closed.
 fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = |name: header::HeaderName| headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default();
@@ -189,9 +212,12 @@
     Duration::from_secs(seconds).checked_sub(IDLE_MARGIN)
 }
 
-async fn connect(address: SocketAddr) -> std::io::Result<Connection> {
-    let stream = TcpStream::connect(address).await?;
-    enable_dead_peer_detection(&stream);
+/// Starts HTTP on a network connection to the server at `address`, through the box `via`.
+async fn start_connection(
+    stream: TcpStream,
+    address: SocketAddr,
+    via: Option<SocketAddr>,
+) -> std::io::Result<Connection> {
     let busy = Rc::new(Cell::new(true));
     let handshake = hyper::client::conn::http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
@@ -205,5 +231,5 @@
         }
     });
     metrics::counter!("cleatshelf_connections_opened_total").increment(1);
-    Ok(Connection { sender, task: task.abort_handle(), idle_timeout: IDLE_TIMEOUT, busy })
+    Ok(Connection { sender, task: task.abort_handle(), idle_timeout: IDLE_TIMEOUT, via, busy })
 }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -61,7 +61,7 @@
     }
 
     async fn probe(self, shared: Arc<Shared>, connections: Connections, server: Arc<Server>) {
-        let reached = connections.probe(&server.id, server.address).await;
+        let reached = connections.probe(&server).await;
         // Dropping `_done` at the end of this function closes the receivers.
         let Probe { requests, done: _done } = self.probes.borrow_mut().remove(&server.id).unwrap_or_default();
         let refused = matches!(&reached, Err(why) if why.kind() == ErrorKind::ConnectionRefused);
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -139,6 +139,7 @@
 
     pub(crate) fn on_deadline(&mut self) -> Response<Body> {
         let server = self.tried.last().filter(|_| !self.awaits_slot && !self.route.kind.is_stream());
+        let server = server.filter(|server| !self.connections.is_lost_to(server));
         if let Some(server) = server {
             // A plain server that doesn't answer within the deadline is considered broken; an engine may only be busy.
             let now = self.shared.now();
@@ -153,6 +154,10 @@
 
     /// Returns what the request got nothing for, if that has to do with load.
     fn loss(&self, outcome: Outcome) -> Option<Loss> {
+        if self.lacked_path || self.connections.is_lost() {
+            // Whether slots are short can't be told by a box that has no path to them.
+            return None;
+        }
         match self.refusal {
             // Servers also turn requests away while they have free slots, which is a fault and no sign of load.
             Some(Cause::NotTaken) if !self.sent_to_busy => None,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -18,6 +18,7 @@
 use routing::{Customer, Kind, Route};
 use std::cell::{Cell, OnceCell};
 use std::fmt::Write;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use telemetry::Event;
@@ -61,6 +62,10 @@
     pub(crate) sends: u32,
     /// Number of sends that failed to reach a server.
     pub(crate) unreached: usize,
+    /// True if a send failed since this box has lost its path to the server.
+    pub(crate) lacked_path: bool,
+    /// The box that the connection of the last send went through; `None` for a direct one.
+    pub(crate) via: Cell<Option<SocketAddr>>,
     /// True if the server of the last send had no free slot, as far as this box knew.
     pub(crate) sent_to_busy: bool,
     /// Expiry of the permit for the current send; `None` if the server needs no permit.
@@ -197,7 +202,14 @@
         let service = &self.service;
         let message =
             OutgoingRequest { id: &self.call.id, parts: &self.parts, body: &self.body, service, permit_expires };
-        attempt::send(&self.shared, &self.connections, &server, &message, &dispatch, &self.in_flight).await
+        self.via.set(None);
+        let sent =
+            attempt::send(&self.shared, &self.connections, &server, &message, &dispatch, &self.in_flight, &self.via)
+                .await;
+        if let Some(via) = self.via.get() {
+            let _ = write!(self.trail, " via {via}");
+        }
+        sent
     }
 
     /// Forwards a complete answer, unless it is a failure and another send is possible.
@@ -241,6 +253,10 @@
     fn record_failed_send(&mut self, sent: SendOutcome, slot: SlotGuard) -> NextStep {
         let (ending, why) = match sent {
             SendOutcome::Unreached(why) => (Ending::Unreached, why),
+            SendOutcome::NoPath(why) => {
+                self.lacked_path = true;
+                (Ending::Left, why)
+            }
             SendOutcome::NotRun(why) => (Ending::NotRun, why),
             SendOutcome::Broken(why) => (Ending::Broken, why),
             SendOutcome::Withdrawn(why) => (Ending::Left, why.to_owned()),
@@ -250,7 +266,7 @@
         if ending == Ending::Broken {
             self.on_connection_lost(&slot);
         }
-        slot.finish(ending);
+        slot.finish(self.server_ending(ending));
         if matches!(ending, Ending::Unreached | Ending::Left) {
             self.unreached += 1;
             return if self.unreached <= MAX_UNREACHED_SERVERS && self.has_time_left() {
@@ -269,6 +285,17 @@
         }
     }
 
+    /// Returns what a failed send says about its server. Connections that break or hang while this box has lost its path
+    /// say nothing; counted as failures, they would pause every server at every box.
+    pub(crate) fn server_ending(&self, ending: Ending) -> Ending {
+        let is_own = ending == Ending::Broken && (self.connections.is_lost() || self.via.get().is_some());
+        if is_own {
+            Ending::Left
+        } else {
+            ending
+        }
+    }
+
     /// Returns true if the route's attempts, the time and the shared retry budget permit another send.
     pub(crate) fn may_send_again(&mut self) -> bool {
         if self.sends >= self.route.max_attempts || !self.has_time_left() {
--- a/crates/relay/src/frontend.rs
+++ b/crates/relay/src/frontend.rs
@@ -7,6 +7,7 @@
 use crate::liveness::enable_dead_peer_detection;
 use crate::stream_forwarder::StreamForwarder;
 use crate::timing::Timing;
+use crate::tunnel_connector::TunnelConnector;
 use crate::{Body, Shared};
 use bytes::Bytes;
 use http::{header, request, HeaderValue, Request, Response, StatusCode};
@@ -74,7 +75,7 @@
     #[must_use]
     pub fn new(shared: Arc<Shared>, max_connections: usize) -> Self {
         Self {
-            connections: Connections::new(shared.clock()),
+            connections: Connections::new(&shared, None),
             shared,
             crash_detector: CrashDetector::default(),
             max_connections,
@@ -83,6 +84,18 @@
         }
     }
 
+    /// Reaches servers through other boxes while this box has lost its own path to them.
+    #[must_use]
+    pub fn with_tunnels(self, tunnels: tunnel::Client) -> Self {
+        Self { connections: Connections::new(&self.shared, Some(tunnels)), ..self }
+    }
+
+    /// Returns what opens connections to servers for other boxes, on the same thread.
+    #[must_use]
+    pub fn tunnel_connector(&self) -> Rc<dyn tunnel::Connector> {
+        Rc::new(TunnelConnector { shared: Arc::clone(&self.shared), connections: self.connections.clone() })
+    }
+
     /// Accepts connections until `stop` is set and the drain delay has passed, then waits for open connections.
     pub async fn run(self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
         let this = Rc::new(self);
@@ -246,6 +259,8 @@
             crash_probe: None,
             sends: 0,
             unreached: 0,
+            lacked_path: false,
+            via: Cell::default(),
             permit_expires: None,
             awaits_slot: false,
             slot_retry: None,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,9 +11,11 @@
 mod answer;
 mod attempt;
 mod choose;
+mod connect_error;
 mod connect_timeout;
 mod connections;
 mod crash;
+mod dialer;
 mod ending;
 mod event_splitter;
 mod exchange;
@@ -34,6 +36,8 @@
 mod stream_forwarder;
 mod suspects;
 mod timing;
+mod tunnel_boxes;
+mod tunnel_connector;
 
 pub use connect_timeout::ConnectTimeout;
 pub use event_splitter::EventSplitter;
@@ -45,6 +49,7 @@
 pub use readiness::ReadinessServer;
 pub use retry_delay::{Cause, Queue, Returns, Turn};
 pub use shared::{Dependencies, Shared, View};
+pub use tunnel_boxes::TunnelBoxes;
 
 /// The body of a response to a caller.
 pub type Body = http_body_util::combinators::UnsyncBoxBody<bytes::Bytes, TruncatedAnswer>;
--- a/crates/relay/src/peer_client.rs
+++ b/crates/relay/src/peer_client.rs
@@ -1,11 +1,13 @@
 //! Interface to the other boxes and to the owners of servers.
 
+use crate::TunnelBoxes;
 use dispatch::{SlotRelease, SlotReply, SlotRequest};
 use placement::{
     Fingerprint, LimitUpdate, LivenessEvidence, PermitReply, PermitRequest, SendReport, ServerStatus, StatusQuery,
     SuspectRecord,
 };
 use routing::Server;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
@@ -55,6 +57,9 @@
     /// Records that the owner of `server` did not reply in time.
     fn on_missed_reply(&self, server: &Server);
 
+    /// Returns the boxes through which this one may reach servers.
+    fn tunnel_boxes(&self) -> Arc<TunnelBoxes>;
+
     /// Broadcasts suspected or cleared requests, and evidence that servers reported as terminated are alive.
     fn broadcast_suspects(&self, records: Vec<SuspectRecord>, evidence: Vec<LivenessEvidence>);
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -90,11 +90,6 @@
         self.clock.now().saturating_sub(self.started)
     }
 
-    /// Returns the clock behind [`Shared::now`].
-    pub(crate) fn clock(&self) -> Arc<dyn Clock> {
-        Arc::clone(&self.clock)
-    }
-
     /// Returns the configuration and servers in force.
     #[must_use]
     pub fn view(&self) -> Arc<View> {
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -92,7 +92,7 @@
                 // it.
                 drop(answer);
                 self.exchange.on_connection_lost(&slot);
-                slot.finish(Ending::Broken);
+                slot.finish(self.exchange.server_ending(Ending::Broken));
                 self.resume_elsewhere(&why).await
             }
         }
