relay: a box whose open connections to servers hang finds out by one silent request

Callers of a box whose links to all servers went silent lost one request on each connection that was open already, up to their time limit: nothing but a new connection showed the loss of the path, and a box with few requests and many kept connections opens none.

A request that waits 400 ms while nothing is heard of any server makes the box try a direct connection to its server, and to another one if that fails, at most once a second. If both fail the path is lost, and open connections that hang are not used meanwhile.

--- a/crates/placement/src/path.rs
+++ b/crates/placement/src/path.rs
@@ -16,6 +16,12 @@
 /// Interval between probes of the path while it is lost: bounds the time until a restored path is used again.
 const PROBE_INTERVAL: Millis = 300;
 
+/// Time without any byte from any server after which a waiting request is a reason to check the path.
+const MAX_SILENCE: Millis = 400;
+
+/// Interval between such checks.
+const SILENCE_CHECK_INTERVAL: Millis = 1_000;
+
 /// How a connection to a server should be opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
@@ -54,9 +60,36 @@
     lost_since: Option<Millis>,
     /// Time of the next probe while the path to all servers is lost.
     next_probe: Millis,
+    /// True if the last failed connection was refused rather than silent.
+    last_refused: bool,
+    /// Time at which bytes of any server last arrived.
+    last_heard: Millis,
+    /// Time of the next check because of silence.
+    next_check: Millis,
 }
 
 impl Path {
+    /// Records that bytes of a server arrived.
+    pub fn record_heard(&mut self, now: Millis) {
+        self.last_heard = now;
+    }
+
+    /// Returns when a request that was sent at `sent` and still waits is a reason to check the path, unless a server is
+    /// heard until then.
+    #[must_use]
+    pub fn check_at(&self, sent: Millis) -> Millis {
+        (self.last_heard.max(sent) + MAX_SILENCE).max(self.next_check)
+    }
+
+    /// Returns true if the path should be checked by new connections, since requests wait and no server is heard.
+    pub fn begin_check(&mut self, sent: Millis, now: Millis) -> bool {
+        let is_due = self.lost_since.is_none() && now >= self.check_at(sent);
+        if is_due {
+            self.next_check = now + SILENCE_CHECK_INTERVAL;
+        }
+        is_due
+    }
+
     /// Records that a direct connection to a server was opened. Returns how long the path to all servers was lost, if it
     /// was.
     pub fn record_opened(&mut self, server: &str, now: Millis) -> Option<Millis> {
@@ -72,6 +105,7 @@
     /// failing servers if the path to all servers is lost as of now.
     pub fn record_failed(&mut self, server: &str, refused: bool, now: Millis) -> Option<usize> {
         self.failing.retain(|_, failures| now < failures.at + FAILURE_TTL);
+        self.last_refused = refused;
         let failures = self.failing.entry(server.to_owned()).or_default();
         *failures = Failures { count: failures.count + 1, at: now, refused, next_probe: now + PROBE_INTERVAL };
         let last_opened = self.last_opened;
@@ -116,7 +150,7 @@
     /// True if open connections to a server may still work although new ones fail: these were refused, not silent.
     #[must_use]
     pub fn may_use_open(&self, server: &str) -> bool {
-        self.failing.get(server).is_none_or(|failures| failures.refused)
+        self.failing.get(server).map_or(self.last_refused || !self.is_lost(), |failures| failures.refused)
     }
 }
 
--- a/crates/placement/tests/path.rs
+++ b/crates/placement/tests/path.rs
@@ -68,3 +68,16 @@
     assert_eq!((path.is_lost(), path.is_lost_to("i-1", 30), path.is_lost_to("i-2", 30)), (false, true, false));
     assert_eq!((path.way("i-1", 30), path.way("i-2", 30)), (TUNNEL, Way::Direct));
 }
+
+/// Guards against a box whose open connections hang, and which opens no new ones that would show it.
+#[test]
+fn a_request_that_waits_while_no_server_is_heard_is_a_reason_to_check_the_path() {
+    let mut path = Path::default();
+    path.record_heard(900);
+    assert_eq!((path.check_at(1_000), path.begin_check(1_000, 1_399)), (1_400, false));
+    path.record_heard(1_300);
+    assert_eq!((path.check_at(1_000), path.begin_check(1_000, 1_400)), (1_700, false));
+    assert!(path.begin_check(1_000, 1_700));
+    assert!(!path.begin_check(1_000, 2_000), "checks are rare");
+    assert!(path.begin_check(1_000, 2_700));
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -83,7 +83,8 @@
         }
         in_flight.set(true);
         let sent = shared.now();
-        match connection.sender.try_send_request(request).await {
+        let answer = connection.sender.try_send_request(request);
+        match connections.watch_silence(server, sent, answer).await {
             Ok(response) => {
                 let sent = classify_answer(shared, server, message.id, sent, response, connection);
                 in_flight.set(!matches!(sent, SendOutcome::NotRun(_)));
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -12,6 +12,7 @@
 use routing::Server;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::Future;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,6 +28,9 @@
 /// server is closing.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Shortest interval between looks at a waiting request, in milliseconds.
+const MIN_CHECK_DELAY: Millis = 200;
+
 /// Maximum number of idle connections kept per server.
 const MAX_IDLE_PER_SERVER: usize = 24;
 
@@ -115,6 +119,53 @@
         start_connection(stream, server.address, Some(via)).await.map_err(|why| ConnectError::NoPath(why.to_string()))
     }
 
+    /// Waits for an answer of a server, and checks this box's path if no server is heard meanwhile.
+    pub(crate) async fn watch_silence<T>(
+        &self,
+        server: &Arc<Server>,
+        sent: Millis,
+        answer: impl Future<Output = T>,
+    ) -> T {
+        let mut answer = std::pin::pin!(answer);
+        let answered = loop {
+            let wait = self.dialer.check_at(sent).saturating_sub(self.shared.now()).max(MIN_CHECK_DELAY);
+            match tokio::time::timeout(Duration::from_millis(wait), answer.as_mut()).await {
+                Ok(answered) => break answered,
+                Err(_) if self.dialer.begin_check(sent) => self.check_path(server),
+                Err(_) => {}
+            }
+        };
+        self.dialer.record_heard();
+        answered
+    }
+
+    /// Records that bytes of a server arrived.
+    pub(crate) fn record_heard(&self) {
+        self.dialer.record_heard();
+    }
+
+    /// Tries a direct connection to a silent server in the background, and one to another server if that fails.
+    fn check_path(&self, silent: &Arc<Server>) {
+        let (this, silent) = (self.clone(), Arc::clone(silent));
+        tokio::task::spawn_local(async move {
+            let other = this.used_server_except(&silent.id);
+            for server in std::iter::once(silent).chain(other) {
+                // The dialer has recorded a failure.
+                if let Ok(connection) = this.open_direct(&server).await {
+                    this.release(&server.id, connection, &HeaderMap::new());
+                    return;
+                }
+            }
+        });
+    }
+
+    /// Returns a listed server with an idle connection, other than this one.
+    fn used_server_except(&self, instance: &str) -> Option<Arc<Server>> {
+        let idle = self.idle.borrow();
+        let mut others = idle.keys().filter(|other| *other != instance);
+        others.find_map(|other| self.shared.placement().listed(other).cloned())
+    }
+
     /// Opens a direct connection without a request, for another box.
     pub(crate) async fn open_stream(&self, server: &Server) -> std::io::Result<TcpStream> {
         self.dialer.dial(server).await
--- a/crates/relay/src/dialer.rs
+++ b/crates/relay/src/dialer.rs
@@ -5,7 +5,7 @@
 use crate::liveness::enable_dead_peer_detection;
 use crate::tunnel_boxes::TunnelChoice;
 use crate::Shared;
-use placement::{Path, Way};
+use placement::{Millis, Path, Way};
 use routing::Server;
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
@@ -72,6 +72,21 @@
         self.path.borrow().may_use_open(instance)
     }
 
+    /// Records that bytes of a server arrived.
+    pub(crate) fn record_heard(&self) {
+        self.path.borrow_mut().record_heard(self.shared.now());
+    }
+
+    /// Returns when a request that was sent at `sent` and still waits is a reason to check this box's path.
+    pub(crate) fn check_at(&self, sent: Millis) -> Millis {
+        self.path.borrow().check_at(sent)
+    }
+
+    /// Returns true if the path should be checked now for that request.
+    pub(crate) fn begin_check(&self, sent: Millis) -> bool {
+        self.path.borrow_mut().begin_check(sent, self.shared.now())
+    }
+
     /// Opens a direct connection.
     pub(crate) async fn dial(&self, server: &Server) -> io::Result<TcpStream> {
         let mut connect_timeout = self.connect_timeout.get();
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -111,6 +111,7 @@
                 Some(Err(why)) => return StreamEnd::ConnectionLost(why.to_string()),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
+            self.exchange.connections.record_heard();
             let whole = self.events.feed(&bytes);
             if self.events.is_oversized() {
                 return StreamEnd::ConnectionLost("an event without end".to_owned());
