relay, placement: a server that is silent for a second is not taken for a dead one

And with a TCP user timeout of 1.5 s the kernel gives up a connection at the first keep-alive probe that is unanswered for that long, whatever their number, so that one probe in a silent second ended connections with requests in progress.

Connections of callers, other boxes and the store keep 1.5 s.

--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -14,6 +14,8 @@
     NotRun,
     /// No answer, or a broken one.
     Broken,
+    /// No answer in time; the request was given up there in favour of another server. The server may only be paused.
+    Silent,
     /// No connection; nothing was sent.
     Unreached,
     /// Ended by the caller; says nothing about the server.
@@ -51,6 +53,7 @@
             Ending::Failed => self.record_answer(1.0),
             Ending::NotRun | Ending::Left => {}
             Ending::Broken | Ending::Unreached => self.record_disconnect(ending, now),
+            Ending::Silent => self.record_silence(now),
         }
     }
 
@@ -70,6 +73,12 @@
         }
     }
 
+    /// A sound server may be silent for a second, so this is no failure: the pause doesn't grow with the number of requests
+    /// that the server has then, and ends without a probe.
+    fn record_silence(&mut self, now: Millis) {
+        self.pause_until = self.pause_until.max(now + MIN_PAUSE);
+    }
+
     /// True while the server is paused.
     #[must_use]
     pub fn is_paused(&self, now: Millis) -> bool {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -34,6 +34,8 @@
     Withdrawn(&'static str),
     /// The request was sent but there is no usable answer. It may have run.
     Broken(String),
+    /// The request was sent and given up there, since there was no answer in time. It may have run.
+    Silent,
     /// The response head arrived.
     Answer(Box<Answer>),
 }
--- a/crates/relay/src/dialer.rs
+++ b/crates/relay/src/dialer.rs
@@ -2,7 +2,7 @@
 
 use crate::connect_error::ConnectError;
 use crate::connect_timeout::ConnectTimeout;
-use crate::liveness::enable_dead_peer_detection;
+use crate::liveness::{enable_dead_peer_detection, enable_dead_server_detection};
 use crate::tunnel_boxes::TunnelChoice;
 use crate::Shared;
 use placement::{Millis, Path, Way};
@@ -97,7 +97,7 @@
         match &connected {
             Ok(Ok(stream)) => {
                 connect_timeout.record_connected(started.elapsed());
-                enable_dead_peer_detection(stream);
+                enable_dead_server_detection(stream);
             }
             // An immediate refusal is no sample of the time that connections take.
             Ok(Err(_)) => {}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -139,7 +139,7 @@
         let fetched = match self.silence_timeout(&choice) {
             Some(timeout) => tokio::time::timeout(timeout, self.send_and_read(&choice))
                 .await
-                .unwrap_or_else(|_| Fetched::Nothing(SendOutcome::Broken("silent".to_owned()))),
+                .unwrap_or(Fetched::Nothing(SendOutcome::Silent)),
             None => self.send_and_read(&choice).await,
         };
         if !matches!(fetched, Fetched::Nothing(_)) {
@@ -259,6 +259,7 @@
             }
             SendOutcome::NotRun(why) => (Ending::NotRun, why),
             SendOutcome::Broken(why) => (Ending::Broken, why),
+            SendOutcome::Silent => (Ending::Silent, "no answer in time".to_owned()),
             SendOutcome::Withdrawn(why) => (Ending::Left, why.to_owned()),
             SendOutcome::Answer(_) => (Ending::Broken, "an answer out of place".to_owned()),
         };
@@ -276,7 +277,7 @@
             };
         }
         self.sends += 1;
-        self.may_have_run |= ending == Ending::Broken;
+        self.may_have_run |= matches!(ending, Ending::Broken | Ending::Silent);
         let allowed = !self.may_have_run || self.route.kind.is_repeatable();
         if allowed && self.may_send_again() {
             NextStep::Retry
@@ -288,7 +289,8 @@
     /// Returns what a failed send says about its server. Connections that break or hang while this box has lost its path
     /// say nothing; counted as failures, they would pause every server at every box.
     pub(crate) fn server_ending(&self, ending: Ending) -> Ending {
-        let is_own = ending == Ending::Broken && (self.connections.is_lost() || self.via.get().is_some());
+        let is_own = matches!(ending, Ending::Broken | Ending::Silent)
+            && (self.connections.is_lost() || self.via.get().is_some());
         if is_own {
             Ending::Left
         } else {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -43,7 +43,7 @@
 pub use event_splitter::EventSplitter;
 pub use frontend::Frontend;
 pub use header_codec::{Call, Dispatch, HeaderCodec, Notice, UnknownHeader, Verdict};
-pub use liveness::enable_dead_peer_detection;
+pub use liveness::{enable_dead_peer_detection, enable_dead_server_detection};
 pub use outcome::Outcome;
 pub use peer_client::{DispatcherState, PeerClient};
 pub use readiness::ReadinessServer;
--- a/crates/relay/src/slot.rs
+++ b/crates/relay/src/slot.rs
@@ -48,7 +48,7 @@
             Ending::Good => SlotEnding::Answered,
             Ending::NotRun => SlotEnding::TurnedAway,
             // The time until a failure is no service time.
-            Ending::Failed | Ending::Broken | Ending::Unreached => SlotEnding::Failed,
+            Ending::Failed | Ending::Broken | Ending::Silent | Ending::Unreached => SlotEnding::Failed,
             // The server did not answer before the deadline.
             Ending::Left if now >= self.expires => SlotEnding::Failed,
             // The caller has disconnected, or the send was withdrawn: this says nothing about the server.
