placement, dispatch: servers that say that they are brittle are sent nothing that they would turn away

So engines need a permit for a slot from their owner, which counts permits until their sends are reported, and plain services get a dispatcher as if their slots were scarce. Other boxes are told every two seconds.

--- a/crates/cleatshelf/src/router/owner_service.rs
+++ b/crates/cleatshelf/src/router/owner_service.rs
@@ -110,11 +110,13 @@
     },
     /// Announces that the sender assigns no slots for this many milliseconds; 0 if it does from now on.
     SlotPause(u32),
-    /// Hints that servers addressed to all boxes: instances that are leaving, and limits of instances. `wants_reply`
+    /// Hints that servers addressed to all boxes: instances that are leaving, limits of instances, and brittle services. `wants_reply`
     /// requests the receiver's hints.
     Notices {
         leaving: Vec<String>,
         limits: Vec<LimitUpdate>,
+        /// Services whose servers are brittle.
+        brittle: Vec<String>,
         #[serde(rename = "asks")]
         wants_reply: bool,
     },
@@ -600,14 +602,36 @@
     fn broadcast_leaving(&self, instance: &str) {
         self.0.send(
             Destination::AllViaWatchers,
-            Message::Notices { leaving: vec![instance.to_owned()], limits: Vec::new(), wants_reply: false },
+            Message::Notices {
+                leaving: vec![instance.to_owned()],
+                limits: Vec::new(),
+                brittle: Vec::new(),
+                wants_reply: false,
+            },
         );
     }
 
     fn broadcast_limit(&self, limit: &LimitUpdate) {
         self.0.send(
             Destination::AllViaWatchers,
-            Message::Notices { leaving: Vec::new(), limits: vec![limit.clone()], wants_reply: false },
+            Message::Notices {
+                leaving: Vec::new(),
+                limits: vec![limit.clone()],
+                brittle: Vec::new(),
+                wants_reply: false,
+            },
+        );
+    }
+
+    fn broadcast_brittle(&self, service: &str) {
+        self.0.send(
+            Destination::AllViaWatchers,
+            Message::Notices {
+                leaving: Vec::new(),
+                limits: Vec::new(),
+                brittle: vec![service.to_owned()],
+                wants_reply: false,
+            },
         );
     }
 
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -131,8 +131,8 @@
                         this.send_suspects(from, evidence, false);
                     }
                 }
-                Envelope::Owners(owner_service::Message::Notices { leaving, limits, wants_reply }) => {
-                    this.on_notices(from, &leaving, limits);
+                Envelope::Owners(owner_service::Message::Notices { leaving, limits, brittle, wants_reply }) => {
+                    this.on_notices(from, &leaving, limits, &brittle);
                     if wants_reply {
                         this.send_notices(from, false);
                     }
@@ -163,16 +163,17 @@
     }
 
     /// Handles server hints from another box and forwards those that are new to this one.
-    fn on_notices(&self, from: SocketAddr, leaving: &[String], limits: Vec<LimitUpdate>) {
+    fn on_notices(&self, from: SocketAddr, leaving: &[String], limits: Vec<LimitUpdate>, brittle: &[String]) {
         let leaving = self.shared.on_peer_leaving(leaving);
         let limits = self.shared.on_peer_limits(limits);
-        if leaving.is_empty() && limits.is_empty() {
+        let brittle = self.shared.on_peer_brittle(brittle);
+        if leaving.is_empty() && limits.is_empty() && brittle.is_empty() {
             return;
         }
         let boxes = self.peers.borrow().forward_targets(Some(from), self.shared.now());
         self.send_all(
             &boxes,
-            &Envelope::Owners(owner_service::Message::Notices { leaving, limits, wants_reply: false }),
+            &Envelope::Owners(owner_service::Message::Notices { leaving, limits, brittle, wants_reply: false }),
         );
     }
 
@@ -330,7 +331,9 @@
             let placement = self.shared.placement();
             (placement.leaving(), placement.limit_updates())
         };
-        self.send(to, &Envelope::Owners(owner_service::Message::Notices { leaving, limits, wants_reply }));
+        // Brittle services are announced again every two seconds.
+        let brittle = Vec::new();
+        self.send(to, &Envelope::Owners(owner_service::Message::Notices { leaving, limits, brittle, wants_reply }));
     }
 
     fn send(&self, to: SocketAddr, envelope: &Envelope) {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod admission_state;
 mod arrivals;
+mod brittle;
 mod cache_directory;
 mod cached_parts;
 mod candidates;
--- a/crates/placement/src/member.rs
+++ b/crates/placement/src/member.rs
@@ -144,7 +144,7 @@
     /// Returns the quotas for requests to it. If there are any, each request needs a permit. `cold_quota` applies
     /// while it is cold.
     pub(crate) fn quotas(&self, cold_quota: Option<Quota>, now: Millis) -> Quotas {
-        Quotas { cold: cold_quota.filter(|_| self.is_cold(now)), limit: self.limit.quota() }
+        Quotas { cold: cold_quota.filter(|_| self.is_cold(now)), limit: self.limit.quota(), slots: None }
     }
 
     /// Sets its limit.
@@ -209,6 +209,11 @@
         now < self.full_until || self.status_within(FULL_TTL, now).is_some_and(|status| status.full)
     }
 
+    /// Takes it to be full at least until then.
+    pub(crate) fn extend_full(&mut self, until: Millis) {
+        self.full_until = self.full_until.max(until);
+    }
+
     /// Returns how many requests it takes before it turns further ones away, its queue included, for a request that has
     /// more urgent ones beside it or hasn't. Half of the queue is kept for the most urgent: a full queue turns them away,
     /// whatever waits there. `None` if it hasn't turned requests away recently.
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -17,12 +17,16 @@
     Prefill, Quotas, Speed, SpeedEstimator, Work,
 };
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 /// Time after which a lease without a reported end is dropped: its box has died, since no request takes longer.
 const LEASE_TTL: Millis = 60_000;
 
+/// Time after which a permit for a slot is taken to be unused: a permit is valid for 100 ms, and the report of the send
+/// takes some more.
+const GRANTED_SLOT_TTL: Millis = 250;
+
 /// Time for which the number of requests at which a server turned one away counts as its limit.
 const MAX_RUNNING_TTL: Millis = 5_000;
 
@@ -188,6 +192,8 @@
     /// Requests that were there when it last turned one away, and until when that counts.
     max_running: Option<(u32, Millis)>,
     cache_directory: CacheDirectory,
+    /// Times of permits for slots whose sends have not been reported yet.
+    granted_slots: VecDeque<Millis>,
     /// By sending box and number. The total of their work is `load`.
     leases: BTreeMap<(SocketAddr, u64), Lease>,
 }
@@ -242,17 +248,21 @@
     /// so does this count.
     pub fn on_permit_request(&mut self, request: &PermitRequest, now: Millis) -> PermitReply {
         let owned = self.owned(&request.server, now);
-        let Quotas { cold, limit } = &request.quotas;
+        let Quotas { cold, limit, slots } = &request.quotas;
         let retry_at = limit.as_ref().map_or(now, |quota| {
             let stretched = owned.fair_share.quota_for(request.urgency, quota, now);
             // Permits that a former owner granted are unknown here: at first, they are assumed to fill the quota.
             owned.arrivals.free_at(&stretched, now).max(owned.since + quota.window)
         });
         let cold_free = cold.as_ref().is_none_or(|quota| owned.arrivals.free_at(quota, now) <= now);
-        if retry_at > now || !cold_free {
+        let slot_free = slots.is_none_or(|slots| owned.has_free_slot(slots, now));
+        if retry_at > now || !cold_free || !slot_free {
             return PermitReply::Denied { retry_ms: retry_at - now };
         }
         owned.arrivals.record(now);
+        if slots.is_some() {
+            owned.granted_slots.push_back(now);
+        }
         owned.fair_share.record_granted(request.urgency);
         PermitReply::Granted
     }
@@ -270,7 +280,10 @@
         let key = (from, report.number);
         match report.update {
             SendUpdate::Sent { parts, work, memory, permitted } => {
-                if !permitted {
+                if permitted {
+                    // The slot is counted by the report from now on.
+                    owned.granted_slots.pop_front();
+                } else {
                     owned.arrivals.record(now);
                 }
                 owned.record_sent(key, parts, work, memory, now);
@@ -294,6 +307,15 @@
 }
 
 impl OwnedServer {
+    /// True if one of its slots is free, permits included whose sends have not been reported yet.
+    fn has_free_slot(&mut self, slots: u32, now: Millis) -> bool {
+        while self.granted_slots.front().is_some_and(|at| at + GRANTED_SLOT_TTL <= now) {
+            self.granted_slots.pop_front();
+        }
+        let granted = u32::try_from(self.granted_slots.len()).unwrap_or(u32::MAX);
+        now >= self.full_until && self.load.running.saturating_add(granted) < slots
+    }
+
     fn record_sent(&mut self, key: (SocketAddr, u64), parts: Vec<Part>, work: Work, memory: u64, now: Millis) {
         let ahead = self.remaining_prefill(now).plus(work.prefill);
         let rate = if work.long { &mut self.long_prefill } else { &mut self.short_prefill };
--- a/crates/placement/src/permit.rs
+++ b/crates/placement/src/permit.rs
@@ -24,12 +24,14 @@
     pub cold: Option<Quota>,
     /// Quota that follows from the server's own limit; `None` if it names no limit.
     pub limit: Option<Quota>,
+    /// Slots of an engine that must turn no request away; `None` if it may.
+    pub slots: Option<u32>,
 }
 
 impl Quotas {
     /// True if requests may be sent without a permit.
     pub(crate) fn is_empty(&self) -> bool {
-        self.cold.is_none() && self.limit.is_none()
+        self.cold.is_none() && self.limit.is_none() && self.slots.is_none()
     }
 }
 
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -103,6 +103,7 @@
         }
         for (name, pool) in &mut self.pools {
             Self::configure(pool, name, table, &self.allowance);
+            pool.set_boxes(self.boxes);
         }
         self.apply_servers(table, &directory.servers, evacuations, now);
         if self.evacuated != evacuations.evacuated_halls() {
@@ -232,6 +233,20 @@
         }
     }
 
+    /// Records that a server of the service said, to this box or to another one, that it falls over if it turns too many
+    /// requests away. From then on requests are sent only where a slot is known to be free. Returns true if the other
+    /// boxes should be told.
+    #[must_use]
+    pub fn record_brittle(&mut self, service: &str, now: Millis) -> bool {
+        self.pools.get_mut(service).is_some_and(|pool| pool.record_brittle(now))
+    }
+
+    /// True while the servers of a service are brittle.
+    #[must_use]
+    pub fn is_brittle(&self, service: &str, now: Millis) -> bool {
+        self.pools.get(service).is_some_and(|pool| pool.is_brittle(now))
+    }
+
     /// Marks instances that only an older copy of the list has as possibly terminated: until then they get requests
     /// only if no other server is available.
     pub fn mark_unconfirmed(&mut self, instances: &[String], until: Millis) {
@@ -276,6 +291,7 @@
     /// Sets the number of boxes that share the budget, including this one.
     pub fn set_box_count(&mut self, boxes: usize) {
         self.boxes = boxes.max(1);
+        self.pools.values_mut().for_each(|pool| pool.set_boxes(boxes));
     }
 
     /// Decides whether a new request is shed, and records it; to be called once per request. `customer` is a hash of the
--- a/crates/placement/src/plain.rs
+++ b/crates/placement/src/plain.rs
@@ -60,16 +60,21 @@
         let pool = self.pools.get(request.service);
         request.prompt.is_none()
             && request.allows_region(self.region().map(String::as_str))
-            && pool.is_some_and(|pool| self.has_scarce_slots(pool, request.now))
+            && pool.is_some_and(|pool| self.needs_dispatcher(pool, request.now))
     }
 
     /// Returns the services whose slots a dispatcher assigns in this box's region.
     #[must_use]
     pub fn assigned_services(&self, now: Millis) -> Vec<String> {
-        let assigned = self.pools.iter().filter(|(_, pool)| self.has_scarce_slots(pool, now));
+        let assigned = self.pools.iter().filter(|(_, pool)| self.needs_dispatcher(pool, now));
         assigned.map(|(name, _)| name.clone()).collect()
     }
 
+    /// True if a dispatcher assigns the slots of the pool: they are scarce, or its servers must not turn requests away.
+    fn needs_dispatcher(&self, pool: &Pool, now: Millis) -> bool {
+        (pool.is_plain() && pool.is_brittle(now)) || self.has_scarce_slots(pool, now)
+    }
+
     /// True if the pool is plain and has fewer slots in this box's region than the region has boxes. Servers that get
     /// nothing from any box don't count. A pool without slots has no use for a dispatcher.
     fn has_scarce_slots(&self, pool: &Pool, now: Millis) -> bool {
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -1,6 +1,7 @@
 //! The servers of one service.
 
 use crate::admission::{Admission, AdmissionSummary};
+use crate::brittle::Brittle;
 use crate::candidates::{
     candidate_of_unknown_load, last_known_candidates, likely_holders, overload_refusal, sort_by_cost,
 };
@@ -53,6 +54,10 @@
 /// meanwhile.
 const SEARCH_INTERVAL: Millis = 40;
 
+/// Time for which a brittle server that turned a request of this box away gets none from it. Bounds what one box adds to
+/// the requests that the server turns away within a second.
+const BRITTLE_FULL_TTL: Millis = 1_000;
+
 /// All servers of a service with their state.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Pool {
@@ -77,6 +82,10 @@
     /// server may have turned cold, and reports of that take seconds. `None` if the service has no cold-start
     /// settings.
     cold_quota: Option<Quota>,
+    /// Whether its servers fall over if they turn too many requests away.
+    brittle: Brittle,
+    /// Number of boxes that may send to its servers, including this one; 0 if unknown.
+    boxes: usize,
     /// Shortest gap limit of the service's routes in milliseconds; 0 if none has a limit.
     gap_limit_ms: f64,
 }
@@ -87,6 +96,40 @@
         Self { seed, ..Self::default() }
     }
 
+    /// Records that one of its servers said that it is brittle. Returns true if the other boxes should be told.
+    pub(crate) fn record_brittle(&mut self, now: Millis) -> bool {
+        self.brittle.record(now)
+    }
+
+    /// True while its servers are brittle.
+    pub(crate) fn is_brittle(&self, now: Millis) -> bool {
+        self.brittle.holds(now)
+    }
+
+    /// Sets the number of boxes that may send to its servers, including this one.
+    pub(crate) fn set_boxes(&mut self, boxes: usize) {
+        self.boxes = boxes;
+    }
+
+    /// Returns the quotas for a request to the server. Many boxes see the same free slot of a brittle engine, so its owner
+    /// grants it to one of them.
+    fn quotas(&self, member: &Member, request: &PlacementRequest<'_>) -> Quotas {
+        let needs_slot = request.prompt.is_some() && self.is_brittle(request.now);
+        Quotas { slots: needs_slot.then_some(member.server.slots), ..member.quotas(self.cold_quota, request.now) }
+    }
+
+    /// True if the server is known to have a free slot. If its owner doesn't answer, this box uses its own share of the
+    /// slots.
+    fn has_known_slot(&self, member: &Member, request: &PlacementRequest<'_>) -> bool {
+        let slots = member.server.slots;
+        !member.is_full(request.now)
+            && request.denied.len() < MAX_DENIALS
+            && match request.status(&member.server.id) {
+                Some(status) => status.load.running < slots,
+                None => member.own_load.running < (slots / u32::try_from(self.boxes.max(1)).unwrap_or(u32::MAX)).max(1),
+            }
+    }
+
     /// Sets the engine type of its servers.
     pub(crate) fn set_engine(&mut self, engine: Option<Engine>) {
         self.engine = engine;
@@ -445,7 +488,7 @@
 
     /// True if a server that requires permits is known to grant no more, or must not be asked again.
     fn is_full(&self, member: &Member, request: &PlacementRequest<'_>) -> bool {
-        let Quotas { cold, limit } = member.quotas(self.cold_quota, request.now);
+        let Quotas { cold, limit, .. } = member.quotas(self.cold_quota, request.now);
         let denied = limit.is_some()
             && (request.now < member.denied_until(request.urgency) || request.denied.len() >= MAX_DENIALS);
         denied || (cold.is_some() && (request.denied.len() >= MAX_DENIALS || self.is_at_cold_quota(member, request)))
@@ -513,6 +556,9 @@
         let candidates = self.candidates(request, &eligible, &model);
         // A request that was sent before is not refused: it may have run.
         let admitted = |c: &&Candidate<'_>| {
+            if self.is_brittle(request.now) && !self.has_known_slot(c.member, request) {
+                return false;
+            }
             let full = request.prompt.is_some() && self.is_queue_full(c.member, request);
             !full && (!request.tried.is_empty() || self.admission.admits(request, c.estimate.slot_wait_ms))
         };
@@ -534,7 +580,7 @@
             answered: request.statuses.len(),
             known: request.status(&best.member.server.id).is_some(),
             cache_directories: self.directories_to_notify(best, request),
-            permit_quotas: Some(best.member.quotas(self.cold_quota, request.now)).filter(|quotas| !quotas.is_empty()),
+            permit_quotas: Some(self.quotas(best.member, request)).filter(|quotas| !quotas.is_empty()),
         };
         self.record_choice(&choice, request);
         Ok(choice)
@@ -688,6 +734,9 @@
         if let Some(member) = self.members.get_mut(id) {
             member.own_load.record_end(work);
             member.record_ending(ending, now);
+            if ending == Ending::NotRun && self.brittle.holds(now) {
+                member.extend_full(now + BRITTLE_FULL_TTL);
+            }
         }
     }
 }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -70,7 +70,8 @@
             // Writing to a `String` can't fail.
             let _ = write!(list, "{}{request}", if list.is_empty() { "" } else { "," });
         }
-        if refused {
+        // A brittle server falls over from the number of requests, not from one of them.
+        if refused && !shared.placement().is_brittle(&server.service, shared.now()) {
             shared.on_server_terminated(&server.id, &requests);
         }
         let found = match &reached {
--- a/crates/relay/src/header_codec.rs
+++ b/crates/relay/src/header_codec.rs
@@ -58,6 +58,8 @@
     /// Rate limit over all boxes, valid as long as the server's answers repeat it: [`Limit::None`] if an answer states
     /// none. `None` if it can't be parsed or the answer is another server's.
     pub limit: Option<Limit>,
+    /// True if the servers of its service fall over when they have to turn too many requests away.
+    pub is_brittle: bool,
 }
 
 /// A response header without a known meaning.
--- a/crates/relay/src/peer_client.rs
+++ b/crates/relay/src/peer_client.rs
@@ -69,6 +69,9 @@
     /// Broadcasts a server's rate limit.
     fn broadcast_limit(&self, update: &LimitUpdate);
 
+    /// Broadcasts that the servers of a service fall over if they have to turn too many requests away.
+    fn broadcast_brittle(&self, service: &str);
+
     /// Returns true on the one box that may probe a held request.
     fn ranks_first(&self, request: Fingerprint) -> bool;
 }
--- a/crates/relay/src/server_hints.rs
+++ b/crates/relay/src/server_hints.rs
@@ -27,6 +27,29 @@
         if let Some(limit) = notice.limit {
             self.on_limit(id, server, limit, sent);
         }
+        if notice.is_brittle && self.on_brittle(&server.service, format_args!("server={}", server.id)) {
+            self.peer_client.broadcast_brittle(&server.service);
+        }
+    }
+
+    /// Records services whose servers are brittle, as another box reported. Returns those of which this box was not told
+    /// recently.
+    #[must_use]
+    pub fn on_peer_brittle(&self, services: &[String]) -> Vec<String> {
+        services.iter().filter(|service| self.on_brittle(service, format_args!("from=Peer"))).cloned().collect()
+    }
+
+    /// Records that the servers of a service are brittle. Returns true if the other boxes should be told.
+    fn on_brittle(&self, service: &str, source: std::fmt::Arguments<'_>) -> bool {
+        let now = self.now();
+        let (was_brittle, is_due) = {
+            let mut placement = self.placement();
+            (placement.is_brittle(service, now), placement.record_brittle(service, now))
+        };
+        if !was_brittle {
+            telemetry::emit(Event::ServersBrittle, format_args!("{source} service={service}"));
+        }
+        is_due
     }
 
     /// Reports unknown response headers to operators, once per name: servers may send hints in them that boxes should
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -142,6 +142,8 @@
     ServerPathLost = 517, Warn;
     /// This box opened a connection to a server again.
     ServerPathRestored = 518, Info;
+    /// The servers of a service fall over if they have to turn too many requests away.
+    ServersBrittle = 519, Warn;
     /// The count of leases granted no longer equals those held, returned and expired.
     LeaseCountBroken = 900, Error;
     /// A grant exceeded the class's floor while a more urgent request was waiting.
