relay: boxes whose servers are down don't wait for each other's paths

Cause: two servers that are down look like a lost path. Then a box asked others for tunnels only, which declined for the same reason, and one that declined for one server was not asked for any other for half a second. Nobody tried the servers that were up, but for a probe every 300 ms.

Where no other box opens a tunnel, a direct connection is tried to servers that did not fail within the last 300 ms. A box that is asked tries its path at that interval as well, and answers for the server, not for its path, if only that server fails.

--- a/crates/cleatshelf/src/command.rs
+++ b/crates/cleatshelf/src/command.rs
@@ -4,13 +4,11 @@
 use crate::{router, serve, Settings};
 use argh::FromArgs;
 use catalog::{ApiKeyHasher, Catalog, Digest, Fault, Manifest, Release};
-use clock::{BootClock, Clock};
 use eyre::WrapErr;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::Arc;
 
 /// Exit status for faults in files or settings.
 const EXIT_FAULTS: u8 = 2;
@@ -144,7 +142,7 @@
 pub fn run(command: Command) -> ExitCode {
     let result = match command.subcommand {
         Subcommand::Serve(args) => run_box(&args.settings),
-        Subcommand::Route(args) => route(&args.settings, Arc::new(BootClock)),
+        Subcommand::Route(args) => route(&args.settings, router::Host::default()),
         Subcommand::Check(args) => check(&args),
         Subcommand::Pack(args) => pack(&args),
         Subcommand::Status(args) => status(&args),
@@ -192,18 +190,18 @@
     exit_code(serve(settings))
 }
 
-/// Runs a box that routes according to a platform's configuration, with the settings file at `path` and `clock`.
+/// Runs a box that routes according to a platform's configuration, with the settings file at `path`, on this host.
 ///
 /// # Errors
 /// If its settings can't be read, or it can't listen.
-pub fn route(path: &Path, clock: Arc<dyn Clock>) -> eyre::Result<ExitCode> {
+pub fn route(path: &Path, host: router::Host) -> eyre::Result<ExitCode> {
     let settings = match router::Settings::parse(&path.display().to_string(), &read_file(path)?) {
         Ok(settings) => settings,
         Err(faults) => return Ok(print_faults(&faults)),
     };
     let logger = telemetry::JsonLogger::start(std::io::stdout())?;
     logger.clone().install();
-    exit_code(router::serve(settings, path.to_owned(), logger, clock))
+    exit_code(router::serve(settings, path.to_owned(), logger, host))
 }
 
 fn init_logging() {
--- a/crates/cleatshelf/src/router.rs
+++ b/crates/cleatshelf/src/router.rs
@@ -7,6 +7,7 @@
 mod cluster_state;
 mod codec;
 mod follower;
+mod host;
 mod operators;
 mod owner_service;
 mod peering;
@@ -15,6 +16,7 @@
 mod settings;
 mod slot_assignment;
 
+pub use host::Host;
 pub use serve::serve;
 pub use settings::Settings;
 pub use slot_assignment::{SlotAction, SlotAssignment};
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -6,8 +6,7 @@
 use super::owner_service::{Destination, Message, OwnerClient, OwnerService};
 use super::peering::{Dependencies, Peering};
 use super::reload::Reloader;
-use super::Settings;
-use clock::Clock;
+use super::{Host, Settings};
 use eyre::WrapErr;
 use peers::{Peers, Profile, WatchRole};
 use placement::{Placement, RetryBudget};
@@ -35,11 +34,12 @@
 ///
 /// # Errors
 /// If a listener can't be bound.
-pub fn serve(settings: Settings, path: PathBuf, logger: JsonLogger, clock: Arc<dyn Clock>) -> eyre::Result<bool> {
-    actix::System::new().block_on(run(settings, path, logger, clock))
+pub fn serve(settings: Settings, path: PathBuf, logger: JsonLogger, host: Host) -> eyre::Result<bool> {
+    actix::System::new().block_on(run(settings, path, logger, host))
 }
 
-async fn run(settings: Settings, path: PathBuf, logger: JsonLogger, clock: Arc<dyn Clock>) -> eyre::Result<bool> {
+async fn run(settings: Settings, path: PathBuf, logger: JsonLogger, host: Host) -> eyre::Result<bool> {
+    let Host { clock, network } = host;
     let recorder = PrometheusRecorder::install()?;
     let window = settings.retry_window.as_millis() as u64;
     let budget = RetryBudget::new(settings.retry_ratio, settings.retry_slack, window);
@@ -52,6 +52,7 @@
     let shared = Shared::new(relay::Dependencies {
         header_codec: Box::new(platform::Headers),
         peer_client: Box::new(peer_client),
+        network,
         placement,
         secret: rank(0, &settings.link_key),
         clock,
--- a/crates/placement/src/path.rs
+++ b/crates/placement/src/path.rs
@@ -135,6 +135,13 @@
         Way::Tunnel { probe }
     }
 
+    /// True if a direct connection to the server may be tried although the path is lost and no other box helps: its last
+    /// failure is some time ago, or there was none. Several servers may be down while the path to the others is good.
+    #[must_use]
+    pub fn may_try(&self, server: &str, now: Millis) -> bool {
+        self.failing.get(server).is_none_or(|failures| now >= failures.at + PROBE_INTERVAL)
+    }
+
     /// True while the path to this server is lost.
     #[must_use]
     pub fn is_lost_to(&self, server: &str, now: Millis) -> bool {
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -31,6 +31,13 @@
 /// Shortest interval between looks at a waiting request, in milliseconds.
 const MIN_CHECK_DELAY: Millis = 200;
 
+/// Time limit of a connection that is tried although this box's path seems to be lost. A request may try several servers
+/// before it is refused.
+const LAST_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Time limit of a connection for another box, which waits little longer for it.
+const STREAM_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Maximum number of idle connections kept per server.
 const MAX_IDLE_PER_SERVER: usize = 24;
 
@@ -95,11 +102,21 @@
                 {
                     return Ok(connection);
                 }
-                self.open_tunnel(server).await
+                match self.open_tunnel(server).await {
+                    Err(ConnectError::NoPath(_)) if self.dialer.may_try(&server.id) => self.open_last(server).await,
+                    opened => opened,
+                }
             }
         }
     }
 
+    /// Opens a direct connection although this box's path seems to be lost, since no other box helps.
+    async fn open_last(&self, server: &Server) -> Result<Connection, ConnectError> {
+        let no_path = |why: std::io::Error| ConnectError::NoPath(why.to_string());
+        let stream = self.dialer.dial_within(server, LAST_TIMEOUT).await.map_err(no_path)?;
+        start_connection(stream, server.address, None).await.map_err(no_path)
+    }
+
     /// Opens a direct connection, or one through another box if the direct one fails since this box has lost its path.
     async fn open_new(&self, server: &Server) -> Result<Connection, ConnectError> {
         match self.open_direct(server).await {
@@ -166,9 +183,14 @@
         others.find_map(|other| self.shared.placement().listed(other).cloned())
     }
 
+    /// True if a connection for another box may be tried: this box has a path to the server, or a probe of it is due.
+    pub(crate) fn may_open_stream(&self, instance: &str) -> bool {
+        self.dialer.way(instance) != Way::Tunnel { probe: false }
+    }
+
     /// Opens a direct connection without a request, for another box.
     pub(crate) async fn open_stream(&self, server: &Server) -> std::io::Result<TcpStream> {
-        self.dialer.dial(server).await
+        self.dialer.dial_within(server, STREAM_TIMEOUT).await
     }
 
     /// Tries a direct connection in the background. A successful one is kept in the pool.
--- a/crates/relay/src/dialer.rs
+++ b/crates/relay/src/dialer.rs
@@ -87,11 +87,22 @@
         self.path.borrow_mut().begin_check(sent, self.shared.now())
     }
 
+    /// True if a direct connection may be tried although this box's path is lost and no other box helps.
+    pub(crate) fn may_try(&self, instance: &str) -> bool {
+        self.path.borrow().may_try(instance, self.shared.now())
+    }
+
     /// Opens a direct connection.
     pub(crate) async fn dial(&self, server: &Server) -> io::Result<TcpStream> {
+        self.dial_within(server, Duration::MAX).await
+    }
+
+    /// Opens a direct connection within this time at most.
+    pub(crate) async fn dial_within(&self, server: &Server, limit: Duration) -> io::Result<TcpStream> {
         let mut connect_timeout = self.connect_timeout.get();
+        let timeout = connect_timeout.timeout().min(limit);
         let started = Instant::now();
-        let connected = tokio::time::timeout(connect_timeout.timeout(), TcpStream::connect(server.address)).await;
+        let connected = tokio::time::timeout(timeout, self.shared.network.connect(server.address)).await;
         // Other tasks may have updated the estimate in the meantime.
         connect_timeout = self.connect_timeout.get();
         match &connected {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by the traffic threads and the control thread.
 
-use crate::{HeaderCodec, PeerClient, Returns};
+use crate::{HeaderCodec, Network, PeerClient, Returns};
 use clock::Clock;
 use placement::{Millis, Placement, Quarantine, Snapshot};
 use routing::{Directory, Evacuations, Table};
@@ -25,6 +25,8 @@
     pub header_codec: Box<dyn HeaderCodec>,
     /// Sends messages to the boxes that own servers.
     pub peer_client: Box<dyn PeerClient>,
+    /// Opens connections to servers.
+    pub network: Arc<dyn Network>,
     /// Chooses servers.
     pub placement: Placement,
     /// Secret of the deployment, equal on all boxes; keys the request fingerprints.
@@ -39,6 +41,8 @@
     pub header_codec: Box<dyn HeaderCodec>,
     /// Sends messages to the boxes that own servers.
     pub peer_client: Box<dyn PeerClient>,
+    /// Opens connections to servers.
+    pub(crate) network: Arc<dyn Network>,
     view: RwLock<Arc<View>>,
     placement: Mutex<Placement>,
     pub(crate) quarantine: Mutex<Quarantine>,
@@ -65,10 +69,11 @@
     /// Creates the state of a box that has no configuration and no servers yet.
     #[must_use]
     pub fn new(parts: Dependencies) -> Arc<Self> {
-        let Dependencies { header_codec, peer_client, placement, secret, clock } = parts;
+        let Dependencies { header_codec, peer_client, network, placement, secret, clock } = parts;
         Arc::new(Self {
             header_codec,
             peer_client,
+            network,
             view: RwLock::default(),
             placement: Mutex::new(placement),
             quarantine: Mutex::default(),
--- a/crates/relay/src/tunnel_connector.rs
+++ b/crates/relay/src/tunnel_connector.rs
@@ -21,15 +21,20 @@
             return Err(Refusal::Busy);
         }
         let server = self.shared.placement().listed(instance).cloned().ok_or(Refusal::NotListed)?;
-        if self.connections.is_lost_to(instance) {
-            return Err(Refusal::NoPath);
+        if !self.connections.may_open_stream(instance) {
+            return Err(self.refusal(ErrorKind::TimedOut));
         }
-        let opened = self.connections.open_stream(&server).await;
-        opened.map_err(|why| match why.kind() {
-            _ if self.connections.is_lost_to(instance) => Refusal::NoPath,
+        self.connections.open_stream(&server).await.map_err(|why| self.refusal(why.kind()))
+    }
+
+    /// Returns what a failed connection to a server says to another box. If only this server fails, that is a statement
+    /// about the server.
+    fn refusal(&self, failure: ErrorKind) -> Refusal {
+        match failure {
+            _ if self.connections.is_lost() => Refusal::NoPath,
             ErrorKind::ConnectionRefused => Refusal::Refused,
             _ => Refusal::Failed,
-        })
+        }
     }
 }
 
