relay: a box without a path learns of the end of servers behind other boxes

Cause: after a broken connection a box looked whether the server still accepts connections by itself only. Without a path that look hangs, which says nothing, so the end was not counted. It asks another box first while its path is lost.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -207,6 +207,13 @@
     /// Checks whether a server accepts new connections. A successful connection is kept in the pool. A refusal may come
     /// from the network between this box and the server, so it counts only if no other box reaches the server.
     pub(crate) async fn probe(&self, server: &Server) -> std::io::Result<()> {
+        if self.is_lost_to(&server.id) {
+            match self.open_tunnel(server).await {
+                Ok(connection) => return Ok(self.release(&server.id, connection, &HeaderMap::new())),
+                Err(ConnectError::Server(why)) => return Err(why),
+                Err(ConnectError::NoPath(_)) => {}
+            }
+        }
         let connection = match self.open_direct(server).await {
             Ok(connection) => connection,
             Err(why) if why.kind() == ErrorKind::ConnectionRefused => {
