--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -209,7 +209,10 @@
     pub(crate) async fn probe(&self, server: &Server) -> std::io::Result<()> {
         if self.is_lost_to(&server.id) {
             match self.open_tunnel(server).await {
-                Ok(connection) => return Ok(self.release(&server.id, connection, &HeaderMap::new())),
+                Ok(connection) => {
+                    self.release(&server.id, connection, &HeaderMap::new());
+                    return Ok(());
+                }
                 Err(ConnectError::Server(why)) => return Err(why),
                 Err(ConnectError::NoPath(_)) => {}
             }
