relay: sends ask for other boxes only while a path is lost; one function probes the path

Each send took the lock of the owner service to ask whether other boxes open tunnels, though the answer matters only while this box's path is lost. The path is asked first now. The probe of a lost path and the check of a silent one were the same loop over one and two servers. Behaviour is unchanged.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -94,7 +94,7 @@
             }
             Way::Tunnel { probe } => {
                 if probe {
-                    self.probe_path(server);
+                    self.probe_path(vec![Arc::clone(server)]);
                 }
                 let use_direct = self.dialer.may_use_open(&server.id);
                 if let Some(connection) =
@@ -148,7 +148,11 @@
             let wait = self.dialer.check_at(sent).saturating_sub(self.shared.now()).max(MIN_CHECK_DELAY);
             match tokio::time::timeout(Duration::from_millis(wait), answer.as_mut()).await {
                 Ok(answered) => break answered,
-                Err(_) if self.dialer.begin_check(sent) => self.check_path(server),
+                Err(_) if self.dialer.begin_check(sent) => {
+                    // Two servers that fail show that the path is lost.
+                    let other = self.used_server_except(&server.id);
+                    self.probe_path(std::iter::once(Arc::clone(server)).chain(other).collect());
+                }
                 Err(_) => {}
             }
         };
@@ -161,12 +165,12 @@
         self.dialer.record_heard();
     }
 
-    /// Tries a direct connection to a silent server in the background, and one to another server if that fails.
-    fn check_path(&self, silent: &Arc<Server>) {
-        let (this, silent) = (self.clone(), Arc::clone(silent));
+    /// Tries direct connections to these servers in the background, one after another, until one opens. It is kept in the
+    /// pool.
+    fn probe_path(&self, servers: Vec<Arc<Server>>) {
+        let this = self.clone();
         tokio::task::spawn_local(async move {
-            let other = this.used_server_except(&silent.id);
-            for server in std::iter::once(silent).chain(other) {
+            for server in servers {
                 // The dialer has recorded a failure.
                 if let Ok(connection) = this.open_direct(&server).await {
                     this.release(&server.id, connection, &HeaderMap::new());
@@ -193,17 +197,6 @@
         self.dialer.dial_within(server, STREAM_TIMEOUT).await
     }
 
-    /// Tries a direct connection in the background. A successful one is kept in the pool.
-    fn probe_path(&self, server: &Arc<Server>) {
-        let (this, server) = (self.clone(), Arc::clone(server));
-        tokio::task::spawn_local(async move {
-            // The dialer has recorded a failure.
-            if let Ok(connection) = this.open_direct(&server).await {
-                this.release(&server.id, connection, &HeaderMap::new());
-            }
-        });
-    }
-
     /// Checks whether a server accepts new connections. A successful connection is kept in the pool. A refusal may come
     /// from the network between this box and the server, so it counts only if no other box reaches the server.
     pub(crate) async fn probe(&self, server: &Server) -> std::io::Result<()> {
--- a/crates/relay/src/dialer.rs
+++ b/crates/relay/src/dialer.rs
@@ -45,8 +45,10 @@
 
     /// Returns how to connect to a server instance.
     pub(crate) fn way(&self, instance: &str) -> Way {
-        if self.has_tunnels() {
-            self.path.borrow_mut().way(instance, self.shared.now())
+        let way = self.path.borrow_mut().way(instance, self.shared.now());
+        // Asked last: nearly all sends are direct, and the answer takes a lock that the control thread shares.
+        if way == Way::Direct || self.has_tunnels() {
+            way
         } else {
             Way::Direct
         }
