routing, relay, telemetry: log the software version of streams and who takes them up

The log could not tell a stream that goes on at another version within one answer from one that its caller takes up again: event 500 named the request only, and no line said that a request takes up a stream. The version of an entry is a value of its own now, part of the digest of a list; 500 and 506 name it, and the new event 520 names the request that began the stream. No choice depends on it yet.

--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, LogNormal};
-use routing::{Change, Directory, Position, Server, Table};
+use routing::{Change, Directory, Position, Server, Table, Version};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
@@ -598,6 +598,7 @@
             name,
             service: SERVICE.to_owned(),
             address: ([10, 2, (index / 250) as u8, (index % 250) as u8 + 1], 80).into(),
+            version: Version::new("1"),
             hall: node.hall.clone(),
             slots: self.deployment.engine_spec.slots,
             draining,
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use placement::{Part, Placement, PlacementRequest, Prompt, Snapshot};
 use routing::{
-    Change, ColdStart, Directory, Engine, Evacuations, Kind, Position, Route, Server, Service, Share, Table,
+    Change, ColdStart, Directory, Engine, Evacuations, Kind, Position, Route, Server, Service, Share, Table, Version,
 };
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
         name: format!("s{index}"),
         service: MODEL.to_owned(),
         address: ([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 80).into(),
+        version: Version::new("v1"),
         hall: hall.to_owned(),
         slots: 64,
         draining: false,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use http::{request, Response, StatusCode};
 use placement::{Choice, Ending, Fingerprint, Millis, Verdict};
-use routing::{Customer, Kind, Route};
+use routing::{Customer, Kind, Route, Version};
 use std::cell::{Cell, OnceCell};
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -54,6 +54,8 @@
     pub(crate) started: Instant,
     /// Identifies repetitions of the request; computed on first use.
     pub(crate) fingerprint: OnceCell<Fingerprint>,
+    /// Software version that wrote the first event of the stream; `None` until it is known.
+    pub(crate) version: Option<Version>,
     /// Ids of the servers that the request was sent to or that could not be reached.
     pub(crate) tried: Vec<String>,
     /// Closes once it is known whether the server of the last, broken send has terminated.
--- a/crates/relay/src/header_codec.rs
+++ b/crates/relay/src/header_codec.rs
@@ -18,6 +18,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of the stream that it resumes.
+    pub resumes: Option<String>,
 }
 
 /// Contents of the request head that is sent to a server.
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -4,6 +4,7 @@
 use crate::attempt::Answer;
 use crate::event_splitter::EventSplitter;
 use crate::exchange::Exchange;
+use crate::header_codec::Call;
 use crate::outcome::Outcome;
 use crate::slot_guard::SlotGuard;
 use crate::{Body, TruncatedAnswer};
@@ -13,6 +14,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use placement::Ending;
+use routing::{Server, Version};
 use std::fmt::Write;
 use telemetry::Event;
 use tokio::sync::mpsc;
@@ -141,17 +143,22 @@
     }
 
     /// Handles the first event of a server, which marks the end of prefill.
-    fn on_first_event(&self, slot: &mut SlotGuard) {
+    fn on_first_event(&mut self, slot: &mut SlotGuard) {
         if slot.on_prefill_done() {
-            let exchange = &self.exchange;
+            let exchange = &mut self.exchange;
+            let version = &slot.server.version;
             if let Some(prompt) = &exchange.call.prompt {
                 exchange.shared.placement().record_cached(&exchange.service, &slot.server.id, prompt);
             }
             let ms = exchange.started.elapsed().as_millis();
             telemetry::emit(
                 Event::StreamBegan,
-                format_args!("id={} server={} ms={ms}", exchange.call.id, slot.server.id),
+                format_args!("id={} server={} version=\"{version}\" ms={ms}", exchange.call.id, slot.server.id),
             );
+            if exchange.version.is_none() {
+                exchange.version = Some(version.clone());
+                log_taken_up(&exchange.call, &slot.server);
+            }
         }
     }
 
@@ -168,7 +175,7 @@
                 () = self.caller.closed() => None,
             };
             if let Some(resumed) = resumed {
-                telemetry::emit(Event::StreamResumed, format_args!("id={}", self.exchange.call.id));
+                self.log_resumed(&resumed.1.server, last);
                 return Some(resumed);
             }
         }
@@ -176,6 +183,21 @@
         None
     }
 
+    fn log_resumed(&self, server: &Server, last: Option<u64>) {
+        let Exchange { call, version, .. } = &self.exchange;
+        telemetry::emit(
+            Event::StreamResumed,
+            format_args!(
+                "id={} server={} version=\"{}\" began=\"{}\" last={}",
+                call.id,
+                server.id,
+                server.version,
+                version.as_ref().map_or("-", Version::as_str),
+                last.map_or(-1, |last| last as i64)
+            ),
+        );
+    }
+
     /// Truncates the caller's answer in a way that can't be taken for a complete one.
     async fn truncate(&mut self, outcome: Outcome) {
         self.exchange.finish(outcome);
@@ -183,3 +205,18 @@
         let _ = self.caller.send(Err(TruncatedAnswer)).await;
     }
 }
+
+/// Logs the first event of a stream that the caller takes up again.
+fn log_taken_up(call: &Call, server: &Server) {
+    let Some(last) = call.last_event else { return };
+    telemetry::emit(
+        Event::StreamTakenUp,
+        format_args!(
+            "id={} resumes={} last={last} server={} version=\"{}\"",
+            call.id,
+            call.resumes.as_deref().unwrap_or("-"),
+            server.id,
+            server.version
+        ),
+    );
+}
--- a/crates/routing/src/excerpt.rs
+++ b/crates/routing/src/excerpt.rs
@@ -59,8 +59,8 @@
         let text = match self {
             Self::Server(s) => {
                 let cold = s.cold_ms > 0;
-                let Server { id, service, address, hall, slots, draining, .. } = s;
-                format!("server|{}|{id}|{service}|{address}|{hall}|{slots}|{draining}|{cold}", s.name)
+                let Server { id, service, address, version, hall, slots, draining, .. } = s;
+                format!("server|{}|{id}|{service}|{address}|{version}|{hall}|{slots}|{draining}|{cold}", s.name)
             }
             Self::Foreign(name) => format!("foreign|{name}|"),
             Self::Lapsed(name) => format!("lapsed|{name}|"),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,6 +18,7 @@
 mod server;
 mod service;
 mod table;
+mod version;
 
 pub use customer::Customer;
 pub use directory::{Change, Directory};
@@ -33,3 +34,4 @@
 pub use server::Server;
 pub use service::{ColdStart, Engine, Service};
 pub use table::{Access, Table};
+pub use version::Version;
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -1,5 +1,6 @@
 //! Server instances.
 
+use crate::Version;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -14,6 +15,9 @@
     pub service: String,
     /// Address where it listens. After it has stopped, a server of another service may listen there.
     pub address: SocketAddr,
+    /// Version of its software. The same for the whole life of the instance; if an entry states another one, the newest
+    /// entry counts, for requests that are sent from then on.
+    pub version: Version,
     /// Its data hall.
     pub hall: String,
     /// Number of requests that it runs concurrently.
--- a/crates/routing/tests/directory.rs
+++ b/crates/routing/tests/directory.rs
@@ -1,6 +1,6 @@
 //! Changes, excerpts and evacuations of the list of servers.
 
-use routing::{Change, Directory, Evacuations, Position, Server};
+use routing::{Change, Directory, Evacuations, Position, Server, Version};
 
 /// A position in the first era.
 fn at(revision: u64) -> Position {
@@ -13,6 +13,7 @@
         name: id.to_owned(),
         service: "api".to_owned(),
         address: "10.0.0.1:80".parse().expect("an address"),
+        version: Version::new("v1"),
         hall: "hall".to_owned(),
         slots: 4,
         draining,
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -144,6 +144,8 @@
     ServerPathRestored = 518, Info;
     /// The servers of a service fall over if they have to turn too many requests away.
     ServersBrittle = 519, Warn;
+    /// A caller takes up a stream that an earlier attempt began.
+    StreamTakenUp = 520, Info;
     /// The count of leases granted no longer equals those held, returned and expired.
     LeaseCountBroken = 900, Error;
     /// A grant exceeded the class's floor while a more urgent request was waiting.
