placement, relay: within one answer, a stream goes on only at the version that began it

Callers got streams that hold events of two software versions. Cause: nothing told a box versions apart, so a broken stream went on at any server of the service.

Once the first event has come, the exchange keeps the version of its server, as it was when the request was sent, and the placement considers servers of that version only. Slots that a dispatcher assigns exclude the others. Before the first event, any server may take over, as before.

Fetches of cached prompt parts still cross versions: they carry what was read of the prompt, which depends on the weights and not on the software that writes the answer.

--- a/crates/model/src/router.rs
+++ b/crates/model/src/router.rs
@@ -189,6 +189,7 @@
         bytes: request.prompt.tokens as usize * 4,
         tried,
         denied: &[],
+        version: None,
         allowed_regions: [None, None],
         statuses,
         now: request.now,
--- a/crates/placement/src/plain.rs
+++ b/crates/placement/src/plain.rs
@@ -93,6 +93,16 @@
         slots > 0
     }
 
+    /// Returns the ids of the service's servers that must not go on with the request's stream.
+    #[must_use]
+    pub fn other_versions(&self, request: &PlacementRequest<'_>) -> Vec<String> {
+        if request.version.is_none() {
+            return Vec::new();
+        }
+        let servers = self.pools.get(request.service).into_iter().flat_map(Pool::servers);
+        servers.filter(|server| !request.allows_version(server)).map(|server| server.id.clone()).collect()
+    }
+
     /// Returns the choice of the server at which a dispatcher has assigned a slot to this request.
     ///
     /// # Errors
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -474,7 +474,10 @@
     /// True if a request may go to this server, whatever its admission state.
     fn may_receive(&self, member: &Member, request: &PlacementRequest<'_>) -> bool {
         let id = &member.server.id;
-        request.allows_region(member.region.as_deref()) && !request.tried.contains(id) && !request.denied.contains(id)
+        request.allows_region(member.region.as_deref())
+            && request.allows_version(&member.server)
+            && !request.tried.contains(id)
+            && !request.denied.contains(id)
     }
 
     /// True if a server would turn the request away, or take the room that more urgent requests need there.
@@ -595,6 +598,11 @@
         self.engine.is_none()
     }
 
+    /// Iterates over all servers.
+    pub(crate) fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.members.values().map(|member| &*member.server)
+    }
+
     /// Iterates over the servers of a region.
     pub(crate) fn members_in<'a>(&'a self, region: Option<&'a str>) -> impl Iterator<Item = &'a Member> {
         self.members.values().filter(move |member| member.region.as_deref() == region)
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -1,7 +1,7 @@
 //! Requests to a placement, and its results.
 
 use crate::{Load, Loss, Millis, Prompt, Quotas, ServerStatus, Speed, Work};
-use routing::{AllowedRegions, Server};
+use routing::{AllowedRegions, Server, Version};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +25,8 @@
     pub tried: &'a [String],
     /// Ids of servers for which a permit was denied.
     pub denied: &'a [String],
+    /// Software version that wrote the stream so far; only its servers may go on with it. `None` for a new request.
+    pub version: Option<&'a Version>,
     /// Regions in which it may run, by its route and by its customer; both apply.
     pub allowed_regions: [Option<&'a AllowedRegions>; 2],
     /// Status that the owners of servers reported for this request, by server id.
@@ -40,6 +42,12 @@
         self.allowed_regions.iter().flatten().all(|regions| regions.contains(region))
     }
 
+    /// True if this server may answer it, as far as software versions matter.
+    #[must_use]
+    pub fn allows_version(&self, server: &Server) -> bool {
+        self.version.is_none_or(|version| *version == server.version)
+    }
+
     /// Returns the status of this server that its owner reported for this request.
     #[must_use]
     pub fn status(&self, id: &str) -> Option<&ServerStatus> {
--- a/crates/placement/tests/cache_directory.rs
+++ b/crates/placement/tests/cache_directory.rs
@@ -38,6 +38,7 @@
         bytes: 17_000,
         tried: &[],
         denied: &[],
+        version: None,
         allowed_regions: [None, None],
         statuses,
         now,
--- a/crates/placement/tests/cold.rs
+++ b/crates/placement/tests/cold.rs
@@ -61,6 +61,7 @@
         bytes: 10_000,
         tried: &[],
         denied,
+        version: None,
         allowed_regions: [None, None],
         statuses,
         now,
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -72,6 +72,7 @@
         bytes: 17_000,
         tried: &[],
         denied: &[],
+        version: None,
         allowed_regions: [None, None],
         statuses: &[],
         now: 0,
--- a/crates/placement/tests/limit.rs
+++ b/crates/placement/tests/limit.rs
@@ -59,6 +59,7 @@
         bytes: 1_000,
         tried: &[],
         denied,
+        version: None,
         allowed_regions: [None, None],
         statuses: &[],
         now,
--- a/crates/placement/tests/notices.rs
+++ b/crates/placement/tests/notices.rs
@@ -41,6 +41,7 @@
         bytes: 10_000,
         tried: &[],
         denied: &[],
+        version: None,
         allowed_regions: [None, None],
         statuses,
         now,
--- a/crates/placement/tests/split.rs
+++ b/crates/placement/tests/split.rs
@@ -137,6 +137,7 @@
             bytes: 1_000,
             tried: &[],
             denied: &[],
+            version: None,
             allowed_regions: [None, None],
             statuses: &[],
             now,
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -130,6 +130,7 @@
             bytes: self.body.len(),
             tried: &self.tried,
             denied,
+            version: self.version.as_ref(),
             allowed_regions: [
                 self.route.allowed_regions.as_ref(),
                 self.customer.as_ref().and_then(|customer| customer.allowed_regions.as_ref()),
--- a/crates/relay/src/slot.rs
+++ b/crates/relay/src/slot.rs
@@ -76,6 +76,8 @@
     /// itself: no dispatcher is in charge, or it can't be reached.
     pub(crate) async fn choose_assigned(&mut self) -> Result<Option<(Choice, SlotGuard)>, NotSent> {
         let mut excluded = self.tried.clone();
+        excluded.extend(self.shared.placement().other_versions(&self.placement_request(&[], &[])));
+        let excluded_for_all = excluded.len();
         for _ in 0..MAX_GRANTS {
             if !self.shared.placement().assigns_slots(&self.placement_request(&[], &[])) {
                 return Ok(None);
@@ -96,7 +98,7 @@
                     lease.settle();
                     // A request that may have run can't be refused, and one that was granted a slot at a server that
                     // only this box can't use must not be refused for that.
-                    if self.may_have_run || excluded.len() > self.tried.len() {
+                    if self.may_have_run || excluded.len() > excluded_for_all {
                         return Ok(None);
                     }
                     self.slot_retry = Some(Duration::from_millis(u64::from(retry_ms)));
