origins, relay: streams that callers take up go on only at the version that began them, at any box

Callers that took a stream up again got events of another software version. Cause: which version began a stream was known to the box that began it at most, and no box asked.

The crate origins holds what a box knows. Two other boxes, in different halls, are told what began a stream, in batches, and only while more than one version or service may have begun it; a box that doesn't know asks them. Without a record, a stream goes on only where the list of servers, complete and without a gap for the longest time limit, proves that there is one origin. Otherwise it is refused at once as not run. The admission sheds it after new requests of its class, and never saves it from what is shed for a more urgent class.

Ways weighed: asking only loses what a killed box knew; telling always costs messages through the year; a version derived from the id is wrong while boxes see different lists.

--- a/crates/cleatshelf/src/router/cluster_state.rs
+++ b/crates/cleatshelf/src/router/cluster_state.rs
@@ -389,6 +389,12 @@
         self.state.borrow_mut().last_contact = Some(self.shared.now());
     }
 
+    /// Records that the publisher has answered this box.
+    pub(super) fn record_publisher_contact(&self) {
+        self.record_contact();
+        self.shared.origins().record_contact(self.shared.now());
+    }
+
     /// Returns the time since the last contact with the publisher or a watcher; zero before the first.
     pub(super) fn age(&self) -> Duration {
         self.state.borrow().last_contact.map_or(Duration::ZERO, |at| Duration::from_millis(self.shared.now() - at))
--- a/crates/cleatshelf/src/router/follower.rs
+++ b/crates/cleatshelf/src/router/follower.rs
@@ -384,7 +384,7 @@
         if self.subject == Subject::Directory {
             self.health.set_away(false);
         }
-        self.cluster_state.record_contact();
+        self.cluster_state.record_publisher_contact();
         if self.health.failing(self.subject).replace(false) {
             telemetry::emit(Event::PlatformReachable, format_args!("subject={:?}", self.subject));
         }
--- a/crates/cleatshelf/src/router/owner_service.rs
+++ b/crates/cleatshelf/src/router/owner_service.rs
@@ -3,6 +3,7 @@
 use super::slot_assignment::{SlotAction, SlotAssignment};
 use clock::Clock;
 use dispatch::{Promises, ServerSlots, SlotRelease, SlotReply, SlotRequest, Summary};
+use origins::{Answer, Keepers, Record, Stream};
 use peers::{Millis, MissedReplies, Profile};
 use placement::{
     Fingerprint, LimitUpdate, LivenessEvidence, Owner, PermitReply, PermitRequest, SendReport, SendUpdate,
@@ -108,6 +109,18 @@
         request: u64,
         left_ms: u32,
     },
+    /// Origins of streams that the receiver keeps the records of.
+    StreamOrigins(Vec<Record>),
+    /// Asks what the receiver knows about the origin of a stream of this route.
+    OriginQuery {
+        number: u64,
+        stream: Option<Stream>,
+        route: String,
+    },
+    OriginReply {
+        number: u64,
+        answer: Answer,
+    },
     /// Announces that the sender assigns no slots for this many milliseconds; 0 if it does from now on.
     SlotPause(u32),
     /// Hints that servers addressed to all boxes: instances that are leaving, limits of instances, and brittle services. `wants_reply`
@@ -140,6 +153,9 @@
             Self::PromiseQuery { .. } => "promise_query",
             Self::PromiseReply { .. } => "promise_reply",
             Self::Promise { .. } => "promise",
+            Self::StreamOrigins(_) => "stream_origins",
+            Self::OriginQuery { .. } => "origin_query",
+            Self::OriginReply { .. } => "origin_reply",
             Self::Notices { .. } => "notices",
         }
     }
@@ -189,9 +205,10 @@
     permit_requests: PendingReplies<PermitReply>,
     /// Returns of callers that boxes of this hall refused, as far as this box keeps them.
     promises: Promises,
-    /// Pending queries for promises, and the number of the next one.
+    /// Pending queries for promises and for the origins of streams, and the number of the next one.
     promise_queries: PendingReplies<u32>,
-    next_promise_query: u64,
+    origin_queries: PendingReplies<Answer>,
+    next_query: u64,
     /// The owner that receives the reports on a lease, until the lease ends.
     lease_owners: HashMap<u64, SocketAddr>,
 }
@@ -210,7 +227,8 @@
             permit_requests: PendingReplies::default(),
             promises: Promises::default(),
             promise_queries: PendingReplies::default(),
-            next_promise_query: 0,
+            origin_queries: PendingReplies::default(),
+            next_query: 0,
             lease_owners: HashMap::new(),
         }
     }
@@ -391,8 +409,31 @@
             }
             // Only the contact with the dispatcher matters, which `Peering` has recorded.
             Message::SlotQueued(_) => None,
-            // Handled by `Peering`, for the quarantine and the placement.
-            Message::Suspects { .. } | Message::Notices { .. } => None,
+            Message::OriginReply { number, answer } => {
+                state.origin_queries.resolve(number, answer);
+                None
+            }
+            // Handled by `Peering`, for the quarantine, the placement and the origins of streams.
+            Message::Suspects { .. }
+            | Message::Notices { .. }
+            | Message::StreamOrigins(_)
+            | Message::OriginQuery { .. } => None,
+        }
+    }
+
+    /// Tells the boxes that keep the records of these streams, other than this one, what began them.
+    pub(super) fn tell_origins(&self, records: Vec<Record>) {
+        let mut messages: HashMap<SocketAddr, Vec<Record>> = HashMap::new();
+        {
+            let state = self.state();
+            for record in records {
+                for keeper in state.record_keepers(record.stream.0).told_by(self.me) {
+                    messages.entry(keeper).or_default().push(record.clone());
+                }
+            }
+        }
+        for (keeper, records) in messages {
+            self.send(Destination::One(keeper), Message::StreamOrigins(records));
         }
     }
 
@@ -438,6 +479,19 @@
         highest_ranked(hall.iter().filter(responsive), request)
     }
 
+    /// Returns the boxes that keep the record of a stream.
+    fn record_keepers(&self, stream: u64) -> Keepers {
+        let boxes =
+            self.halls.iter().flat_map(|(hall, boxes)| boxes.iter().map(move |address| (hall.as_str(), *address)));
+        Keepers::of(stream, &boxes)
+    }
+
+    /// Returns a number for a query.
+    fn next_number(&mut self) -> u64 {
+        self.next_query += 1;
+        self.next_query
+    }
+
     /// Returns all boxes, including this one.
     fn boxes(&self) -> impl Iterator<Item = &SocketAddr> {
         self.halls.values().flatten()
@@ -537,8 +591,7 @@
             let _ = sender.send(state.promises.left_ms(request, now).unwrap_or(0));
             return Some(receiver);
         }
-        let number = state.next_promise_query;
-        state.next_promise_query += 1;
+        let number = state.next_number();
         state.promise_queries.insert(number, sender);
         drop(state);
         service.send(Destination::One(keeper), Message::PromiseQuery { number, request });
@@ -559,6 +612,28 @@
         }
     }
 
+    fn request_origin(&self, stream: Option<Stream>, route: &str) -> Vec<oneshot::Receiver<Answer>> {
+        let service = &self.0;
+        let mut state = service.state();
+        let number = state.next_number();
+        // Any boxes may know whether a stream that isn't named can have another origin.
+        let keepers = state.record_keepers(stream.map_or(number, |stream| stream.0));
+        let mut receivers = Vec::new();
+        let mut messages = Vec::new();
+        for keeper in keepers.asked_by(service.me) {
+            let (sender, receiver) = oneshot::channel();
+            let number = state.next_number();
+            state.origin_queries.insert(number, sender);
+            messages.push((keeper, Message::OriginQuery { number, stream, route: route.to_owned() }));
+            receivers.push(receiver);
+        }
+        drop(state);
+        for (keeper, message) in messages {
+            service.send(Destination::One(keeper), message);
+        }
+        receivers
+    }
+
     fn report(&self, server: &Server, report: SendReport) {
         let service = &self.0;
         let now = service.now();
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -119,8 +119,11 @@
             this.owner_service.on_contact(from);
             match envelope {
                 Envelope::Peers(message) => {
-                    if matches!(message, Message::Heartbeat(_)) {
+                    if let Message::Heartbeat(heartbeat) = &message {
                         this.cluster_state.record_contact();
+                        if heartbeat.watches {
+                            this.shared.origins().record_contact(this.shared.now());
+                        }
                     }
                     let actions = this.peers.borrow_mut().handle(from, message, this.shared.now());
                     this.run_actions(actions);
@@ -137,6 +140,15 @@
                         this.send_notices(from, false);
                     }
                 }
+                Envelope::Owners(owner_service::Message::StreamOrigins(records)) => {
+                    let now = this.shared.now();
+                    let mut origins = this.shared.origins();
+                    records.iter().for_each(|record| origins.on_record(record, now));
+                }
+                Envelope::Owners(owner_service::Message::OriginQuery { number, stream, route }) => {
+                    let answer = this.shared.origins().answer(stream, &route, this.shared.now());
+                    this.send(from, &Envelope::Owners(owner_service::Message::OriginReply { number, answer }));
+                }
                 Envelope::Owners(message) => {
                     if let Some(reply) = this.owner_service.on_message(from, message) {
                         this.send(from, &Envelope::Owners(reply));
@@ -207,6 +219,15 @@
         self.watch_role.send_if_modified(|current| std::mem::replace(current, role) != role);
         self.publish_members();
         self.publish_plain_servers();
+        self.tell_origins();
+    }
+
+    /// Tells the boxes that keep the records of streams what began those that other boxes can't know otherwise.
+    fn tell_origins(&self) {
+        let records = self.shared.origins().take_untold(self.shared.now());
+        if !records.is_empty() {
+            self.owner_service.tell_origins(records);
+        }
     }
 
     /// Passes the servers whose slots are assigned to the owner service. Their admission states may change without an
--- /dev/null
+++ b/crates/origins/src/records.rs
@@ -0,0 +1,107 @@
+//! Origins of single streams.
+
+use crate::{Millis, Origin, Record, Stream};
+use std::collections::HashMap;
+
+/// Most records, at about 150 bytes each: more than a box began or was told in a minute on the largest fleet.
+const MAX_RECORDS: usize = 32_768;
+
+/// Share of the records that is dropped when there are too many: those whose callers may come back for the shortest
+/// time. Their streams don't go on then.
+const EVICTED_SHARE: usize = 4;
+
+/// Interval between removals of records whose callers come back no more.
+const EXPIRE_INTERVAL: Millis = 1_000;
+
+/// The origins of streams whose callers may still come back.
+#[derive(Clone, Debug, Default)]
+pub struct Records {
+    entries: HashMap<Stream, Entry>,
+    /// Streams that began at this box and of which no other box was told, each with its route.
+    untold: Vec<(Stream, String)>,
+    expire_at: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    /// `None` if two origins were recorded, so that neither counts.
+    origin: Option<Origin>,
+    expires: Millis,
+}
+
+impl Records {
+    /// Records that a stream of this route began at this box. Its caller may come back until `expires`.
+    pub fn begin(&mut self, stream: Stream, route: &str, origin: &Origin, expires: Millis, now: Millis) {
+        self.insert(stream, origin, expires, now);
+        self.untold.push((stream, route.to_owned()));
+    }
+
+    /// Applies another box's record.
+    pub fn on_record(&mut self, record: &Record, now: Millis) {
+        let expires = now.saturating_add(record.left_ms.into());
+        self.insert(record.stream, &record.origin, expires, now);
+    }
+
+    fn insert(&mut self, stream: Stream, origin: &Origin, expires: Millis, now: Millis) {
+        self.expire(now);
+        if self.entries.len() >= MAX_RECORDS && !self.entries.contains_key(&stream) {
+            self.evict();
+        }
+        let entry = self.entries.entry(stream).or_insert_with(|| Entry { origin: Some(origin.clone()), expires });
+        entry.expires = entry.expires.max(expires);
+        if entry.origin.as_ref() != Some(origin) {
+            entry.origin = None;
+        }
+    }
+
+    /// Returns the origin of a stream, if it is known.
+    #[must_use]
+    pub fn get(&self, stream: Stream, now: Millis) -> Option<&Origin> {
+        self.entries.get(&stream).filter(|entry| entry.expires > now)?.origin.as_ref()
+    }
+
+    /// Takes the records of streams that began at this box on routes for which `is_due` holds, and of which no other box
+    /// was told.
+    pub fn take_untold(&mut self, is_due: impl Fn(&str) -> bool, now: Millis) -> Vec<Record> {
+        self.expire(now);
+        let (due, rest) = std::mem::take(&mut self.untold).into_iter().partition(|(_, route)| is_due(route));
+        self.untold = rest;
+        let due: Vec<(Stream, String)> = due;
+        due.into_iter().filter_map(|(stream, _)| self.record(stream, now)).collect()
+    }
+
+    /// Returns the number of records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns true if there are no records.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn record(&self, stream: Stream, now: Millis) -> Option<Record> {
+        let entry = self.entries.get(&stream)?;
+        let left_ms = u32::try_from(entry.expires.checked_sub(now)?).unwrap_or(u32::MAX);
+        Some(Record { stream, origin: entry.origin.clone()?, left_ms })
+    }
+
+    fn expire(&mut self, now: Millis) {
+        if now < self.expire_at {
+            return;
+        }
+        self.expire_at = now + EXPIRE_INTERVAL;
+        self.entries.retain(|_, entry| entry.expires > now);
+        self.untold.retain(|(stream, _)| self.entries.contains_key(stream));
+    }
+
+    fn evict(&mut self) {
+        let mut times: Vec<Millis> = self.entries.values().map(|entry| entry.expires).collect();
+        let (_, threshold, _) = times.select_nth_unstable(MAX_RECORDS / EVICTED_SHARE);
+        let threshold = *threshold;
+        self.entries.retain(|_, entry| entry.expires > threshold);
+        self.untold.retain(|(stream, _)| self.entries.contains_key(stream));
+    }
+}
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -9,7 +9,7 @@
 };
 use imbl::ordmap::DiffItem;
 use imbl::OrdMap;
-use routing::{Directory, Evacuations, HallRegions, Server, Table};
+use routing::{Directory, Evacuations, HallRegions, Server, Table, Version};
 use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -288,6 +288,13 @@
         open && (permitted || !pool.is_limited(id))
     }
 
+    /// True if a listed server of the service runs this software version and accepts new requests.
+    #[must_use]
+    pub fn has_version(&self, service: &str, version: &Version) -> bool {
+        let mut servers = self.pools.get(service).into_iter().flat_map(Pool::servers);
+        servers.any(|server| server.version == *version && !server.draining)
+    }
+
     /// Sets the number of boxes that share the budget, including this one.
     pub fn set_box_count(&mut self, boxes: usize) {
         self.boxes = boxes.max(1);
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -19,11 +19,12 @@
     response
 }
 
-/// Creates a 503 response with a `retry-after` header. It states that the request did not run and will not.
-pub(crate) fn refused(why: &'static str, after: Duration) -> Response<Body> {
+/// Creates a 503 response, which states that the request did not run and will not. Its `retry-after` header is omitted if
+/// a retry would not do better at any time.
+pub(crate) fn refused(why: &'static str, after: Option<Duration>) -> Response<Body> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, why);
-    let seconds = format!("{:.2}", after.as_secs_f64());
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
+    let seconds = after.map(|after| format!("{:.2}", after.as_secs_f64()));
+    if let Some(Ok(value)) = seconds.as_deref().map(HeaderValue::from_str) {
         response.headers_mut().insert(header::RETRY_AFTER, value);
     }
     response
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -39,6 +39,9 @@
 /// also advances while a machine is suspended.
 const PERMIT_TTL_MS: Millis = 100;
 
+/// The draw that is shed last, of draws from 0 to below 1.
+const MAX_DRAW: f64 = 1.0 - f64::EPSILON;
+
 impl Exchange {
     /// Chooses a server and takes a slot there.
     pub(crate) async fn choose(&mut self) -> Result<(Choice, SlotGuard), NotSent> {
@@ -112,7 +115,9 @@
     /// Refuses the request if its class or its customer has to give way to others.
     pub(crate) fn admit(&self) -> Result<(), NotSent> {
         let customer = self.customer.as_ref().map_or(0, |customer| routing::rank(0, &customer.name));
-        let draw = rand::rng().random_range(0.0..1.0);
+        // Within its class, a stream that goes on comes before new requests: half of it is made. What is shed for a more
+        // urgent class, all of its class, it doesn't escape.
+        let draw = if self.version.is_some() { MAX_DRAW } else { rand::rng().random_range(0.0..1.0) };
         Ok(self.shared.placement().admit(&self.placement_request(&[], &[]), customer, draw)?)
     }
 
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -44,6 +44,8 @@
                 let _ = write!(self.trail, "early, {retry_ms} ms");
                 (Cause::Early { retry_ms }, "returned before the time stated")
             }
+            NotSent::OriginUnknown => (Cause::OriginUnknown, "what began the stream is unknown"),
+            NotSent::OriginGone => (Cause::OriginGone, "nobody serves the version that began the stream"),
             NotSent::Quarantined { retry_ms } => {
                 self.trail.push_str("held");
                 (Cause::Quarantined { retry_ms }, "servers ended under this request")
@@ -87,7 +89,7 @@
             telemetry::emit(Event::RefusalBroken, format_args!("id={} trail=\"{}\"", self.call.id, self.trail));
             return self.fail_unknown(text);
         }
-        let delay = self.retry_delay(cause);
+        let delay = cause.may_pass().then(|| self.retry_delay(cause));
         self.refusal = Some(cause);
         self.finish(Outcome::Refused);
         answer::refused(text, delay)
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -54,7 +54,8 @@
     pub(crate) started: Instant,
     /// Identifies repetitions of the request; computed on first use.
     pub(crate) fingerprint: OnceCell<Fingerprint>,
-    /// Software version that wrote the first event of the stream; `None` until it is known.
+    /// Software version that wrote the first event of the stream; `None` until there is one. Only its servers may go on
+    /// with the stream.
     pub(crate) version: Option<Version>,
     /// Ids of the servers that the request was sent to or that could not be reached.
     pub(crate) tried: Vec<String>,
@@ -110,6 +111,11 @@
         if let Verdict::Held { retry_ms } = self.verdict() {
             return Reply::Complete(self.not_sent(&NotSent::Quarantined { retry_ms }));
         }
+        if self.takes_up() {
+            if let Err(why) = self.bind_to_origin().await {
+                return Reply::Complete(self.not_sent(&why));
+            }
+        }
         let now = self.shared.now();
         self.shared.placement().record_request(&self.service, now);
         if let Err(why) = self.check_turn().await.and_then(|()| self.admit()) {
--- a/crates/relay/src/frontend.rs
+++ b/crates/relay/src/frontend.rs
@@ -186,7 +186,7 @@
         let (mut parts, body) = request.into_parts();
         let view = self.shared.view();
         let Some(table) = &view.table else {
-            return answer::refused("no configuration yet", START_RETRY_DELAY);
+            return answer::refused("no configuration yet", Some(START_RETRY_DELAY));
         };
         let body = match read_body(body, table.limits.max_body_bytes).await {
             Ok(body) => body,
@@ -196,7 +196,7 @@
         // The configuration may have changed while the body was read.
         let view = self.shared.view();
         let Some(table) = view.table.as_ref().map(Arc::clone) else {
-            return answer::refused("no configuration yet", START_RETRY_DELAY);
+            return answer::refused("no configuration yet", Some(START_RETRY_DELAY));
         };
         match self.admit(&table, parts, body, started) {
             Ok(mut exchange) => match exchange.run().await {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -36,6 +36,7 @@
 mod slot_guard;
 mod stream_forwarder;
 mod suspects;
+mod take_up;
 mod timing;
 mod tunnel_boxes;
 mod tunnel_connector;
--- a/crates/relay/src/not_sent.rs
+++ b/crates/relay/src/not_sent.rs
@@ -13,6 +13,10 @@
         /// Delay until that time.
         retry_ms: Millis,
     },
+    /// The caller takes up a stream, and it isn't known which software version began it.
+    OriginUnknown,
+    /// The caller takes up a stream, and nobody serves the version that began it any more.
+    OriginGone,
     /// The request is quarantined, because servers repeatedly terminated while running it.
     Quarantined {
         /// Delay after which the caller may retry.
--- a/crates/relay/src/peer_client.rs
+++ b/crates/relay/src/peer_client.rs
@@ -2,6 +2,7 @@
 
 use crate::TunnelBoxes;
 use dispatch::{SlotRelease, SlotReply, SlotRequest};
+use origins::{Answer, Stream};
 use placement::{
     Fingerprint, LimitUpdate, LivenessEvidence, PermitReply, PermitRequest, SendReport, ServerStatus, StatusQuery,
     SuspectRecord,
@@ -51,6 +52,10 @@
     /// Tells that box that the caller of `request` was told to return in so many milliseconds.
     fn report_promise(&self, request: u64, left_ms: u32);
 
+    /// Asks the boxes that keep the record of a stream, other than this one, what they know about its origin. `None` stands
+    /// for a stream that its caller doesn't name. Receivers of boxes that don't answer never resolve.
+    fn request_origin(&self, stream: Option<Stream>, route: &str) -> Vec<oneshot::Receiver<Answer>>;
+
     /// Reports the progress of a request to the owner of `server`. All reports of one lease go to the same box.
     fn report(&self, server: &Server, report: SendReport);
 
--- a/crates/relay/src/retry_delay.rs
+++ b/crates/relay/src/retry_delay.rs
@@ -51,6 +51,10 @@
         /// Milliseconds until that time.
         retry_ms: Millis,
     },
+    /// The caller takes up a stream, and it isn't known what began it.
+    OriginUnknown,
+    /// The caller takes up a stream of a version that nobody serves any more.
+    OriginGone,
     /// The request is quarantined.
     Quarantined {
         /// Milliseconds after which it may be tried again.
@@ -85,6 +89,8 @@
             Self::NotPlaced(Refusal::NoServer) | Self::NotTaken => "no_server",
             Self::Deadline => "deadline",
             Self::Early { .. } => "early",
+            Self::OriginUnknown => "origin_unknown",
+            Self::OriginGone => "origin_gone",
             Self::Quarantined { .. } => "quarantined",
         }
     }
@@ -96,10 +102,18 @@
             Self::NotPlaced(refusal) => refusal.loss(),
             Self::NotTaken => Some(Loss::NoSlot),
             // An early return is no new demand.
-            Self::Deadline | Self::Early { .. } | Self::Quarantined { .. } => None,
+            Self::Deadline | Self::Early { .. } | Self::OriginUnknown | Self::OriginGone | Self::Quarantined { .. } => {
+                None
+            }
         }
     }
 
+    /// Returns false if there is no time after which a retry would do better.
+    #[must_use]
+    pub fn may_pass(self) -> bool {
+        self != Self::OriginGone
+    }
+
     /// Returns the delay after which the caller should retry.
     #[must_use]
     pub fn delay(self, queue: &Queue) -> Duration {
@@ -117,7 +131,12 @@
                 let spread = 1.0 + queue.draw * (BACKOFF_SPREAD_FACTOR - 1.0);
                 Duration::from_millis(retry_ms).max(RETRY_DELAY).mul_f64(spread)
             }
-            Self::NotPlaced(Refusal::NoServer) | Self::NotTaken | Self::Deadline => RETRY_DELAY,
+            // Records of streams reach other boxes within some tenths of a second.
+            Self::NotPlaced(Refusal::NoServer)
+            | Self::NotTaken
+            | Self::Deadline
+            | Self::OriginUnknown
+            | Self::OriginGone => RETRY_DELAY,
             Self::Early { retry_ms } | Self::Quarantined { retry_ms } => Duration::from_millis(retry_ms),
         }
     }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::{HeaderCodec, Network, PeerClient, Returns};
 use clock::Clock;
+use origins::Origins;
 use placement::{Millis, Placement, Quarantine, Snapshot};
 use routing::{Directory, Evacuations, Table};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -46,6 +47,8 @@
     view: RwLock<Arc<View>>,
     placement: Mutex<Placement>,
     pub(crate) quarantine: Mutex<Quarantine>,
+    /// The origins of streams.
+    origins: Mutex<Origins>,
     /// When refused callers were told to return.
     returns: Mutex<Returns>,
     /// Secret of the deployment, equal on all boxes; keys the request fingerprints.
@@ -77,6 +80,7 @@
             view: RwLock::default(),
             placement: Mutex::new(placement),
             quarantine: Mutex::default(),
+            origins: Mutex::default(),
             returns: Mutex::default(),
             secret,
             started: clock.now(),
@@ -103,6 +107,7 @@
 
     /// Replaces the configuration and servers in force.
     pub fn set_view(&self, view: View) {
+        self.origins().update(view.table.as_deref(), &view.directory, self.now());
         if let Some(table) = &view.table {
             let in_force = Snapshot { table, directory: &view.directory, evacuations: &view.evacuations };
             self.placement().update(&in_force, self.now());
@@ -115,6 +120,11 @@
         self.placement.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the origins of streams. The guard must not be held across an await point.
+    pub fn origins(&self) -> MutexGuard<'_, Origins> {
+        self.origins.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the promised returns of refused callers. The guard must not be held across an await point.
     pub(crate) fn returns(&self) -> MutexGuard<'_, Returns> {
         self.returns.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -155,8 +155,10 @@
                 Event::StreamBegan,
                 format_args!("id={} server={} version=\"{version}\" ms={ms}", exchange.call.id, slot.server.id),
             );
-            if exchange.version.is_none() {
+            // The first event of the exchange; of a stream that the caller takes up, the version is known before.
+            if exchange.timing.first.is_none() {
                 exchange.version = Some(version.clone());
+                exchange.record_origin();
                 log_taken_up(&exchange.call, &slot.server);
             }
         }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -69,6 +69,11 @@
         names.into_iter()
     }
 
+    /// Iterates over all routes, in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values().flatten().map(|route| &**route)
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
