--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -215,7 +215,9 @@
     /// Handles a lost connection to a server that had the request: starts a probe that finds out whether the server has
     /// terminated.
     pub(crate) fn on_connection_lost(&mut self, slot: &SlotGuard) {
-        let lost = LostRequest { request: self.fingerprint(), sent: slot.sent, at: self.shared.now() };
+        let parts = self.call.prompt.as_ref().map_or(&[][..], Prompt::shared);
+        let parts = parts.iter().map(|part| part.id).collect();
+        let lost = LostRequest { request: self.fingerprint(), parts, sent: slot.sent, at: self.shared.now() };
         self.crash_probe =
             Some(self.crash_detector.on_connection_lost(&self.shared, &self.connections, &slot.server, lost));
     }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -31,9 +31,11 @@
 }
 
 /// A request whose answer was interrupted.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct LostRequest {
     pub(crate) request: Fingerprint,
+    /// Ids of the parts of its prompt that it may share with others.
+    pub(crate) parts: Vec<u64>,
     /// When the request was sent to the server.
     pub(crate) sent: Millis,
     /// When the connection was lost.
@@ -66,9 +68,10 @@
         let Probe { requests, done: _done } = self.probes.borrow_mut().remove(&server.id).unwrap_or_default();
         let refused = matches!(&reached, Err(why) if why.kind() == ErrorKind::ConnectionRefused);
         let mut list = String::new();
-        for LostRequest { request, .. } in &requests {
+        for LostRequest { request, parts, .. } in &requests {
             // Writing to a `String` can't fail.
             let _ = write!(list, "{}{request}", if list.is_empty() { "" } else { "," });
+            parts.iter().for_each(|part| drop(write!(list, "/{part:x}")));
         }
         // A brittle server falls over from the number of requests, not from one of them.
         if refused && !shared.placement().is_brittle(&server.service, shared.now()) {
