placement, relay: parts of prompts that crash servers are found and held, as whole requests are

Cause: the quarantine knew whole requests, of which no two were alike.

Each part of a prompt but the last is a suspect of its own in the same quarantine. It is held after three ends, one of which came to a server that was sent it after another had ended, so that a lost hall holds nothing; servers that have answered for 0.3 s have survived it. Of suspects with the same ends the most specific one is held, and what another one explains is not, so that a first part that all share, and requests beside the guilty one, stay free. A held part is tried after a second, two minutes and half an hour.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -47,6 +47,7 @@
 mod speed_estimator;
 mod split;
 mod stalls;
+mod suspect_trait;
 mod urgency;
 
 pub use admission::AdmissionSummary;
@@ -72,6 +73,7 @@
 pub use shedding::{ClassCount, ClassCounts, Loss, Shortage, ShortageSums};
 pub use speed::Speed;
 pub use speed_estimator::SpeedEstimator;
+pub use suspect_trait::{Scope, Trait};
 
 /// Milliseconds on a monotonic clock.
 pub type Millis = u64;
--- a/crates/placement/src/quarantine.rs
+++ b/crates/placement/src/quarantine.rs
@@ -1,8 +1,13 @@
-//! Quarantine of requests that crash the servers that run them.
+//! Quarantine of requests, and of parts of prompts, that crash the servers that run them.
 //!
-//! When a server terminates, each request that it was running becomes a suspect. A request under which three servers
-//! terminated is held: no box sends it on. A server that survives it clears it. Boxes exchange [`SuspectRecord`]s;
-//! whatever the order in which they arrive, boxes that received the same records hold the same requests.
+//! When a server terminates, each request that it was running becomes a suspect, and so does each part of its prompt that
+//! others may share. A suspect under which three servers terminated is held: no box sends a request on that is or has it. A
+//! server that survives it clears it. Boxes exchange [`SuspectRecord`]s; whatever the order in which they arrive, boxes that
+//! received the same records hold the same suspects.
+//!
+//! The parts that a crashing request has, and the requests beside it, are under the same terminations. Of suspects with the
+//! same terminations the most specific one is held, and a suspect whose terminations are all among those of another one is
+//! explained by it. If the wrong one is held, the next termination tells: it is under the crashing one and not under that.
 //!
 //! A termination is the observation of one box: the server's address refused connections, as it also does for a box
 //! that is cut off. Any box that the server answers later disproves it, and notifies the others.
@@ -10,7 +15,7 @@
 //! A request that crashes its servers meets them one after the other. One that runs everywhere loses many at once
 //! with a hall, and is soon cleared by the servers that survive; if none does, it is tried early.
 
-use crate::{Fingerprint, Millis};
+use crate::{Fingerprint, Millis, Scope, Trait};
 use routing::rank_bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
@@ -30,10 +35,10 @@
 /// request that runs everywhere were refused, 3,713 with a delay of five seconds, and 5,377 without early trials.
 const EARLY_TRIAL_DELAY_MS: i64 = 1_000;
 
-/// Delay of the first trial if servers terminated one after the other, each after the request was sent there.
+/// Delay of the second trial of a part, and of the first trial of a request if servers terminated one after the other, each after the request was sent there.
 const TRIAL_DELAY_MS: i64 = 120_000;
 
-/// Delay of the second and last trial; each trial may terminate one more server.
+/// Delay of the last trial; each trial may terminate one more server.
 const LAST_TRIAL_DELAY_MS: i64 = 1_800_000;
 
 /// Time for which terminations count. After a day, servers have been repaired or replaced.
@@ -55,6 +60,10 @@
 /// Shortest and longest retry delay for the caller of a held request. It is long, since the request won't run, but
 /// one that was held by mistake may be let through within seconds.
 const MIN_RETRY_MS: i64 = 5_000;
+
+/// The same for a request with a held part. The part is shared with others, and its first trial comes after a second.
+const MIN_PART_RETRY_MS: i64 = 1_500;
+
 const MAX_RETRY_MS: i64 = 3_600_000;
 
 /// Termination of a server.
@@ -71,8 +80,10 @@
 /// Record of a suspect, as exchanged between boxes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectRecord {
-    /// The request.
+    /// The request, or the part.
     pub request: Fingerprint,
+    /// Which of them it is.
+    pub scope: Scope,
     /// Number of times it was cleared. Terminations from before the last time don't count.
     pub survivals: u32,
     /// Servers that terminated under it since.
@@ -148,6 +159,7 @@
 
 #[derive(Clone, Debug)]
 struct Suspect {
+    scope: Scope,
     survivals: u32,
     /// In the order of termination.
     ends: Vec<SeenTermination>,
@@ -158,7 +170,7 @@
 
 impl Default for Suspect {
     fn default() -> Self {
-        Self { survivals: 0, ends: Vec::new(), trials: 0, changed: i64::MIN }
+        Self { scope: Scope::Whole, survivals: 0, ends: Vec::new(), trials: 0, changed: i64::MIN }
     }
 }
 
@@ -184,8 +196,14 @@
 
     /// Records that a server terminated while it ran this request.
     pub fn record_termination(&mut self, request: Fingerprint, end: Termination, now: Millis) -> Change {
+        self.record_termination_of(Trait { fingerprint: request, scope: Scope::Whole }, end, now)
+    }
+
+    /// Records that a server terminated while it ran a request with this trait.
+    pub fn record_termination_of(&mut self, suspect: Trait, end: Termination, now: Millis) -> Change {
+        let Trait { fingerprint: request, scope } = suspect;
         let survivals = self.suspects.get(&request).map_or(0, |suspect| suspect.survivals);
-        self.on_record(&SuspectRecord { request, survivals, ends: vec![end], trials: 0, ago: 0 }, now)
+        self.on_record(&SuspectRecord { request, scope, survivals, ends: vec![end], trials: 0, ago: 0 }, now)
     }
 
     /// Records that a server survived this request, or that an operator cleared it.
@@ -193,8 +211,8 @@
         let Some(suspect) = self.suspects.get(&request).filter(|suspect| !suspect.ends.is_empty()) else {
             return Change::Unchanged;
         };
-        let survivals = suspect.survivals + 1;
-        self.on_record(&SuspectRecord { request, survivals, ends: Vec::new(), trials: 0, ago: 0 }, now)
+        let (scope, survivals) = (suspect.scope, suspect.survivals + 1);
+        self.on_record(&SuspectRecord { request, scope, survivals, ends: Vec::new(), trials: 0, ago: 0 }, now)
     }
 
     /// Applies another box's record.
@@ -204,8 +222,9 @@
         let answered = &self.last_answers;
         let disproved =
             |end: &SeenTermination| answered.get(&end.server).is_some_and(|at| *at >= end.at + DISPROOF_DELAY_MS);
+        let held = self.is_held(record.request);
         let suspect = self.suspects.entry(record.request).or_default();
-        let (held, old_digest) = (suspect.is_held(), suspect.digest(record.request));
+        let old_digest = suspect.digest(record.request);
         if !suspect.apply(record, now, disproved) {
             if suspect.is_empty() {
                 self.suspects.remove(&record.request);
@@ -216,7 +235,7 @@
         self.terminated_servers.extend(record.ends.iter().map(|end| end.server.clone()));
         let record = suspect.record(record.request, now);
         self.digest = self.digest.wrapping_sub(old_digest).wrapping_add(suspect.digest(record.request));
-        Change::of(held, suspect.is_held(), record)
+        Change::of(held, self.is_held(record.request), record)
     }
 
     /// Records that a server answered this box. Returns the changes where this disproves a termination.
@@ -265,10 +284,10 @@
             if !suspect.ends.iter().any(false_end) {
                 continue;
             }
-            let (held, old_digest) = (suspect.is_held(), suspect.digest(*request));
+            let (held, old_digest) = (suspect.has_enough_ends(), suspect.digest(*request));
             suspect.ends.retain(|end| !false_end(end));
             self.digest = self.digest.wrapping_sub(old_digest).wrapping_add(suspect.digest(*request));
-            changes.push(Change::of(held, suspect.is_held(), suspect.record(*request, now)));
+            changes.push(Change::of(held, suspect.has_enough_ends(), suspect.record(*request, now)));
         }
         self.suspects.retain(|_, suspect| !suspect.is_empty());
         if !self.suspects.values().any(|suspect| suspect.ends.iter().any(|end| end.server == server)) {
@@ -285,14 +304,34 @@
         let Some(since) = suspect.held_since().filter(|since| now < since + SUSPECT_TTL_MS) else {
             return Verdict::Free;
         };
+        if self.is_explained(request, suspect) {
+            return Verdict::Free;
+        }
         if first && suspect.trial_after().is_some_and(|after| now >= since + after) {
             return Verdict::Trial;
         }
         // As long again as it has been held.
-        let retry_ms = (now - since).clamp(MIN_RETRY_MS, MAX_RETRY_MS) as Millis;
+        let min_retry_ms = if suspect.scope == Scope::Whole { MIN_RETRY_MS } else { MIN_PART_RETRY_MS };
+        let retry_ms = (now - since).clamp(min_retry_ms, MAX_RETRY_MS) as Millis;
         Verdict::Held { retry_ms }
     }
 
+    fn is_held(&self, request: Fingerprint) -> bool {
+        let suspect = self.suspects.get(&request).filter(|suspect| suspect.has_enough_ends());
+        suspect.is_some_and(|suspect| !self.is_explained(request, suspect))
+    }
+
+    /// True if another suspect was on all servers that terminated under this one, and is the better explanation. Whole
+    /// requests don't explain each other.
+    fn is_explained(&self, request: Fingerprint, suspect: &Suspect) -> bool {
+        self.suspects.iter().any(|(other_request, other)| {
+            *other_request != request
+                && other.has_enough_ends()
+                && (suspect.scope, other.scope) != (Scope::Whole, Scope::Whole)
+                && other.explains(suspect)
+        })
+    }
+
     /// Records that a held request is sent as a trial. Returns the change that other boxes must know.
     pub fn begin_trial(&mut self, request: Fingerprint, now: Millis) -> Change {
         let Some(suspect) = self.suspects.get(&request) else { return Change::Unchanged };
@@ -310,13 +349,13 @@
     /// Returns the records that a new box needs: held and cleared requests.
     #[must_use]
     pub fn records(&self, now: Millis) -> Vec<SuspectRecord> {
-        let known = self.suspects.iter().filter(|(_, suspect)| suspect.is_held() || suspect.survivals > 0);
+        let known = self.suspects.iter().filter(|(_, suspect)| suspect.has_enough_ends() || suspect.survivals > 0);
         known.map(|(request, suspect)| suspect.record(*request, now as i64)).collect()
     }
 
     /// Iterates over the held requests.
     pub fn held(&self) -> impl Iterator<Item = Fingerprint> + '_ {
-        self.suspects.iter().filter(|(_, suspect)| suspect.is_held()).map(|(request, _)| *request)
+        self.suspects.keys().copied().filter(|request| self.is_held(*request))
     }
 
     /// Returns a digest that is equal on boxes that hold the same requests.
@@ -334,7 +373,7 @@
         if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&request) {
             return;
         }
-        let weight = |suspect: &Suspect| (suspect.is_held(), suspect.ends.len(), suspect.changed);
+        let weight = |suspect: &Suspect| (suspect.has_enough_ends(), suspect.ends.len(), suspect.changed);
         let mut weights: Vec<_> = self.suspects.values().map(weight).collect();
         let (_, threshold, _) = weights.select_nth_unstable(EVICTION_BATCH);
         let threshold = *threshold;
@@ -356,9 +395,11 @@
         if record.survivals < self.survivals {
             return false;
         }
+        // A part may be at different positions of prompts.
+        self.scope = if self.is_empty() { record.scope } else { self.scope.min(record.scope) };
         let mut is_new = record.survivals > self.survivals;
         if is_new {
-            *self = Self { survivals: record.survivals, changed: self.changed, ..Self::default() };
+            *self = Self { scope: self.scope, survivals: record.survivals, changed: self.changed, ..Self::default() };
         }
         for end in &record.ends {
             let [sent, at] = [end.sent, end.ago].map(|ago| now - ago as i64);
@@ -379,11 +420,21 @@
 
     /// Returns since when it is held; `None` if it isn't.
     fn held_since(&self) -> Option<i64> {
-        self.ends.get(TERMINATIONS_TO_HOLD - 1).map(|end| end.at)
+        self.ends.get(TERMINATIONS_TO_HOLD - 1).filter(|_| self.has_enough_ends()).map(|end| end.at)
+    }
+
+    /// True if it is held unless another suspect explains its terminations.
+    ///
+    /// A hall that is lost ends several servers under a part that runs everywhere. So one of the servers must have been sent
+    /// the part after another one had terminated under it.
+    fn has_enough_ends(&self) -> bool {
+        self.ends.len() >= TERMINATIONS_TO_HOLD && (self.scope == Scope::Whole || self.sequential().len() > 1)
     }
 
-    fn is_held(&self) -> bool {
-        self.ends.len() >= TERMINATIONS_TO_HOLD
+    /// True if it was on all servers that terminated under `other`, and on more of them or is more specific.
+    fn explains(&self, other: &Self) -> bool {
+        let has = |end: &SeenTermination| self.ends.iter().any(|own| own.server == end.server);
+        (self.ends.len() > other.ends.len() || self.scope > other.scope) && other.ends.iter().all(has)
     }
 
     /// True if there is nothing to remember.
@@ -414,10 +465,13 @@
 
     /// Returns when it may be tried, counted from when it was held; `None` if it was tried often enough.
     fn trial_after(&self) -> Option<i64> {
-        match self.trials {
-            0 if self.sequential().len() < TERMINATIONS_TO_HOLD => Some(EARLY_TRIAL_DELAY_MS),
-            0 => Some(TRIAL_DELAY_MS),
-            1 => Some(LAST_TRIAL_DELAY_MS),
+        match (self.scope, self.trials) {
+            // Sound requests share it if it is held by mistake, so one trial decides soon.
+            (Scope::Part { .. }, 0) => Some(EARLY_TRIAL_DELAY_MS),
+            (Scope::Part { .. }, 1) => Some(TRIAL_DELAY_MS),
+            (Scope::Part { .. }, 2) | (Scope::Whole, 1) => Some(LAST_TRIAL_DELAY_MS),
+            (Scope::Whole, 0) if self.sequential().len() < TERMINATIONS_TO_HOLD => Some(EARLY_TRIAL_DELAY_MS),
+            (Scope::Whole, 0) => Some(TRIAL_DELAY_MS),
             _ => None,
         }
     }
@@ -428,6 +482,7 @@
             |end: &SeenTermination| Termination { server: end.server.clone(), sent: ago(end.sent), ago: ago(end.at) };
         SuspectRecord {
             request,
+            scope: self.scope,
             survivals: self.survivals,
             ends: self.ends.iter().map(end).collect(),
             trials: self.trials,
@@ -437,7 +492,7 @@
 
     /// Returns its contribution to the digest: 0 for a mere suspect.
     fn digest(&self, request: Fingerprint) -> u64 {
-        let held = self.is_held();
+        let held = self.has_enough_ends();
         if !held && self.survivals == 0 {
             return 0;
         }
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -8,7 +8,9 @@
 use crate::slot_guard::SlotGuard;
 use http::uri::PathAndQuery;
 use http::{header, HeaderValue};
-use placement::{Choice, Fingerprint, Millis, PermitReply, PlacementRequest, Prompt, ServerStatus, Verdict};
+use placement::{
+    Choice, Fingerprint, Millis, PermitReply, PlacementRequest, Prompt, Scope, ServerStatus, Trait, Verdict,
+};
 use rand::Rng;
 use routing::Server;
 use std::sync::Arc;
@@ -39,6 +41,10 @@
 /// also advances while a machine is suspended.
 const PERMIT_TTL_MS: Millis = 100;
 
+/// Time after the first event of an answer from which its server has survived the parts of the prompt. Events that were on
+/// their way when a server terminated may be read some tenths of a second later.
+pub(crate) const PART_SURVIVAL_TIME: Millis = 300;
+
 /// The draw that is shed last, of draws from 0 to below 1.
 const MAX_DRAW: f64 = 1.0 - f64::EPSILON;
 
@@ -84,7 +90,7 @@
         }
         match self.verdict() {
             Verdict::Free => {}
-            Verdict::Trial => self.shared.begin_probe(self.fingerprint()),
+            Verdict::Trial => self.shared.begin_probes(self.traits()),
             Verdict::Held { retry_ms } => return Err(NotSent::Quarantined { retry_ms }),
         }
         self.permit_expires = permit_expires;
@@ -209,7 +215,28 @@
         if self.shared.quarantine().is_empty() {
             return Verdict::Free;
         }
-        self.shared.verdict(self.fingerprint())
+        self.shared.verdict(self.traits())
+    }
+
+    /// Returns the traits of the request that may crash servers: its shared parts, and the request as a whole.
+    pub(crate) fn traits(&self) -> &[Trait] {
+        self.traits.get_or_init(|| {
+            let parts = self.call.prompt.as_ref().map_or(&[][..], Prompt::shared);
+            let parts = parts.iter().enumerate();
+            let parts = parts.map(|(position, part)| Trait::part(self.shared.secret, part.id, position));
+            parts.chain([Trait { fingerprint: self.fingerprint(), scope: Scope::Whole }]).collect()
+        })
+    }
+
+    /// Clears the parts of the prompt once the server of an answer has survived them.
+    pub(crate) fn record_part_survivals(&self, slot: &mut SlotGuard) {
+        if self.call.prompt.is_none() || !slot.take_survival(PART_SURVIVAL_TIME) {
+            return;
+        }
+        if !self.shared.quarantine().is_empty() {
+            let parts: Vec<Trait> = self.traits().iter().copied().filter(|one| one.scope != Scope::Whole).collect();
+            self.shared.record_survivals(&parts);
+        }
     }
 
     /// Handles a lost connection to a server that had the request: starts a probe that finds out whether the server has
@@ -217,7 +244,12 @@
     pub(crate) fn on_connection_lost(&mut self, slot: &SlotGuard) {
         let parts = self.call.prompt.as_ref().map_or(&[][..], Prompt::shared);
         let parts = parts.iter().map(|part| part.id).collect();
-        let lost = LostRequest { request: self.fingerprint(), parts, sent: slot.sent, at: self.shared.now() };
+        let (sent, at) = (slot.sent, self.shared.now());
+        // A part crashes a server when that begins to answer; a server that has been answering for a while survived it.
+        let survived = slot.has_answered_for(PART_SURVIVAL_TIME, at);
+        let suspects = self.traits().iter().filter(|suspect| suspect.scope == Scope::Whole || !survived);
+        let suspects = suspects.copied().collect();
+        let lost = LostRequest { request: self.fingerprint(), parts, suspects, sent, at };
         self.crash_probe =
             Some(self.crash_detector.on_connection_lost(&self.shared, &self.connections, &slot.server, lost));
     }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -2,7 +2,7 @@
 
 use crate::connections::Connections;
 use crate::shared::Shared;
-use placement::{Fingerprint, Millis};
+use placement::{Fingerprint, Millis, Trait};
 use routing::Server;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -36,6 +36,8 @@
     pub(crate) request: Fingerprint,
     /// Ids of the parts of its prompt that it may share with others.
     pub(crate) parts: Vec<u64>,
+    /// Its traits that may have terminated the server.
+    pub(crate) suspects: Vec<Trait>,
     /// When the request was sent to the server.
     pub(crate) sent: Millis,
     /// When the connection was lost.
@@ -71,7 +73,9 @@
         for LostRequest { request, parts, .. } in &requests {
             // Writing to a `String` can't fail.
             let _ = write!(list, "{}{request}", if list.is_empty() { "" } else { "," });
-            parts.iter().for_each(|part| drop(write!(list, "/{part:x}")));
+            for part in parts {
+                let _ = write!(list, "/{part:x}");
+            }
         }
         // A brittle server falls over from the number of requests, not from one of them.
         if refused && !shared.placement().is_brittle(&server.service, shared.now()) {
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -193,7 +193,7 @@
         metrics::histogram!("cleatshelf_request_seconds", "route" => self.route.name.clone())
             .record(elapsed.as_secs_f64());
         if outcome == Outcome::Answered && !self.shared.quarantine().is_empty() {
-            self.shared.record_survival(self.fingerprint());
+            self.shared.record_survivals(self.traits());
         }
         if let Some(loss) = self.loss(outcome) {
             let now = self.shared.now();
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -14,7 +14,7 @@
 use crate::Body;
 use bytes::Bytes;
 use http::{request, Response, StatusCode};
-use placement::{Choice, Ending, Fingerprint, Millis, Verdict};
+use placement::{Choice, Ending, Fingerprint, Millis, Trait, Verdict};
 use routing::{Customer, Kind, Route, Version};
 use std::cell::{Cell, OnceCell};
 use std::fmt::Write;
@@ -54,6 +54,8 @@
     pub(crate) started: Instant,
     /// Identifies repetitions of the request; computed on first use.
     pub(crate) fingerprint: OnceCell<Fingerprint>,
+    /// Its traits that may crash servers; computed on first use.
+    pub(crate) traits: OnceCell<Vec<Trait>>,
     /// Software version that wrote the first event of the stream; `None` until there is one. Only its servers may go on
     /// with the stream.
     pub(crate) version: Option<Version>,
--- a/crates/relay/src/frontend.rs
+++ b/crates/relay/src/frontend.rs
@@ -255,6 +255,7 @@
             expires: self.shared.now() + time.saturating_sub(started.elapsed()).as_millis() as u64,
             started,
             fingerprint: OnceCell::new(),
+            traits: OnceCell::new(),
             version: None,
             tried: Vec::new(),
             crash_probe: None,
--- a/crates/relay/src/slot_guard.rs
+++ b/crates/relay/src/slot_guard.rs
@@ -17,6 +17,10 @@
     pub(crate) sent: Millis,
     work: Work,
     prefill_done: bool,
+    /// When the first event came, or the whole answer; `None` before.
+    answering_since: Option<Millis>,
+    /// True once the request's parts were recorded as survived.
+    survival_recorded: bool,
     /// True once a pause between events exceeded the gap limit.
     late: bool,
     /// The longest pause between two events.
@@ -43,6 +47,8 @@
             sent: shared.now(),
             work,
             prefill_done: false,
+            answering_since: None,
+            survival_recorded: false,
             late: false,
             pause_ms: 0,
             ending: Ending::Left,
@@ -67,6 +73,7 @@
     pub(crate) fn on_prefill_done(&mut self) -> bool {
         let first = !std::mem::replace(&mut self.prefill_done, true);
         if first {
+            self.answering_since = Some(self.shared.now());
             self.on_server_answered();
             self.shared.placement().record_prefilled(&self.service, &self.server.id, self.work);
             self.report(SendUpdate::Read);
@@ -75,6 +82,18 @@
         first
     }
 
+    /// True if the server has been answering for this time.
+    pub(crate) fn has_answered_for(&self, time: Millis, now: Millis) -> bool {
+        self.answering_since.is_some_and(|since| now >= since + time)
+    }
+
+    /// Returns true once: when the server has been answering for this time.
+    pub(crate) fn take_survival(&mut self, time: Millis) -> bool {
+        let is_new = !self.survival_recorded && self.has_answered_for(time, self.shared.now());
+        self.survival_recorded |= is_new;
+        is_new
+    }
+
     /// Records the time between two events. The first one above the gap limit marks the answer as late.
     pub(crate) fn record_pause(&mut self, pause: Duration) {
         let ms = u32::try_from(pause.as_millis()).unwrap_or(u32::MAX);
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -120,6 +120,7 @@
             }
             if !whole.is_empty() {
                 self.on_first_event(slot);
+                self.exchange.record_part_survivals(slot);
                 self.record_event_time(slot);
                 if self.caller.send(Ok(Frame::data(whole))).await.is_err() {
                     return StreamEnd::Disconnected;
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -2,7 +2,7 @@
 
 use crate::crash::LostRequest;
 use crate::Shared;
-use placement::{Change, Fingerprint, LivenessEvidence, Quarantine, SuspectRecord, Termination, Verdict};
+use placement::{Change, Fingerprint, LivenessEvidence, Quarantine, Scope, SuspectRecord, Termination, Trait, Verdict};
 use std::fmt::Write;
 use std::sync::{MutexGuard, PoisonError};
 use telemetry::Event;
@@ -23,7 +23,8 @@
                 sent: now.saturating_sub(lost.sent),
                 ago: now.saturating_sub(lost.at),
             };
-            requests.iter().map(|lost| quarantine.record_termination(lost.request, end(lost), now)).collect()
+            let suspects = requests.iter().flat_map(|lost| lost.suspects.iter().map(move |suspect| (lost, suspect)));
+            suspects.map(|(lost, suspect)| quarantine.record_termination_of(*suspect, end(lost), now)).collect()
         };
         self.broadcast(changes);
     }
@@ -38,6 +39,16 @@
         suspected
     }
 
+    /// Records that a server ran a request with these traits and survived.
+    pub(crate) fn record_survivals(&self, traits: &[Trait]) {
+        let now = self.now();
+        let changes = {
+            let mut quarantine = self.quarantine();
+            traits.iter().map(|one| quarantine.record_survival(one.fingerprint, now)).collect()
+        };
+        self.broadcast(changes);
+    }
+
     /// Records that a server answers. If a box reported it as terminated, all boxes are informed that it is alive.
     pub(crate) fn on_server_answered(&self, server: &str) {
         let now = self.now();
@@ -80,8 +91,21 @@
         contradictions
     }
 
-    /// Returns the quarantine's verdict on a request.
-    pub(crate) fn verdict(&self, request: Fingerprint) -> Verdict {
+    /// Returns the quarantine's verdict on a request with these traits: the strictest one.
+    pub(crate) fn verdict(&self, traits: &[Trait]) -> Verdict {
+        let verdicts = || traits.iter().map(|one| self.verdict_on(one.fingerprint));
+        let longest_hold = verdicts().filter_map(|verdict| match verdict {
+            Verdict::Held { retry_ms } => Some(retry_ms),
+            Verdict::Free | Verdict::Trial => None,
+        });
+        match longest_hold.max() {
+            Some(retry_ms) => Verdict::Held { retry_ms },
+            None if verdicts().any(|verdict| verdict == Verdict::Trial) => Verdict::Trial,
+            None => Verdict::Free,
+        }
+    }
+
+    fn verdict_on(&self, request: Fingerprint) -> Verdict {
         let now = self.now();
         let verdict = self.quarantine().verdict(request, false, now);
         if verdict == Verdict::Free {
@@ -93,11 +117,14 @@
         self.quarantine().verdict(request, first, now)
     }
 
-    /// Records that a held request is sent once as a half-open probe.
-    pub(crate) fn begin_probe(&self, request: Fingerprint) {
-        let change = self.quarantine().begin_trial(request, self.now());
-        telemetry::emit(Event::RequestTried, format_args!("request={request}"));
-        self.broadcast(vec![change]);
+    /// Records that a request is sent once as a half-open probe of those of its traits that are held.
+    pub(crate) fn begin_probes(&self, traits: &[Trait]) {
+        let tried = traits.iter().map(|one| one.fingerprint);
+        for request in tried.filter(|request| self.verdict_on(*request) == Verdict::Trial).collect::<Vec<_>>() {
+            let change = self.quarantine().begin_trial(request, self.now());
+            telemetry::emit(Event::RequestTried, format_args!("request={request}"));
+            self.broadcast(vec![change]);
+        }
     }
 
     /// Logs changes and broadcasts them to the other boxes.
@@ -124,6 +151,20 @@
     }
     telemetry::emit(
         event,
-        format_args!("request={} ends={ends} survivals={} trials={}", record.request, record.survivals, record.trials),
+        format_args!(
+            "request={} scope={} ends={ends} survivals={} trials={}",
+            record.request,
+            scope_name(record.scope),
+            record.survivals,
+            record.trials
+        ),
     );
 }
+
+/// Returns the word for logs.
+fn scope_name(scope: Scope) -> String {
+    match scope {
+        Scope::Part { position } => format!("part{position}"),
+        Scope::Whole => "whole".to_owned(),
+    }
+}
