relay: a stream that ends with its connection before its first event is broken, not whole

Callers got an empty stream that looked complete when a server whose answer has neither a length nor chunks closed the connection before the first event. Cause: the end of an unframed answer counted as whole wherever no event was half read. The test a_stream_that_ends_before_its_first_event_is_broken_and_goes_on failed before. The other outcomes of such answers have tests too and were right: whole after an event, broken within one, and a plain answer that is reset is unknown.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -175,6 +175,12 @@
 }
 
 impl Answer {
+    /// False if nothing but the end of the connection ends the answer.
+    pub(crate) fn is_framed(&self) -> bool {
+        let headers = &self.parts.headers;
+        headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Reads the whole body and returns the connection to the pool.
     pub(crate) async fn collect(self, connections: &Connections) -> Result<(response::Parts, Bytes), String> {
         let Self { parts, body, connection, instance } = self;
--- a/crates/relay/src/slot_guard.rs
+++ b/crates/relay/src/slot_guard.rs
@@ -82,6 +82,11 @@
         first
     }
 
+    /// True if an event came, or the whole answer.
+    pub(crate) fn has_answered(&self) -> bool {
+        self.answering_since.is_some()
+    }
+
     /// True if the server has been answering for this time.
     pub(crate) fn has_answered_for(&self, time: Millis, now: Millis) -> bool {
         self.answering_since.is_some_and(|since| now >= since + time)
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -108,6 +108,9 @@
                 () = tokio::time::sleep_until(self.exchange.deadline) => return StreamEnd::DeadlineExceeded,
             };
             let bytes = match frame {
+                None if !answer.is_framed() && !slot.has_answered() => {
+                    return StreamEnd::ConnectionLost("ended before its first event".to_owned());
+                }
                 None if self.events.is_complete() => return StreamEnd::Complete,
                 None => return StreamEnd::ConnectionLost("ended within an event".to_owned()),
                 Some(Err(why)) => return StreamEnd::ConnectionLost(why.to_string()),
