relay: a box that gets more new connections than it can read closes some unread

Callers of a box that gets most new connections for some seconds were all late: at three times what its link carries, none of 480 requests was served. Cause: nothing in a box knew its own capacity, so that it took all that came.

Requests that have not been read whole after 250 ms show that the box is at its limit. For three seconds after, it reads as many at once as it reads in a quarter of a second, four at least, and closes new connections beyond that unread, so that their callers' next tries meet another box in time.

--- a/crates/relay/src/frontend.rs
+++ b/crates/relay/src/frontend.rs
@@ -4,6 +4,7 @@
 use crate::connections::Connections;
 use crate::crash::CrashDetector;
 use crate::exchange::{Exchange, Reply};
+use crate::intake::Intake;
 use crate::liveness::enable_dead_peer_detection;
 use crate::stream_forwarder::StreamForwarder;
 use crate::timing::Timing;
@@ -55,6 +56,8 @@
     /// Maximum number of simultaneous callers' connections.
     max_connections: usize,
     open_connections: Rc<Cell<usize>>,
+    /// The requests that are being read.
+    intake: Rc<RefCell<Intake>>,
     /// Sequence that distributes requests over the services of a route.
     draws: Rc<RefCell<DrawSequence>>,
 }
@@ -80,6 +83,7 @@
             crash_detector: CrashDetector::default(),
             max_connections,
             open_connections: Rc::default(),
+            intake: Rc::default(),
             draws: Rc::new(RefCell::new(DrawSequence(0.3))),
         }
     }
@@ -138,6 +142,10 @@
             metrics::counter!("cleatshelf_connections_refused_total").increment(1);
             return;
         }
+        if !self.intake.borrow_mut().admits(self.shared.now()) {
+            metrics::counter!("cleatshelf_connections_shed_total").increment(1);
+            return;
+        }
         enable_dead_peer_detection(&stream);
         self.open_connections.set(self.open_connections.get() + 1);
         let this = Rc::clone(self);
@@ -149,9 +157,11 @@
     }
 
     async fn serve(self: &Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+        let first = RefCell::new(Some(self.begin_read()));
         let service = service_fn(|request| {
             let this = Rc::clone(self);
-            async move { Ok::<_, Infallible>(this.answer(request).await) }
+            let reading = first.borrow_mut().take().unwrap_or_else(|| self.begin_read());
+            async move { Ok::<_, Infallible>(this.answer(request, reading).await) }
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
@@ -171,10 +181,15 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    fn begin_read(&self) -> ReadGuard {
+        let number = self.intake.borrow_mut().begin(self.shared.now());
+        ReadGuard { shared: Arc::clone(&self.shared), intake: Rc::clone(&self.intake), number }
+    }
+
+    async fn answer(&self, request: Request<Incoming>, reading: ReadGuard) -> Response<Body> {
         let running = RunningGuard::new(&self.shared);
         let started = Instant::now();
-        let mut response = self.exchange(request, started).await;
+        let mut response = self.exchange(request, reading, started).await;
         drop(running);
         if self.shared.is_stopping() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -182,7 +197,7 @@
         response
     }
 
-    async fn exchange(&self, request: Request<Incoming>, started: Instant) -> Response<Body> {
+    async fn exchange(&self, request: Request<Incoming>, reading: ReadGuard, started: Instant) -> Response<Body> {
         let (mut parts, body) = request.into_parts();
         let view = self.shared.view();
         let Some(table) = &view.table else {
@@ -192,6 +207,7 @@
             Ok(body) => body,
             Err((status, why)) => return answer::plain(status, why),
         };
+        reading.finish();
         strip_hop_by_hop(&mut parts.headers);
         // The configuration may have changed while the body was read.
         let view = self.shared.view();
@@ -296,6 +312,25 @@
     }
 }
 
+/// A request that is being read. Counts as abandoned when dropped before its end.
+struct ReadGuard {
+    shared: Arc<Shared>,
+    intake: Rc<RefCell<Intake>>,
+    number: u64,
+}
+
+impl ReadGuard {
+    fn finish(self) {
+        self.intake.borrow_mut().finish(self.number, self.shared.now());
+    }
+}
+
+impl Drop for ReadGuard {
+    fn drop(&mut self) {
+        self.intake.borrow_mut().abandon(self.number);
+    }
+}
+
 /// Counts a request as running until dropped.
 struct RunningGuard {
     shared: Arc<Shared>,
