--- a/crates/origins/src/records.rs
+++ b/crates/origins/src/records.rs
@@ -17,8 +17,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Records {
     entries: HashMap<Stream, Entry>,
-    /// Streams that began at this box and of which no other box was told, each with its route.
-    untold: Vec<(Stream, String)>,
+    /// Streams that began at this box and of which no other box was told, by route.
+    untold: HashMap<String, Vec<Stream>>,
     expire_at: Millis,
 }
 
@@ -33,7 +33,10 @@
     /// Records that a stream of this route began at this box. Its caller may come back until `expires`.
     pub fn begin(&mut self, stream: Stream, route: &str, origin: &Origin, expires: Millis, now: Millis) {
         self.insert(stream, origin, expires, now);
-        self.untold.push((stream, route.to_owned()));
+        match self.untold.get_mut(route) {
+            Some(streams) => streams.push(stream),
+            None => drop(self.untold.insert(route.to_owned(), vec![stream])),
+        }
     }
 
     /// Applies another box's record.
@@ -64,10 +67,13 @@
     /// was told.
     pub fn take_untold(&mut self, is_due: impl Fn(&str) -> bool, now: Millis) -> Vec<Record> {
         self.expire(now);
-        let (due, rest) = std::mem::take(&mut self.untold).into_iter().partition(|(_, route)| is_due(route));
-        self.untold = rest;
-        let due: Vec<(Stream, String)> = due;
-        due.into_iter().filter_map(|(stream, _)| self.record(stream, now)).collect()
+        let mut due = Vec::new();
+        for (route, streams) in &mut self.untold {
+            if !streams.is_empty() && is_due(route) {
+                due.append(streams);
+            }
+        }
+        due.into_iter().filter_map(|stream| self.record(stream, now)).collect()
     }
 
     /// Returns the number of records.
@@ -94,7 +100,16 @@
         }
         self.expire_at = now + EXPIRE_INTERVAL;
         self.entries.retain(|_, entry| entry.expires > now);
-        self.untold.retain(|(stream, _)| self.entries.contains_key(stream));
+        self.drop_unrecorded();
+    }
+
+    /// Drops streams without a record from those to be told.
+    fn drop_unrecorded(&mut self) {
+        let entries = &self.entries;
+        self.untold.retain(|_, streams| {
+            streams.retain(|stream| entries.contains_key(stream));
+            !streams.is_empty()
+        });
     }
 
     fn evict(&mut self) {
@@ -102,6 +117,6 @@
         let (_, threshold, _) = times.select_nth_unstable(MAX_RECORDS / EVICTED_SHARE);
         let threshold = *threshold;
         self.entries.retain(|_, entry| entry.expires > threshold);
-        self.untold.retain(|(stream, _)| self.entries.contains_key(stream));
+        self.drop_unrecorded();
     }
 }
