--- a/crates/placement/src/quarantine.rs
+++ b/crates/placement/src/quarantine.rs
@@ -35,7 +35,8 @@
 /// request that runs everywhere were refused, 3,713 with a delay of five seconds, and 5,377 without early trials.
 const EARLY_TRIAL_DELAY_MS: i64 = 1_000;
 
-/// Delay of the second trial of a part, and of the first trial of a request if servers terminated one after the other, each after the request was sent there.
+/// Delay of the second trial of a part, and of the first trial of a request if servers terminated one after the other,
+/// each after the request was sent there.
 const TRIAL_DELAY_MS: i64 = 120_000;
 
 /// Delay of the last trial; each trial may terminate one more server.
