cleatshelf: origins of streams wait until there is a box to tell

A box that has just started took the records out of its list before it knew any other box, and told nobody. Found by reading; no run showed a stream lost by it.

--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -224,6 +224,10 @@
 
     /// Tells the boxes that keep the records of streams what began those that other boxes can't know otherwise.
     fn tell_origins(&self) {
+        if self.peers.borrow().other_boxes().next().is_none() {
+            // Kept until there is a box to tell.
+            return;
+        }
         let records = self.shared.origins().take_untold(self.shared.now());
         if !records.is_empty() {
             self.owner_service.tell_origins(records);
