placement, relay: no stream goes on at a life that isn't listed yet

Cause: who answers in the name of a life that has ended is not known where lives share ids.

Once a life was seen to end, by this box or another, no stream goes on there, and one that begins there has no known origin, until another entry comes. Where ids are never used again nothing changes: the server answers 421. The test a_stream_does_not_go_on_at_a_life_that_is_not_listed_yet failed before.

--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -288,6 +288,20 @@
         open && (permitted || !pool.is_limited(id))
     }
 
+    /// Records that an instance was seen to end. If a later life may have its id, it isn't known any more who answers in its
+    /// name, nor which software version, until another entry comes.
+    pub fn record_ended(&mut self, instance: &str) {
+        if self.listed(instance).is_some_and(|server| server.id != server.name) {
+            self.pools.values_mut().for_each(|pool| pool.record_ended(instance));
+        }
+    }
+
+    /// True if it is known which instance answers in the name of this one.
+    #[must_use]
+    pub fn is_identified(&self, instance: &str) -> bool {
+        self.pools.values().all(|pool| pool.is_identified(instance))
+    }
+
     /// True if a listed server of the service runs this software version and accepts new requests.
     #[must_use]
     pub fn has_version(&self, service: &str, version: &Version) -> bool {
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -475,6 +475,7 @@
     fn may_receive(&self, member: &Member, request: &PlacementRequest<'_>) -> bool {
         let id = &member.server.id;
         request.allows_region(member.region.as_deref())
+            && (request.version.is_none() || !member.has_ended)
             && request.allows_version(&member.server)
             && !request.tried.contains(id)
             && !request.denied.contains(id)
@@ -598,6 +599,18 @@
         self.engine.is_none()
     }
 
+    /// Records that an instance was seen to end, although it is still listed.
+    pub(crate) fn record_ended(&mut self, instance: &str) {
+        if let Some(member) = self.members.get_mut(instance) {
+            member.has_ended = true;
+        }
+    }
+
+    /// False if the instance was seen to end, although it is still listed.
+    pub(crate) fn is_identified(&self, instance: &str) -> bool {
+        !self.members.get(instance).is_some_and(|member| member.has_ended)
+    }
+
     /// Iterates over all servers.
     pub(crate) fn servers(&self) -> impl Iterator<Item = &Server> {
         self.members.values().map(|member| &*member.server)
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -59,6 +59,8 @@
     /// Software version that wrote the first event of the stream; `None` until there is one. Only its servers may go on
     /// with the stream.
     pub(crate) version: Option<Version>,
+    /// False if it isn't known which version wrote the first event, so that nobody can go on with the stream.
+    pub(crate) may_go_on: bool,
     /// Ids of the servers that the request was sent to or that could not be reached.
     pub(crate) tried: Vec<String>,
     /// Closes once it is known whether the server of the last, broken send has terminated.
--- a/crates/relay/src/frontend.rs
+++ b/crates/relay/src/frontend.rs
@@ -273,6 +273,7 @@
             fingerprint: OnceCell::new(),
             traits: OnceCell::new(),
             version: None,
+            may_go_on: true,
             tried: Vec::new(),
             crash_probe: None,
             sends: 0,
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -162,7 +162,10 @@
             // The first event of the exchange; of a stream that the caller takes up, the version is known before.
             if exchange.timing.first.is_none() {
                 exchange.version = Some(version.clone());
-                exchange.record_origin();
+                exchange.may_go_on = exchange.shared.placement().is_identified(&slot.server.id);
+                if exchange.may_go_on {
+                    exchange.record_origin();
+                }
                 log_taken_up(&exchange.call, &slot.server);
             }
         }
@@ -174,7 +177,7 @@
         self.events.discard_partial();
         let last = self.events.last_id().or(exchange.call.last_event);
         let _ = write!(exchange.trail, "=broke after {last:?} ({why})");
-        if exchange.route.kind.is_repeatable() && exchange.may_send_again() {
+        if exchange.may_go_on && exchange.route.kind.is_repeatable() && exchange.may_send_again() {
             let deadline = exchange.deadline;
             let resumed = tokio::select! {
                 resumed = tokio::time::timeout_at(deadline, exchange.resume(last)) => resumed.ok().flatten(),
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -16,6 +16,7 @@
     /// Records that a server terminated while it had these requests, and broadcasts what is new.
     pub(crate) fn on_server_terminated(&self, server: &str, requests: &[LostRequest]) {
         let now = self.now();
+        self.placement().record_ended(server);
         let changes: Vec<Change> = {
             let mut quarantine = self.quarantine();
             let end = |lost: &LostRequest| Termination {
@@ -69,6 +70,10 @@
         evidence: Vec<LivenessEvidence>,
     ) -> Vec<LivenessEvidence> {
         let now = self.now();
+        {
+            let mut placement = self.placement();
+            records.iter().flat_map(|record| &record.ends).for_each(|end| placement.record_ended(&end.server));
+        }
         let mut quarantine = self.quarantine();
         let mut changes = Vec::new();
         let mut confirmed = Vec::new();
