relay, origins, placement: a verdict is computed once, and what nobody used is gone

The verdict on a request asked the quarantine about each of its traits twice where none is held. The ends in other boxes' records were applied one by one, though most of a message name the same few servers. Origins::record_count had no caller. The comment on the shortest and longest retry delay stands beside both of them again.

--- a/crates/origins/src/origins.rs
+++ b/crates/origins/src/origins.rs
@@ -64,10 +64,4 @@
         let is_sole = proved.all(|other| other == origin) && !self.history.contradicts(route, origin, now);
         is_sole.then(|| origin.clone())
     }
-
-    /// Returns the number of records.
-    #[must_use]
-    pub fn record_count(&self) -> usize {
-        self.records.len()
-    }
 }
--- a/crates/placement/src/quarantine.rs
+++ b/crates/placement/src/quarantine.rs
@@ -61,12 +61,12 @@
 /// Shortest and longest retry delay for the caller of a held request. It is long, since the request won't run, but
 /// one that was held by mistake may be let through within seconds.
 const MIN_RETRY_MS: i64 = 5_000;
+const MAX_RETRY_MS: i64 = 3_600_000;
 
-/// The same for a request with a held part. The part is shared with others, and its first trial comes after a second.
+/// Shortest retry delay for a request with a held part. The part is shared with others, and its first trial comes after a
+/// second.
 const MIN_PART_RETRY_MS: i64 = 1_500;
 
-const MAX_RETRY_MS: i64 = 3_600_000;
-
 /// Termination of a server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Termination {
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -3,6 +3,7 @@
 use crate::crash::LostRequest;
 use crate::Shared;
 use placement::{Change, Fingerprint, LivenessEvidence, Quarantine, Scope, SuspectRecord, Termination, Trait, Verdict};
+use std::collections::HashSet;
 use std::fmt::Write;
 use std::sync::{MutexGuard, PoisonError};
 use telemetry::Event;
@@ -71,8 +72,10 @@
     ) -> Vec<LivenessEvidence> {
         let now = self.now();
         {
+            // Most records of a message name the same few servers.
+            let ended: HashSet<&str> = records.iter().flat_map(|r| &r.ends).map(|end| end.server.as_str()).collect();
             let mut placement = self.placement();
-            records.iter().flat_map(|record| &record.ends).for_each(|end| placement.record_ended(&end.server));
+            ended.into_iter().for_each(|server| placement.record_ended(server));
         }
         let mut quarantine = self.quarantine();
         let mut changes = Vec::new();
@@ -98,16 +101,15 @@
 
     /// Returns the quarantine's verdict on a request with these traits: the strictest one.
     pub(crate) fn verdict(&self, traits: &[Trait]) -> Verdict {
-        let verdicts = || traits.iter().map(|one| self.verdict_on(one.fingerprint));
-        let longest_hold = verdicts().filter_map(|verdict| match verdict {
-            Verdict::Held { retry_ms } => Some(retry_ms),
-            Verdict::Free | Verdict::Trial => None,
-        });
-        match longest_hold.max() {
-            Some(retry_ms) => Verdict::Held { retry_ms },
-            None if verdicts().any(|verdict| verdict == Verdict::Trial) => Verdict::Trial,
-            None => Verdict::Free,
-        }
+        let verdicts = traits.iter().map(|one| self.verdict_on(one.fingerprint));
+        verdicts.fold(Verdict::Free, |strictest, verdict| match (strictest, verdict) {
+            (Verdict::Held { retry_ms: one }, Verdict::Held { retry_ms: other }) => {
+                Verdict::Held { retry_ms: one.max(other) }
+            }
+            (held @ Verdict::Held { .. }, _) | (_, held @ Verdict::Held { .. }) => held,
+            (Verdict::Trial, _) | (_, Verdict::Trial) => Verdict::Trial,
+            (Verdict::Free, Verdict::Free) => Verdict::Free,
+        })
     }
 
     fn verdict_on(&self, request: Fingerprint) -> Verdict {
