--- /dev/null
+++ b/review/stands/src/client.rs
@@ -0,0 +1,74 @@
+//! A client.
+
+use crate::http::{read_body, read_head, Ended, Head};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// 0 without an answer.
+    pub status: u16,
+    pub head: Head,
+    pub body: Vec<u8>,
+    pub ended: Ended,
+}
+
+impl Answer {
+    fn none() -> Self {
+        Self { status: 0, head: Head::default(), body: Vec::new(), ended: Ended::Cut }
+    }
+
+    pub fn is_whole(&self) -> bool {
+        self.status != 0 && self.ended != Ended::Cut
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// A request as its text up to the blank line, without the line breaks at its end.
+pub fn request(method: &str, path: &str, id: &str, deadline_ms: u64, more: &[(&str, &str)], body: &str) -> String {
+    let mut text = format!(
+        "{method} {path} HTTP/1.1\r\nHost: ficu95.example\r\nCleatshelf-Request-Id: {id}\r\nCleatshelf-Deadline-Ms: {deadline_ms}\r\nCleatshelf-Key: key-1\r\nConnection: close\r\n"
+    );
+    for (name, value) in more {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    if method != "GET" {
+        text.push_str(&format!("Content-Length: {}\r\n", body.len()));
+    }
+    text.push_str("\r\n");
+    text.push_str(body);
+    text
+}
+
+/// Sends a request on a new channel, and hands over each piece of the answer's body as it arrives.
+pub fn call(address: SocketAddr, request: &str, limit: Duration, mut piece: impl FnMut(&[u8])) -> Answer {
+    let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else { return Answer::none() };
+    let _ = stream.set_read_timeout(Some(limit));
+    let _ = stream.set_nodelay(true);
+    if (&stream).write_all(request.as_bytes()).is_err() {
+        return Answer::none();
+    }
+    let mut reader = BufReader::new(stream);
+    let Ok(Some(head)) = read_head(&mut reader) else { return Answer::none() };
+    let mut body = Vec::new();
+    let ended = read_body(&mut reader, &head, false, |bytes| {
+        body.extend_from_slice(bytes);
+        piece(bytes);
+    });
+    Answer { status: head.status(), head, body, ended }
+}
+
+/// The status of `GET /api/ready`; 0 without an answer.
+pub fn readiness(address: SocketAddr) -> u16 {
+    call(address, "GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", Duration::from_secs(1), |_| {}).status
+}
+
+/// A page of the operators' address, such as `/metrics`.
+pub fn page(address: SocketAddr, path: &str) -> String {
+    let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    call(address, &text, Duration::from_secs(1), |_| {}).text()
+}
--- /dev/null
+++ b/review/stands/src/lib.rs
@@ -0,0 +1,46 @@
+//! Stand-ins for the scripts of the review: a store, servers and clients that follow the users' pages, and
+//! `cleatshelf route` as processes. Standard library only; loopback addresses only.
+
+pub mod client;
+pub mod http;
+pub mod record;
+pub mod router;
+pub mod server;
+pub mod store;
+
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Command, Stdio};
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+/// Returns a free loopback address.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+pub fn sleep_ms(ms: u64) {
+    std::thread::sleep(Duration::from_millis(ms));
+}
+
+/// True unless the script is run with `TROUBLE=0`.
+pub fn has_trouble() -> bool {
+    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+}
+
+/// The processes that this one has started.
+pub(crate) static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started, and this one: 0 if the rule held, 1 if it was broken, 2 if the case couldn't
+/// run.
+pub fn exit(code: i32) -> ! {
+    for id in STARTED.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).stderr(Stdio::null()).status();
+    }
+    std::process::exit(code);
+}
+
+pub fn fail_setup(why: &str) -> ! {
+    eprintln!("the case couldn't run: {why}");
+    exit(2);
+}
