--- a/review/stands/src/client.rs
+++ b/review/stands/src/client.rs
@@ -72,3 +72,34 @@
     let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
     call(address, &text, Duration::from_secs(1), |_| {}).text()
 }
+
+/// Opens a channel with a receive buffer of about this size, as clients with little memory have.
+pub fn connect_small(address: SocketAddr, buffer: i32) -> std::io::Result<TcpStream> {
+    use std::os::fd::{FromRawFd, OwnedFd};
+    extern "C" {
+        fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+        fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+        fn connect(fd: i32, address: *const u8, length: u32) -> i32;
+    }
+    const AF_INET: i32 = 2;
+    const SOCK_STREAM_CLOEXEC: i32 = 1 | 0o2_000_000;
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    let SocketAddr::V4(v4) = address else { return Err(std::io::ErrorKind::InvalidInput.into()) };
+    let mut raw = [0_u8; 16];
+    raw[..2].copy_from_slice(&(AF_INET as u16).to_ne_bytes());
+    raw[2..4].copy_from_slice(&v4.port().to_be_bytes());
+    raw[4..8].copy_from_slice(&v4.ip().octets());
+    // SAFETY: plain calls of the C library on a descriptor that this function owns, with buffers of the stated lengths.
+    unsafe {
+        let fd = socket(AF_INET, SOCK_STREAM_CLOEXEC, 0);
+        if fd < 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        let owned = OwnedFd::from_raw_fd(fd);
+        if setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, 4) != 0 || connect(fd, raw.as_ptr(), 16) != 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        Ok(TcpStream::from(owned))
+    }
+}
--- a/review/stands/src/lib.rs
+++ b/review/stands/src/lib.rs
@@ -10,13 +10,28 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Returns a free loopback address.
+/// Returns a free loopback address. Its port lies below those that the kernel gives to outgoing channels, so that it stays
+/// free until it is used.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let seed = std::process::id().wrapping_mul(2_654_435_761) ^ now_nanos();
+    for _ in 0..10_000 {
+        let port = 20_000 + (seed.wrapping_add(NEXT.fetch_add(7, Ordering::SeqCst)) % 12_000) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    fail_setup("no free port");
+}
+
+fn now_nanos() -> u32 {
+    static FIRST: std::sync::OnceLock<u32> = std::sync::OnceLock::new();
+    *FIRST.get_or_init(|| SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.subsec_nanos()))
 }
 
 pub fn sleep_ms(ms: u64) {
--- a/review/stands/src/server.rs
+++ b/review/stands/src/server.rs
@@ -21,7 +21,7 @@
 
 impl Server {
     pub fn start(id: &str, handler: Handler) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listener = TcpListener::bind(crate::free_address()).expect("a free port");
         let address = listener.local_addr().expect("an address");
         let server = Self {
             id: id.to_owned(),
--- a/review/stands/src/store.rs
+++ b/review/stands/src/store.rs
@@ -22,7 +22,7 @@
 
 impl Store {
     pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listener = TcpListener::bind(crate::free_address()).expect("a free port");
         let address = listener.local_addr().expect("an address");
         let state = Arc::new(Mutex::new(State { revision: 10, ..State::default() }));
         let store = Self { state, address };
