--- a/review/stands/src/bin/slow_reader.rs
+++ b/review/stands/src/bin/slow_reader.rs
@@ -17,14 +17,14 @@
 use std::time::Duration;
 
 const HALL: &str = "cartago-a";
-const EVENTS: usize = 50;
-const EVENT_MS: u64 = 100;
+const EVENTS: usize = 100;
+const EVENT_MS: u64 = 50;
 /// Bytes of an event's text.
-const EVENT_BYTES: usize = 400;
+const EVENT_BYTES: usize = 430;
 /// How long a slow client doesn't read.
 const PAUSE_MS: u64 = 3_000;
 /// Receive buffer that the clients ask for.
-const BUFFER: i32 = 2_048;
+const BUFFER: i32 = 4_096;
 const SLOW: usize = 8;
 const QUICK: usize = 4;
 
