--- a/review/stands/src/client.rs
+++ b/review/stands/src/client.rs
@@ -3,6 +3,7 @@
 use crate::http::{read_body, read_head, Ended, Head};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::fd::{AsRawFd, FromRawFd, OwnedFd};
 use std::time::Duration;
 
 #[derive(Clone, Debug)]
@@ -73,17 +74,26 @@
     call(address, &text, Duration::from_secs(1), |_| {}).text()
 }
 
+extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn connect(fd: i32, address: *const u8, length: u32) -> i32;
+}
+
+const SOL_SOCKET: i32 = 1;
+
+/// Makes a channel end with a reset when its last copy is closed.
+pub fn reset_on_close(stream: &TcpStream) {
+    const SO_LINGER: i32 = 13;
+    let linger = [1, 0];
+    // SAFETY: a plain call of the C library on an open descriptor, with a buffer of the stated length.
+    let _ = unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) };
+}
+
 /// Opens a channel with a receive buffer of about this size, as clients with little memory have.
 pub fn connect_small(address: SocketAddr, buffer: i32) -> std::io::Result<TcpStream> {
-    use std::os::fd::{FromRawFd, OwnedFd};
-    extern "C" {
-        fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
-        fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
-        fn connect(fd: i32, address: *const u8, length: u32) -> i32;
-    }
     const AF_INET: i32 = 2;
     const SOCK_STREAM_CLOEXEC: i32 = 1 | 0o2_000_000;
-    const SOL_SOCKET: i32 = 1;
     const SO_RCVBUF: i32 = 8;
     let SocketAddr::V4(v4) = address else { return Err(std::io::ErrorKind::InvalidInput.into()) };
     let mut raw = [0_u8; 16];
--- a/review/stands/src/server.rs
+++ b/review/stands/src/server.rs
@@ -21,12 +21,17 @@
 
 impl Server {
     pub fn start(id: &str, handler: Handler) -> Self {
+        Self::start_with(id, Arc::default(), handler)
+    }
+
+    /// Starts a server that refuses new channels while the flag is set. Handlers may look at it too.
+    pub fn start_with(id: &str, refuses: Arc<AtomicBool>, handler: Handler) -> Self {
         let listener = TcpListener::bind(crate::free_address()).expect("a free port");
         let address = listener.local_addr().expect("an address");
         let server = Self {
             id: id.to_owned(),
             address,
-            refuses: Arc::default(),
+            refuses,
             channels: Arc::default(),
         };
         let this = server.clone();
@@ -54,8 +59,8 @@
                     if let Ok(copy) = stream.try_clone() {
                         self.channels.lock().expect("no thread panicked").push(copy);
                     }
-                    let handler = Arc::clone(handler);
-                    std::thread::spawn(move || serve(&stream, &handler));
+                    let (handler, refuses) = (Arc::clone(handler), Arc::clone(&self.refuses));
+                    std::thread::spawn(move || serve(&stream, &handler, &refuses));
                 }
                 Err(_) => std::thread::sleep(Duration::from_millis(1)),
             }
@@ -74,6 +79,21 @@
         }
     }
 
+    /// Resets all channels that are open. Handlers have to end by themselves while the address refuses channels.
+    pub fn reset_channels(&self) {
+        for channel in self.channels.lock().expect("no thread panicked").drain(..) {
+            crate::client::reset_on_close(&channel);
+            // Wakes the thread that serves it, which holds the same channel.
+            let _ = channel.shutdown(std::net::Shutdown::Read);
+        }
+    }
+
+    /// The entry in the store, with the time of the server's start.
+    pub fn entry_born(&self, service: &str, zone: &str, version: &str, slots: u32, born: u64) -> String {
+        let entry = self.entry(service, zone, version, slots, "ready");
+        format!("{},\"born\":{born}}}", &entry[..entry.len() - 1])
+    }
+
     /// The entry in the store.
     pub fn entry(&self, service: &str, zone: &str, version: &str, slots: u32, state: &str) -> String {
         format!(
@@ -83,7 +103,7 @@
     }
 }
 
-fn serve(stream: &TcpStream, handler: &Handler) {
+fn serve(stream: &TcpStream, handler: &Handler, refuses: &AtomicBool) {
     let Ok(read) = stream.try_clone() else { return };
     let mut reader = BufReader::new(read);
     while let Ok(Some(head)) = read_head(&mut reader) {
@@ -95,5 +115,7 @@
             break;
         }
     }
-    let _ = stream.shutdown(std::net::Shutdown::Both);
+    if !refuses.load(Ordering::SeqCst) {
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+    }
 }
