--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 ROOT="$(cd "$here/../.." && pwd)"
 export ROOT
-stand="$ROOT/target/review/release/keepers"
+stand="$ROOT/target/review/release/ended"
 if [ ! -x "$stand" ] || [ ! -x "$ROOT/target/release/cleatshelf" ]; then
     echo "build first: the deploy file's build, and review/build.sh" >&2
     exit 2
--- a/review/stands/src/server.rs
+++ b/review/stands/src/server.rs
@@ -4,7 +4,7 @@
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
 /// Answers one request. Returns true if the channel may carry another one.
@@ -16,7 +16,7 @@
     pub address: SocketAddr,
     refuses: Arc<AtomicBool>,
     /// The channels that are open.
-    channels: Arc<Mutex<Vec<TcpStream>>>,
+    channels: Arc<Mutex<Vec<Weak<TcpStream>>>>,
 }
 
 impl Server {
@@ -56,11 +56,10 @@
                 Ok((stream, _)) => {
                     let _ = stream.set_nonblocking(false);
                     let _ = stream.set_nodelay(true);
-                    if let Ok(copy) = stream.try_clone() {
-                        self.channels.lock().expect("no thread panicked").push(copy);
-                    }
-                    let (handler, refuses) = (Arc::clone(handler), Arc::clone(&self.refuses));
-                    std::thread::spawn(move || serve(&stream, &handler, &refuses));
+                    let stream = Arc::new(stream);
+                    self.channels.lock().expect("no thread panicked").push(Arc::downgrade(&stream));
+                    let handler = Arc::clone(handler);
+                    std::thread::spawn(move || serve(&stream, &handler));
                 }
                 Err(_) => std::thread::sleep(Duration::from_millis(1)),
             }
@@ -74,20 +73,22 @@
 
     /// Closes all channels that are open.
     pub fn close_channels(&self) {
-        for channel in self.channels.lock().expect("no thread panicked").drain(..) {
-            let _ = channel.shutdown(std::net::Shutdown::Both);
-        }
+        self.open_channels().iter().for_each(|channel| drop(channel.shutdown(std::net::Shutdown::Both)));
     }
 
-    /// Resets all channels that are open. Handlers have to end by themselves while the address refuses channels.
+    /// Resets all channels that are open. Handlers that are at work have to end by themselves.
     pub fn reset_channels(&self) {
-        for channel in self.channels.lock().expect("no thread panicked").drain(..) {
+        for channel in self.open_channels() {
             crate::client::reset_on_close(&channel);
-            // Wakes the thread that serves it, which holds the same channel.
+            // Wakes the thread that serves it.
             let _ = channel.shutdown(std::net::Shutdown::Read);
         }
     }
 
+    fn open_channels(&self) -> Vec<Arc<TcpStream>> {
+        self.channels.lock().expect("no thread panicked").drain(..).filter_map(|channel| channel.upgrade()).collect()
+    }
+
     /// The entry in the store, with the time of the server's start.
     pub fn entry_born(&self, service: &str, zone: &str, version: &str, slots: u32, born: u64) -> String {
         let entry = self.entry(service, zone, version, slots, "ready");
@@ -103,7 +104,8 @@
     }
 }
 
-fn serve(stream: &TcpStream, handler: &Handler, refuses: &AtomicBool) {
+/// Serves one channel, which is closed when this returns.
+fn serve(stream: &TcpStream, handler: &Handler) {
     let Ok(read) = stream.try_clone() else { return };
     let mut reader = BufReader::new(read);
     while let Ok(Some(head)) = read_head(&mut reader) {
@@ -112,10 +114,7 @@
             return;
         }
         if !handler(&head, &body, stream) {
-            break;
+            return;
         }
     }
-    if !refuses.load(Ordering::SeqCst) {
-        let _ = stream.shutdown(std::net::Shutdown::Both);
-    }
 }
--- a/review/stands/src/store.rs
+++ b/review/stands/src/store.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,8 @@
 #[derive(Clone)]
 pub struct Store {
     state: Arc<Mutex<State>>,
+    /// While it is set, the store takes channels and answers nothing.
+    silent: Arc<AtomicBool>,
     pub address: SocketAddr,
 }
 
@@ -25,7 +28,7 @@
         let listener = TcpListener::bind(crate::free_address()).expect("a free port");
         let address = listener.local_addr().expect("an address");
         let state = Arc::new(Mutex::new(State { revision: 10, ..State::default() }));
-        let store = Self { state, address };
+        let store = Self { state, silent: Arc::default(), address };
         let this = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -36,6 +39,11 @@
         store
     }
 
+    /// Makes the store answer nothing, or answer again.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::SeqCst);
+    }
+
     /// Writes a value. Returns its revision: the ack.
     pub fn put(&self, key: &str, value: &str) -> u64 {
         self.write(key, Some(base64(value.as_bytes())))
@@ -59,6 +67,13 @@
         let mut reader = BufReader::new(read);
         while let Ok(Some(head)) = read_head(&mut reader) {
             let (status, era, body) = self.respond(head.target());
+            if self.silent.load(Ordering::SeqCst) {
+                // A channel on which an answer is lost says nothing more.
+                while self.silent.load(Ordering::SeqCst) {
+                    std::thread::sleep(Duration::from_millis(10));
+                }
+                return;
+            }
             let text = format!(
                 "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
