--- a/review/stands/src/bin/ended.rs
+++ b/review/stands/src/bin/ended.rs
@@ -53,10 +53,8 @@
     let store = Store::start();
     let (cut, busy) = (Arc::new(AtomicBool::new(false)), Busy::default());
     let ids = ["i-a1", "i-b2", "i-c3"];
-    let servers: Vec<Server> = ids
-        .iter()
-        .map(|id| Server::start_with(id, Arc::clone(&cut), handler(id, &record, &cut, &busy)))
-        .collect();
+    let servers: Vec<Server> =
+        ids.iter().map(|id| Server::start_with(id, Arc::clone(&cut), handler(id, &record, &cut, &busy))).collect();
     store.put("op/config", CONFIG);
     for (n, server) in servers.iter().enumerate() {
         let born = 1_796_357_000_000 + n as u64;
@@ -123,7 +121,8 @@
         record.line(&format!("log of {}: {line}", other.name));
     }
     for router in [&one, &other] {
-        for line in router.log().lines().filter(|line| line.contains("\"event\":508") || line.contains("\"event\":517")) {
+        for line in router.log().lines().filter(|line| line.contains("\"event\":508") || line.contains("\"event\":517"))
+        {
             let short: String = line.chars().take(220).collect();
             record.line(&format!("log of {}: {short}", router.name));
         }
--- a/review/stands/src/bin/keepers.rs
+++ b/review/stands/src/bin/keepers.rs
@@ -43,7 +43,11 @@
     let args: Vec<String> = std::env::args().collect();
     let (record, temp) = (Record::create(Path::new(&args[1])), Path::new(&args[2]).to_owned());
     let trouble = has_trouble();
-    record.line(if trouble { "with the disruption" } else { "without the disruption: the clients break off themselves" });
+    record.line(if trouble {
+        "with the disruption"
+    } else {
+        "without the disruption: the clients break off themselves"
+    });
 
     let store = Store::start();
     let ids = [("i-a1", "v1"), ("i-a2", "v1"), ("i-b1", "v2"), ("i-b2", "v2")];
@@ -108,7 +112,9 @@
     let tried = taken_up.iter().filter(|stream| !stream.tries.is_empty() && stream.before < EVENTS).count();
     let goes_on = |stream: &&TakenUp| stream.tries.iter().any(|(status, events)| *status == 200 && *events > 0);
     let goes_on = taken_up.iter().filter(goes_on).count();
-    record.line(&format!("taken up: {tried} streams, of which {goes_on} go on; new streams: {news} of {NEW_STREAMS} begin"));
+    record.line(&format!(
+        "taken up: {tried} streams, of which {goes_on} go on; new streams: {news} of {NEW_STREAMS} begin"
+    ));
     if tried < 12 || news == 0 {
         record.line("fewer than 12 streams were taken up, or no new one begins");
         stands::exit(2);
--- a/review/stands/src/bin/lives.rs
+++ b/review/stands/src/bin/lives.rs
@@ -121,7 +121,10 @@
         sleep_ms(AWAY_MS);
         stand.is_new.store(true, Ordering::SeqCst);
         stand.crashed.store(false, Ordering::SeqCst);
-        record.line(&format!("server {} has started again under its id, with v2; it can't write its entry", IDS[CRASHING]));
+        record.line(&format!(
+            "server {} has started again under its id, with v2; it can't write its entry",
+            IDS[CRASHING]
+        ));
         // The machine adds up to a tenth to the rest that it was asked for.
         let rest = Duration::from_millis(REST_S * 1_100 + 200);
         std::thread::sleep(rest.saturating_sub(rested.elapsed()));
@@ -135,7 +138,8 @@
     }
     let got: Vec<Got> = streams.into_iter().filter_map(|stream| stream.join().ok()).collect();
     for Got { id, status, events, versions } in &got {
-        record.line(&format!("client {id}: status {status}, {events} of {EVENTS} events, from servers of {versions:?}"));
+        record
+            .line(&format!("client {id}: status {status}, {events} of {EVENTS} events, from servers of {versions:?}"));
     }
     for line in one.log().lines().chain(other.log().lines()).filter(|line| line.contains("StreamResumed")).take(4) {
         record.line(&format!("log: {line}"));
--- a/review/stands/src/bin/slow_senders.rs
+++ b/review/stands/src/bin/slow_senders.rs
@@ -121,7 +121,11 @@
     for thread in threads {
         let _ = thread.join();
     }
-    let tries = { let mut t = tries.lock().unwrap().clone(); t.sort_unstable(); t };
+    let tries = {
+        let mut t = tries.lock().unwrap().clone();
+        t.sort_unstable();
+        t
+    };
     let taken: Vec<u64> = tries.iter().filter(|(_, taken)| *taken).map(|(at, _)| *at).collect();
     let mut edges = vec![0];
     edges.extend(&taken);
@@ -129,9 +133,15 @@
     let longest = edges.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or(0);
     let sent = *sent.lock().unwrap();
     record.line(&format!("slow senders: {} requests, {} answered well", sent.0, sent.1));
-    record.line(&format!("new channels: {} tried, {} read; longest time without one that was read: {longest} ms", tries.len(), taken.len()));
+    record.line(&format!(
+        "new channels: {} tried, {} read; longest time without one that was read: {longest} ms",
+        tries.len(),
+        taken.len()
+    ));
     record.line(&format!("ready meanwhile: {}", one.is_ready()));
-    if sent.1 == 0 { fail_setup("nothing was served"); }
+    if sent.1 == 0 {
+        fail_setup("nothing was served");
+    }
     drop((one, other));
     stands::exit(i32::from(longest >= CONTACT_MS));
 }
--- a/review/stands/src/bin/tunnel_kill.rs
+++ b/review/stands/src/bin/tunnel_kill.rs
@@ -99,7 +99,11 @@
     }
     let answer = caller.join().unwrap_or_else(|_| fail_setup("the client"));
     let got = events(&answer.text());
-    record.line(&format!("tested: status {} events {got} of {EVENTS}, answer whole: {}", answer.status, answer.is_whole()));
+    record.line(&format!(
+        "tested: status {} events {got} of {EVENTS}, answer whole: {}",
+        answer.status,
+        answer.is_whole()
+    ));
     for line in one.log().lines().filter(|line| line.contains("tested") || line.contains("ServerPath")) {
         record.line(&format!("log of {}: {line}", one.name));
     }
--- a/review/stands/src/client.rs
+++ b/review/stands/src/client.rs
@@ -65,7 +65,8 @@
 
 /// The status of `GET /api/ready`; 0 without an answer.
 pub fn readiness(address: SocketAddr) -> u16 {
-    call(address, "GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", Duration::from_secs(1), |_| {}).status
+    call(address, "GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", Duration::from_secs(1), |_| {})
+        .status
 }
 
 /// A page of the operators' address, such as `/metrics`.
--- a/review/stands/src/server.rs
+++ b/review/stands/src/server.rs
@@ -28,12 +28,7 @@
     pub fn start_with(id: &str, refuses: Arc<AtomicBool>, handler: Handler) -> Self {
         let listener = TcpListener::bind(crate::free_address()).expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let server = Self {
-            id: id.to_owned(),
-            address,
-            refuses,
-            channels: Arc::default(),
-        };
+        let server = Self { id: id.to_owned(), address, refuses, channels: Arc::default() };
         let this = server.clone();
         std::thread::spawn(move || this.accept(listener, &handler));
         server
--- a/review/stands/src/store.rs
+++ b/review/stands/src/store.rs
@@ -162,7 +162,11 @@
     for chunk in bytes.chunks(3) {
         let number = chunk.iter().fold(0_u32, |n, b| n << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
         for index in 0..4 {
-            text.push(if index <= chunk.len() { SIGNS[(number >> (18 - 6 * index) & 63) as usize] as char } else { '=' });
+            text.push(if index <= chunk.len() {
+                SIGNS[(number >> (18 - 6 * index) & 63) as usize] as char
+            } else {
+                '='
+            });
         }
     }
     text
