relay: the log tells how an answer was framed and how its end was told

Three hypotheses were noted before the code was changed: (1) the box takes the end of a tunnel's connection, closed by the kernel of the killed box in between, for the server's end; (2) the stream went on elsewhere and that answer was short; (3) the server's own connection, a direct one, ended early. The line of a request named the box in between, but neither what frames the answer nor that it ended as whole, so that (1) and (3) looked the same for an answered stream.

Each send in the trail now has the framing of its answer, and a stream that ends as complete is marked.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -48,6 +48,28 @@
     instance: String,
 }
 
+/// What ends an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// Its stated length.
+    Length,
+    /// Its last chunk.
+    Chunked,
+    /// The end of its connection only.
+    Connection,
+}
+
+impl Framing {
+    /// Returns the name for logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// The request as it is sent to a server.
 pub(crate) struct OutgoingRequest<'a> {
     pub(crate) id: &'a str,
@@ -175,10 +197,16 @@
 }
 
 impl Answer {
-    /// False if nothing but the end of the connection ends the answer.
-    pub(crate) fn is_framed(&self) -> bool {
+    /// Returns what ends the answer.
+    pub(crate) fn framing(&self) -> Framing {
         let headers = &self.parts.headers;
-        headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            Framing::Chunked
+        } else if headers.contains_key(header::CONTENT_LENGTH) {
+            Framing::Length
+        } else {
+            Framing::Connection
+        }
     }
 
     /// Reads the whole body and returns the connection to the pool.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -221,6 +221,9 @@
         if let Some(via) = self.via.get() {
             let _ = write!(self.trail, " via {via}");
         }
+        if let SendOutcome::Answer(answer) = &sent {
+            let _ = write!(self.trail, " framing={}", answer.framing().as_str());
+        }
         sent
     }
 
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -1,7 +1,7 @@
 //! Forwards the events of a stream as they arrive, and resumes the stream at another server where the route allows it.
 
 use crate::answer::strip_hop_by_hop;
-use crate::attempt::Answer;
+use crate::attempt::{Answer, Framing};
 use crate::event_splitter::EventSplitter;
 use crate::exchange::Exchange;
 use crate::header_codec::Call;
@@ -76,6 +76,7 @@
         self.exchange.sends += 1;
         match self.forward_events(&mut answer, &mut slot).await {
             StreamEnd::Complete => {
+                self.exchange.trail.push_str("=whole");
                 answer.finish(&self.exchange.connections);
                 slot.finish(Ending::Good);
                 self.exchange.finish(Outcome::Answered);
@@ -108,7 +109,7 @@
                 () = tokio::time::sleep_until(self.exchange.deadline) => return StreamEnd::DeadlineExceeded,
             };
             let bytes = match frame {
-                None if !answer.is_framed() && !slot.has_answered() => {
+                None if answer.framing() == Framing::Connection && !slot.has_answered() => {
                     return StreamEnd::ConnectionLost("ended before its first event".to_owned());
                 }
                 None if self.events.is_complete() => return StreamEnd::Complete,
