tunnel: only the server's end ends an answer without framing

Cause: a tunnel copied bytes as they are, and the end of an unframed answer is the end of its connection. The kernel closes the connections of a killed box in between as it closes those of one that has finished, so the box of the caller took the kill for the server's end.

The fix makes the end a message: records with a length after the handshake, and an empty one that is sent only when the far side has ended regularly. Every other end (kill, stop that runs out of time, dropped task, lost or closed link) is an error for the reader, which the exchange treats as a lost connection. Requests of a box that is gone are reset at the server. The handshake has a version, since boxes of two releases run side by side.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -2,7 +2,7 @@
 
 use crate::connect_error::ConnectError;
 use crate::dialer::Dialer;
-use crate::resettable_stream::ResettableStream;
+use crate::resettable_stream::{ResettableStream, Socket};
 use crate::Shared;
 use bytes::Bytes;
 use http::{header, HeaderMap};
@@ -290,7 +290,7 @@
 
 /// Starts HTTP on a network connection to the server at `address`, through the box `via`.
 async fn start_connection(
-    stream: TcpStream,
+    stream: impl Socket + 'static,
     address: SocketAddr,
     via: Option<SocketAddr>,
 ) -> std::io::Result<Connection> {
--- a/crates/relay/src/dialer.rs
+++ b/crates/relay/src/dialer.rs
@@ -140,7 +140,7 @@
     }
 
     /// Opens a connection through another box. Returns it with the address of that box.
-    pub(crate) async fn dial_tunnel(&self, server: &Server) -> Result<(TcpStream, SocketAddr), ConnectError> {
+    pub(crate) async fn dial_tunnel(&self, server: &Server) -> Result<(tunnel::Stream, SocketAddr), ConnectError> {
         let no_box = || ConnectError::NoPath("no box opened a tunnel".to_owned());
         let client = self.tunnels.as_ref().ok_or_else(no_box)?;
         let boxes = self.shared.peer_client.tunnel_boxes();
--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -3,8 +3,8 @@
 //! A connection may become silent permanently without a reset, while new connections to the same peer work.
 
 use socket2::{SockRef, TcpKeepalive};
+use std::os::fd::AsFd;
 use std::time::Duration;
-use tokio::net::TcpStream;
 
 /// Time without acknowledgement of sent data after which the peer is considered dead. The kernel also gives up an idle
 /// connection at the first unanswered keep-alive probe after this time, whatever the number of probes.
@@ -17,16 +17,16 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Configures a connection to fail soon after its peer became silent, both idle and in use.
-pub fn enable_dead_peer_detection(stream: &TcpStream) {
+pub fn enable_dead_peer_detection(stream: &impl AsFd) {
     configure(stream, USER_TIMEOUT);
 }
 
 /// Configures a connection to a server to fail after its peer became silent for longer than a sound server is.
-pub fn enable_dead_server_detection(stream: &TcpStream) {
+pub fn enable_dead_server_detection(stream: &impl AsFd) {
     configure(stream, SERVER_USER_TIMEOUT);
 }
 
-fn configure(stream: &TcpStream, user_timeout: Duration) {
+fn configure(stream: &impl AsFd, user_timeout: Duration) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
     let results = [
--- a/crates/relay/src/resettable_stream.rs
+++ b/crates/relay/src/resettable_stream.rs
@@ -1,32 +1,37 @@
-//! TCP stream that resets its connection when an exchange is abandoned.
+//! Connection to a server that is reset when an exchange is abandoned.
 
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
-/// A TCP stream that sends a reset if it is dropped while `busy` is set.
+/// A TCP connection, or a tunnel over one.
+pub(crate) trait Socket: AsyncRead + AsyncWrite + AsFd + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + AsFd + Unpin> Socket for T {}
+
+/// A connection that sends a reset if it is dropped while `busy` is set.
 ///
 /// A regular close would still deliver buffered data, possibly seconds later if the link was down, and the server would
 /// start a request that no caller waits for.
-pub(crate) struct ResettableStream {
-    stream: TcpStream,
+pub(crate) struct ResettableStream<S: Socket> {
+    stream: S,
     busy: Rc<Cell<bool>>,
 }
 
-impl ResettableStream {
-    pub(crate) fn new(stream: TcpStream, busy: Rc<Cell<bool>>) -> TokioIo<Self> {
+impl<S: Socket> ResettableStream<S> {
+    pub(crate) fn new(stream: S, busy: Rc<Cell<bool>>) -> TokioIo<Self> {
         TokioIo::new(Self { stream, busy })
     }
 }
 
-impl Drop for ResettableStream {
+impl<S: Socket> Drop for ResettableStream<S> {
     fn drop(&mut self) {
         if self.busy.get() {
             if let Err(why) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
@@ -36,13 +41,13 @@
     }
 }
 
-impl AsyncRead for ResettableStream {
+impl<S: Socket> AsyncRead for ResettableStream<S> {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
 
-impl AsyncWrite for ResettableStream {
+impl<S: Socket> AsyncWrite for ResettableStream<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
--- a/crates/tunnel/src/client.rs
+++ b/crates/tunnel/src/client.rs
@@ -1,7 +1,7 @@
 //! The box that asks for tunnels.
 
 use crate::handshake::{self, Codecs, Hello};
-use crate::Error;
+use crate::{Error, Stream};
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
 use wire::Key;
@@ -24,7 +24,7 @@
     ///
     /// # Errors
     /// If the box can't be reached, or opens no connection.
-    pub async fn open(&self, address: SocketAddr, instance: &str) -> Result<TcpStream, Error> {
+    pub async fn open(&self, address: SocketAddr, instance: &str) -> Result<Stream, Error> {
         let mut stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let mut codecs = Codecs::accept_challenge(&mut stream, &self.key, &address.to_string()).await?;
@@ -32,6 +32,6 @@
         handshake::send(&mut stream, &mut codecs.hello, &hello).await?;
         let reply = handshake::receive(&mut stream, &mut codecs.reply).await?;
         reply.map_err(Error::Refused)?;
-        Ok(stream)
+        Ok(Stream::new(stream))
     }
 }
--- a/crates/tunnel/src/handshake.rs
+++ b/crates/tunnel/src/handshake.rs
@@ -3,6 +3,8 @@
 //! The listener sends a challenge, the client the instance that it wants, and the listener its reply. Both messages are
 //! authenticated frames behind a length of two bytes. Neither side reads further than the message, since the server's
 //! bytes may follow immediately.
+//!
+//! What follows is as authentic as a connection to a server, whose bytes are not authenticated either.
 
 use crate::Refusal;
 use bytes::{Bytes, BytesMut};
@@ -18,8 +20,9 @@
 const CHALLENGE_DIGITS: usize = 32;
 
 /// Name of the client side in the session keys. Differs from all names of boxes, which are addresses, so that frames of
-/// links are no valid handshakes.
-const CLIENT_NAME: &str = "tunnel";
+/// links are no valid handshakes. States the version of what follows the handshake: boxes of different versions refuse
+/// each other, since the bytes of one that sends no records have no provable end.
+const CLIENT_NAME: &str = "tunnel/2";
 
 /// Asks for a connection to a server instance.
 #[derive(Serialize, Deserialize)]
--- a/crates/tunnel/src/listener.rs
+++ b/crates/tunnel/src/listener.rs
@@ -2,7 +2,7 @@
 
 use crate::handshake::{self, Codecs};
 use crate::splice::splice;
-use crate::{Connector, Refusal};
+use crate::{Connector, Refusal, Stream};
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use wire::Key;
 
-/// Maximum number of simultaneous tunnels. Each takes two descriptors and two buffers of 8 KiB.
+/// Maximum number of simultaneous tunnels. Each takes two descriptors and three buffers of 8 KiB.
 const MAX_TUNNELS: usize = 256;
 
 /// Time limit of the handshake, without the connection to the server.
@@ -78,7 +78,7 @@
         let reply = connected.as_ref().map(|_| ()).map_err(|refusal| *refusal);
         handshake::send(&mut stream, &mut codecs.reply, &reply).await?;
         if let Ok(server) = connected {
-            splice(stream, server).await;
+            splice(Stream::new(stream), server).await;
         }
         Ok(())
     }
