relay: a truncated stream resets the connection of an HTTP/1.0 caller

To an HTTP/1.0 caller the end of the connection is the end of a stream. A stream that broke off, or whose box was killed, ended that connection as a whole one does: hyper drops the socket, and the kernel sends a FIN. While such an answer is sent, the socket is now set to reset on close; the regular shutdown takes it back.

--- a/crates/relay/src/frontend.rs
+++ b/crates/relay/src/frontend.rs
@@ -1,6 +1,7 @@
 //! Callers' connections.
 
 use crate::answer::{self, strip_hop_by_hop};
+use crate::caller_stream::CallerStream;
 use crate::connections::Connections;
 use crate::crash::CrashDetector;
 use crate::exchange::{Exchange, Reply};
@@ -11,11 +12,11 @@
 use crate::tunnel_connector::TunnelConnector;
 use crate::{Body, Shared};
 use bytes::Bytes;
-use http::{header, request, HeaderValue, Request, Response, StatusCode};
+use http::{header, request, HeaderValue, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use routing::{Access, Table};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::convert::Infallible;
@@ -158,16 +159,23 @@
 
     async fn serve(self: &Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
         let first = RefCell::new(Some(self.begin_read()));
-        let service = service_fn(|request| {
+        let ends_answer = Rc::new(Cell::new(false));
+        let service = service_fn(|request: Request<Incoming>| {
             let this = Rc::clone(self);
             let reading = first.borrow_mut().take().unwrap_or_else(|| self.begin_read());
-            async move { Ok::<_, Infallible>(this.answer(request, reading).await) }
+            let ends_answer = Rc::clone(&ends_answer);
+            async move {
+                let has_chunks = request.version() >= Version::HTTP_11;
+                let response = this.answer(request, reading).await;
+                ends_answer.set(!has_chunks && response.body().size_hint().exact().is_none());
+                Ok::<_, Infallible>(response)
+            }
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_TIMEOUT)
             .max_buf_size(MAX_BUFFER_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(CallerStream::new(stream, Rc::clone(&ends_answer)), service);
         let mut connection = std::pin::pin!(connection);
         let served = tokio::select! {
             served = connection.as_mut() => served,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod answer;
 mod attempt;
+mod caller_stream;
 mod choose;
 mod connect_error;
 mod connect_timeout;
