placement, relay: refusals of the network don't end servers, and a wrong end is taken back

Cause: a refused connection counted as the end of its server if no other box reached it, and with all boxes cut off none does. has_ended then stayed until the list named another life. Evidence: 508 for all three living servers at both boxes within 2 ms of 517, and refusals that say 'takes up model of v1' and no_server while new streams begin there. The quarantine never took the same ends back for servers that keep their id.

The fix: a refusal counts only on a way on which another server accepts a connection at the same time. What is believed of a server's life stands in one place (placement::Lives) as a doubt, with its evidence, and ends with a proof: an answer on an older connection, or one after the end and a list that still has the entry 2 s later. The proof takes back the ends in the quarantine and goes to all boxes as evidence. One box looks for each server in doubt. Events 521 and 522, and the number of servers in doubt in the trail of a refusal, tell it from other reasons.

--- a/crates/cleatshelf/src/router/cluster_state.rs
+++ b/crates/cleatshelf/src/router/cluster_state.rs
@@ -389,6 +389,19 @@
         self.state.borrow_mut().last_contact = Some(self.shared.now());
     }
 
+    /// Records that a watcher, which has the list of servers at this position, follows the publisher.
+    pub(super) fn on_watcher_contact(&self, directory: Position) {
+        self.shared.origins().record_contact(self.shared.now());
+        if directory <= self.state.borrow().directory.position {
+            self.on_list_complete();
+        }
+    }
+
+    /// Records that this box has the complete list of servers.
+    pub(super) fn on_list_complete(&self) {
+        self.shared.on_list_complete(&self.state.borrow().directory.in_grace);
+    }
+
     /// Records that the publisher has answered this box.
     pub(super) fn record_publisher_contact(&self) {
         self.record_contact();
--- a/crates/cleatshelf/src/router/follower.rs
+++ b/crates/cleatshelf/src/router/follower.rs
@@ -326,6 +326,9 @@
                 let position = directory.position;
                 self.reject_former_era(position)?;
                 self.cluster_state.offer_directory(directory, Origin::Publisher, self.health.is_recently_away());
+                if freshness == Freshness::Newest {
+                    self.cluster_state.on_list_complete();
+                }
                 Ok(position)
             }
         }
@@ -342,13 +345,24 @@
             let changes =
                 update.changes.into_iter().map(|change| if was_away { as_lapsed(change) } else { change }).collect();
             self.cluster_state.offer_changes(changes, update.position, Origin::Publisher);
+            self.confirm_list(update.position);
             self.on_success();
             let is_secondary = *self.watch_role.borrow() == WatchRole::Secondary;
             actix_rt::time::sleep(if is_secondary { SECONDARY_BATCH_DELAY } else { BATCH_DELAY }).await;
+        } else {
+            self.confirm_list(update.position);
         }
         Ok(update.position)
     }
 
+    /// Records that this box has the complete list of servers, if it has all changes up to this position.
+    fn confirm_list(&self, position: Position) {
+        let known = self.cluster_state.known_versions().directory;
+        if self.subject == Subject::Directory && position.era == known.era {
+            self.cluster_state.on_list_complete();
+        }
+    }
+
     /// Rejects state of an earlier era than the known one, from a late response or a lagging replica.
     fn reject_former_era(&self, read: Position) -> Result<(), PublisherError> {
         let versions = self.cluster_state.known_versions();
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -122,7 +122,7 @@
                     if let Message::Heartbeat(heartbeat) = &message {
                         this.cluster_state.record_contact();
                         if heartbeat.watches {
-                            this.shared.origins().record_contact(this.shared.now());
+                            this.cluster_state.on_watcher_contact(heartbeat.directory);
                         }
                     }
                     let actions = this.peers.borrow_mut().handle(from, message, this.shared.now());
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -25,6 +25,7 @@
 mod impact;
 mod least_squares;
 mod limit;
+mod lives;
 mod load;
 mod member;
 mod notices;
--- a/crates/placement/src/member.rs
+++ b/crates/placement/src/member.rs
@@ -54,8 +54,8 @@
     /// Until when it may have terminated, since only an older copy of the list has it; in the past if its entry is
     /// confirmed.
     pub(crate) unconfirmed_until: Millis,
-    /// True once it was seen to end. A later life may answer in its name until its entry comes.
-    pub(crate) has_ended: bool,
+    /// True while it may have ended, so that a later life may answer in its name.
+    pub(crate) is_doubted: bool,
     /// Region of its hall, if known.
     pub(crate) region: Option<String>,
     /// Cold-start settings of its service.
@@ -84,7 +84,7 @@
             limit: Limit::None,
             denied_until: PerUrgency::default(),
             unconfirmed_until: 0,
-            has_ended: false,
+            is_doubted: false,
             region: None,
             cold: None,
             cold_until: now + Millis::from(server.cold_ms),
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,6 +1,7 @@
 //! Placement for all services of a box.
 
 use crate::admission::AdmissionSummary;
+use crate::lives::Lives;
 use crate::notices::Notices;
 use crate::pool::Pool;
 use crate::{
@@ -45,6 +46,8 @@
     evacuated: BTreeSet<String>,
     /// Notices by server instances.
     notices: Notices,
+    /// Which of them may have ended.
+    lives: Lives,
     /// Boxes that share the budget, including this one.
     boxes: usize,
     /// The requests that all boxes together may send to a cold server.
@@ -69,6 +72,7 @@
             listed: OrdMap::new(),
             evacuated: BTreeSet::new(),
             notices: Notices::default(),
+            lives: Lives::default(),
             boxes: INITIAL_BOX_COUNT,
             allowance: ColdAllowance::default(),
             regions: HallRegions::new(),
@@ -159,6 +163,7 @@
     /// Removes an instance that is no longer listed.
     fn remove(&mut self, server: &Server, now: Millis) {
         self.notices.on_unlisted(&server.id, now);
+        self.lives.on_unlisted(&server.id);
         if let Some(pool) = self.pools.get_mut(&server.service) {
             pool.remove(&server.id);
         }
@@ -288,18 +293,86 @@
         open && (permitted || !pool.is_limited(id))
     }
 
-    /// Records that an instance was seen to end. If a later life may have its id, it isn't known any more who answers in its
-    /// name, nor which software version, until another entry comes.
-    pub fn record_ended(&mut self, instance: &str) {
-        if self.listed(instance).is_some_and(|server| server.id != server.name) {
-            self.pools.values_mut().for_each(|pool| pool.record_ended(instance));
+    /// Records that an instance was seen to end at `at`. If a later life may have its id, it isn't known any more who answers
+    /// in its name, nor which software version, until the list tells. Returns true if that is new.
+    pub fn record_ended(&mut self, instance: &str, at: Millis) -> bool {
+        if self.listed(instance).is_none_or(|server| server.id == server.name) {
+            return false;
         }
+        let is_new = self.lives.record_ended(instance, at);
+        if is_new {
+            self.set_doubted(instance, true);
+        }
+        is_new
+    }
+
+    /// Records an answer, at `now`, to a request that was sent to the instance at `sent`, or a connection that was opened
+    /// then. Returns true if this proves that the instance has not ended as it was seen to.
+    #[must_use]
+    pub fn record_answer(&mut self, instance: &str, sent: Millis, now: Millis) -> bool {
+        let is_alive = self.lives.record_answer(instance, sent, now);
+        if is_alive {
+            self.set_doubted(instance, false);
+        }
+        is_alive
+    }
+
+    /// Records another box's proof that the instance was alive at `at`. Returns true if it was in doubt.
+    pub fn record_alive(&mut self, instance: &str, at: Millis) -> bool {
+        if self.listed(instance).is_none() {
+            return false;
+        }
+        let is_alive = self.lives.record_alive(instance, at);
+        if is_alive {
+            self.set_doubted(instance, false);
+        }
+        is_alive
+    }
+
+    /// Records that the list of servers is complete at `now`, except for `lapsed`, the names of servers that are kept
+    /// although their entries are gone. Returns the instances that this proves not to have ended, each with the time at which
+    /// it was alive.
+    #[must_use]
+    pub fn record_listed(&mut self, lapsed: &BTreeSet<String>, now: Millis) -> Vec<(String, Millis)> {
+        let pools = &self.pools;
+        let has_entry = |instance: &str| {
+            let server = pools.values().find_map(|pool| pool.server(instance));
+            server.is_some_and(|server| !lapsed.contains(&server.name))
+        };
+        let alive = self.lives.record_listed(has_entry, now);
+        for (instance, _) in &alive {
+            self.set_doubted(instance, false);
+        }
+        alive
+    }
+
+    /// Returns the listed instances that may have ended.
+    #[must_use]
+    pub fn doubted(&self) -> Vec<Arc<Server>> {
+        self.lives.doubted().filter_map(|(instance, _)| self.listed(instance).cloned()).collect()
+    }
+
+    /// Returns those of them at whose address no server was found since.
+    #[must_use]
+    pub fn unreached(&self) -> Vec<Arc<Server>> {
+        let unreached = self.lives.doubted().filter(|(_, is_reached)| !is_reached);
+        unreached.filter_map(|(instance, _)| self.listed(instance).cloned()).collect()
+    }
+
+    /// True if the instance was in doubt and is known to have lived on.
+    #[must_use]
+    pub fn is_proved(&self, instance: &str) -> bool {
+        self.lives.is_proved(instance)
+    }
+
+    fn set_doubted(&mut self, instance: &str, is_doubted: bool) {
+        self.pools.values_mut().for_each(|pool| pool.set_doubted(instance, is_doubted));
     }
 
     /// True if it is known which instance answers in the name of this one.
     #[must_use]
     pub fn is_identified(&self, instance: &str) -> bool {
-        self.pools.values().all(|pool| pool.is_identified(instance))
+        !self.lives.is_doubted(instance)
     }
 
     /// True if a listed server of the service runs this software version and accepts new requests.
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -475,7 +475,7 @@
     fn may_receive(&self, member: &Member, request: &PlacementRequest<'_>) -> bool {
         let id = &member.server.id;
         request.allows_region(member.region.as_deref())
-            && (request.version.is_none() || !member.has_ended)
+            && (request.version.is_none() || !member.is_doubted)
             && request.allows_version(&member.server)
             && !request.tried.contains(id)
             && !request.denied.contains(id)
@@ -599,18 +599,13 @@
         self.engine.is_none()
     }
 
-    /// Records that an instance was seen to end, although it is still listed.
-    pub(crate) fn record_ended(&mut self, instance: &str) {
+    /// Sets whether a listed instance may have ended.
+    pub(crate) fn set_doubted(&mut self, instance: &str, is_doubted: bool) {
         if let Some(member) = self.members.get_mut(instance) {
-            member.has_ended = true;
+            member.is_doubted = is_doubted;
         }
     }
 
-    /// False if the instance was seen to end, although it is still listed.
-    pub(crate) fn is_identified(&self, instance: &str) -> bool {
-        !self.members.get(instance).is_some_and(|member| member.has_ended)
-    }
-
     /// Iterates over all servers.
     pub(crate) fn servers(&self) -> impl Iterator<Item = &Server> {
         self.members.values().map(|member| &*member.server)
--- a/crates/placement/src/quarantine.rs
+++ b/crates/placement/src/quarantine.rs
@@ -195,6 +195,12 @@
         self.suspects.is_empty()
     }
 
+    /// Returns the ids of servers that terminated under a suspect, as far as this box knows; may contain others.
+    #[must_use]
+    pub fn terminated_servers(&self) -> &HashSet<String> {
+        &self.terminated_servers
+    }
+
     /// Records that a server terminated while it ran this request.
     pub fn record_termination(&mut self, request: Fingerprint, end: Termination, now: Millis) -> Change {
         self.record_termination_of(Trait { fingerprint: request, scope: Scope::Whole }, end, now)
--- a/crates/relay/src/connect_error.rs
+++ b/crates/relay/src/connect_error.rs
@@ -12,6 +12,13 @@
     NoPath(String),
 }
 
+impl ConnectError {
+    /// True if the server's address refused the connection, as far as this box can tell.
+    pub(crate) fn is_refusal(&self) -> bool {
+        matches!(self, Self::Server(why) if why.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 impl fmt::Display for ConnectError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use placement::{Millis, Way};
+use rand::seq::SliceRandom;
 use routing::Server;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -38,6 +39,9 @@
 /// Time limit of a connection for another box, which waits little longer for it.
 const STREAM_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Maximum number of other servers that are asked whether a refused connection is due to the network.
+const MAX_WITNESSES: usize = 3;
+
 /// Maximum number of idle connections kept per server.
 const MAX_IDLE_PER_SERVER: usize = 24;
 
@@ -65,6 +69,17 @@
     }
 }
 
+/// What a probe shows of a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ProbeOutcome {
+    /// It accepts connections.
+    Reached,
+    /// Its address refuses connections, on a way that is known to work as far as that can be known.
+    Refused,
+    /// Neither is known, for this reason.
+    Unknown(String),
+}
+
 /// A connection and the time since when it is idle, by a clock that advances while the machine is suspended, as the
 /// server's does.
 type IdleConnection = (Connection, Millis);
@@ -132,7 +147,15 @@
     }
 
     async fn open_tunnel(&self, server: &Server) -> Result<Connection, ConnectError> {
-        let (stream, via) = self.dialer.dial_tunnel(server).await?;
+        self.open_tunnel_through(&self.dialer.tunnel_candidates(), server).await
+    }
+
+    async fn open_tunnel_through(
+        &self,
+        candidates: &[SocketAddr],
+        server: &Server,
+    ) -> Result<Connection, ConnectError> {
+        let (stream, via) = self.dialer.dial_tunnel(candidates, server).await?;
         start_connection(stream, server.address, Some(via)).await.map_err(|why| ConnectError::NoPath(why.to_string()))
     }
 
@@ -197,28 +220,120 @@
         self.dialer.dial_within(server, STREAM_TIMEOUT).await
     }
 
-    /// Checks whether a server accepts new connections. A successful connection is kept in the pool. A refusal may come
-    /// from the network between this box and the server, so it counts only if no other box reaches the server.
-    pub(crate) async fn probe(&self, server: &Server) -> std::io::Result<()> {
-        if self.is_lost_to(&server.id) {
-            match self.open_tunnel(server).await {
-                Ok(connection) => {
-                    self.release(&server.id, connection, &HeaderMap::new());
-                    return Ok(());
+    /// Checks whether a server accepts new connections. Successful connections are kept in the pool.
+    ///
+    /// A refusal may come from the network, here as well as at the box that opens a tunnel. So it counts only on a way on
+    /// which another server accepts a connection at the same time, and if no other box reaches the server. Servers for
+    /// which `may_witness` is false are not asked for that; without any others, nothing speaks against the refusal.
+    pub(crate) async fn probe(&self, server: &Server, may_witness: impl Fn(&str) -> bool) -> ProbeOutcome {
+        let witnesses = self.witnesses(&server.id, may_witness);
+        if !self.is_lost_to(&server.id) {
+            match self.probe_direct(server, &witnesses).await {
+                Ok(true) => return ProbeOutcome::Reached,
+                Ok(false) => {
+                    let opened = self.open_tunnel(server).await;
+                    let is_reached = opened.is_ok_and(|connection| self.keep(server, connection));
+                    return if is_reached { ProbeOutcome::Reached } else { ProbeOutcome::Refused };
                 }
-                Err(ConnectError::Server(why)) => return Err(why),
-                Err(ConnectError::NoPath(_)) => {}
+                Err(why) if why.kind() != ErrorKind::ConnectionRefused => {
+                    return ProbeOutcome::Unknown(why.to_string());
+                }
+                // The path is probably lost.
+                Err(_) => {}
             }
         }
-        let connection = match self.open_direct(server).await {
-            Ok(connection) => connection,
-            Err(why) if why.kind() == ErrorKind::ConnectionRefused => {
-                self.open_tunnel(server).await.map_err(|_| why)?
+        self.probe_through_box(server, &witnesses).await
+    }
+
+    /// Checks whether a server accepts direct connections. Returns an error if that can't be known.
+    async fn probe_direct(&self, server: &Server, witnesses: &[Arc<Server>]) -> std::io::Result<bool> {
+        let (first, others) =
+            witnesses.split_first().map_or((None, witnesses), |(first, others)| (Some(first), others));
+        let (opened, mut is_witnessed) = futures_util::join!(self.open_direct(server), async {
+            match first {
+                Some(witness) => self.reaches_directly(witness).await,
+                None => true,
             }
-            Err(why) => return Err(why),
+        });
+        let why = match opened {
+            Ok(connection) => return Ok(self.keep(server, connection)),
+            Err(why) if why.kind() != ErrorKind::ConnectionRefused => return Err(why),
+            Err(why) => why,
         };
+        for witness in others {
+            if is_witnessed {
+                break;
+            }
+            is_witnessed = self.reaches_directly(witness).await;
+        }
+        if is_witnessed {
+            Ok(false)
+        } else {
+            Err(why)
+        }
+    }
+
+    /// Checks whether a server accepts connections from a box that reaches another server.
+    async fn probe_through_box(&self, server: &Server, witnesses: &[Arc<Server>]) -> ProbeOutcome {
+        let mut opened = Err(ConnectError::NoPath("no server is reached".to_owned()));
+        for witness in witnesses {
+            let Ok(connection) = self.open_tunnel(witness).await else { continue };
+            let via = connection.via;
+            self.keep(witness, connection);
+            opened = self.open_tunnel_through(via.as_slice(), server).await;
+            break;
+        }
+        if witnesses.is_empty() {
+            opened = self.open_any(server).await;
+        }
+        match opened {
+            Ok(connection) => {
+                self.keep(server, connection);
+                ProbeOutcome::Reached
+            }
+            Err(why) if why.is_refusal() => ProbeOutcome::Refused,
+            Err(why) => ProbeOutcome::Unknown(why.to_string()),
+        }
+    }
+
+    /// Opens a connection on any way.
+    async fn open_any(&self, server: &Server) -> Result<Connection, ConnectError> {
+        if self.is_lost_to(&server.id) {
+            match self.open_tunnel(server).await {
+                Err(ConnectError::NoPath(_)) => {}
+                opened => return opened,
+            }
+        }
+        self.open_new(server).await
+    }
+
+    /// Opens a connection without a request, on any way, to find out whether a server is there.
+    pub(crate) async fn reaches(&self, server: &Server) -> bool {
+        self.open_any(server).await.is_ok_and(|connection| self.keep(server, connection))
+    }
+
+    async fn reaches_directly(&self, server: &Server) -> bool {
+        self.open_direct(server).await.is_ok_and(|connection| self.keep(server, connection))
+    }
+
+    /// Keeps a new connection in the pool. Returns true.
+    fn keep(&self, server: &Server, connection: Connection) -> bool {
         self.release(&server.id, connection, &HeaderMap::new());
-        Ok(())
+        true
+    }
+
+    /// Returns servers that may show whether a refusal comes from the network: first those that this box has idle
+    /// connections to.
+    fn witnesses(&self, instance: &str, may_witness: impl Fn(&str) -> bool) -> Vec<Arc<Server>> {
+        let view = self.shared.view();
+        let suits = |server: &&Arc<Server>| server.id != instance && may_witness(&server.id);
+        let mut witnesses: Vec<Arc<Server>> = view.directory.servers.values().filter(suits).cloned().collect();
+        let count = witnesses.len().min(MAX_WITNESSES);
+        let idle = self.idle.borrow();
+        witnesses.shuffle(&mut rand::rng());
+        witnesses.sort_by_key(|server| !idle.contains_key(&server.id));
+        witnesses.truncate(count);
+        witnesses
     }
 
     /// True while this box's path to the server instance is lost.
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -1,20 +1,20 @@
 //! Distinguishes the termination of a server from the loss of a connection.
 
-use crate::connections::Connections;
+use crate::connections::{Connections, ProbeOutcome};
 use crate::shared::Shared;
 use placement::{Fingerprint, Millis, Trait};
 use routing::Server;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt::Write;
-use std::io::ErrorKind;
 use std::rc::Rc;
 use std::sync::Arc;
 use telemetry::Event;
 use tokio::sync::watch;
 
 /// Probes servers after lost connections, per traffic thread. A server that accepts a new connection only lost the old
-/// one; a server whose address refuses connections has terminated.
+/// one; a server whose address refuses connections, while others accept them on the same way, has terminated as far as
+/// this box can tell.
 #[derive(Clone, Default)]
 pub(crate) struct CrashDetector {
     /// Running probes by server instance.
@@ -65,10 +65,11 @@
     }
 
     async fn probe(self, shared: Arc<Shared>, connections: Connections, server: Arc<Server>) {
-        let reached = connections.probe(&server).await;
+        let ended = shared.ended_servers();
+        let outcome = connections.probe(&server, |other| !ended.contains(other)).await;
         // Dropping `_done` at the end of this function closes the receivers.
         let Probe { requests, done: _done } = self.probes.borrow_mut().remove(&server.id).unwrap_or_default();
-        let refused = matches!(&reached, Err(why) if why.kind() == ErrorKind::ConnectionRefused);
+        let refused = outcome == ProbeOutcome::Refused;
         let mut list = String::new();
         for LostRequest { request, parts, .. } in &requests {
             // Writing to a `String` can't fail.
@@ -81,9 +82,10 @@
         if refused && !shared.placement().is_brittle(&server.service, shared.now()) {
             shared.on_server_terminated(&server.id, &requests);
         }
-        let found = match &reached {
-            Ok(()) => "reached".to_owned(),
-            Err(why) => why.to_string(),
+        let found = match outcome {
+            ProbeOutcome::Reached => "reached".to_owned(),
+            ProbeOutcome::Refused => "refused".to_owned(),
+            ProbeOutcome::Unknown(why) => why,
         };
         telemetry::emit(
             if refused { Event::ServerEnded } else { Event::ServerBroke },
--- a/crates/relay/src/dialer.rs
+++ b/crates/relay/src/dialer.rs
@@ -139,14 +139,22 @@
         }
     }
 
-    /// Opens a connection through another box. Returns it with the address of that box.
-    pub(crate) async fn dial_tunnel(&self, server: &Server) -> Result<(tunnel::Stream, SocketAddr), ConnectError> {
+    /// Returns the boxes to ask for a tunnel, in this order.
+    pub(crate) fn tunnel_candidates(&self) -> Vec<SocketAddr> {
+        let boxes = self.shared.peer_client.tunnel_boxes();
+        self.tunnel_choice.borrow_mut().candidates(&boxes, self.shared.now())
+    }
+
+    /// Opens a connection through one of these boxes. Returns it with the address of that box.
+    pub(crate) async fn dial_tunnel(
+        &self,
+        candidates: &[SocketAddr],
+        server: &Server,
+    ) -> Result<(tunnel::Stream, SocketAddr), ConnectError> {
         let no_box = || ConnectError::NoPath("no box opened a tunnel".to_owned());
         let client = self.tunnels.as_ref().ok_or_else(no_box)?;
-        let boxes = self.shared.peer_client.tunnel_boxes();
-        let candidates = self.tunnel_choice.borrow_mut().candidates(&boxes, self.shared.now());
         let mut last = no_box();
-        for address in candidates {
+        for &address in candidates {
             let opened = tokio::time::timeout(TUNNEL_TIMEOUT, client.open(address, &server.id)).await;
             last = match opened {
                 Ok(Ok(stream)) => {
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -58,7 +58,13 @@
     fn describe(&mut self, refusal: Refusal) -> &'static str {
         // Writing to a `String` can't fail.
         match refusal {
-            Refusal::NoServer => "no server",
+            Refusal::NoServer => {
+                let doubted = self.shared.placement().doubted().len();
+                if doubted > 0 {
+                    let _ = write!(self.trail, " in doubt: {doubted}");
+                }
+                "no server"
+            }
             Refusal::Cold => "all servers are cold",
             Refusal::Limited { retry_ms } => {
                 let _ = write!(self.trail, "all have what they take, {retry_ms} ms");
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -61,6 +61,8 @@
     pub(crate) version: Option<Version>,
     /// False if it isn't known which version wrote the first event, so that nobody can go on with the stream.
     pub(crate) may_go_on: bool,
+    /// The instance that wrote the first event, while it may have ended before and another one have written it.
+    pub(crate) unidentified: Option<String>,
     /// Ids of the servers that the request was sent to or that could not be reached.
     pub(crate) tried: Vec<String>,
     /// Closes once it is known whether the server of the last, broken send has terminated.
--- a/crates/relay/src/frontend.rs
+++ b/crates/relay/src/frontend.rs
@@ -17,6 +17,7 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
+use placement::Fingerprint;
 use routing::{Access, Table};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::convert::Infallible;
@@ -46,6 +47,9 @@
 /// Interval between clean-ups of the connection pool.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Interval at which servers that may have ended are looked for.
+const DOUBT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Retry delay for callers of a box without a configuration. A start takes about a second.
 const START_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -105,6 +109,7 @@
     pub async fn run(self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
         let this = Rc::new(self);
         tokio::task::spawn_local(Rc::clone(&this).prune());
+        tokio::task::spawn_local(Rc::clone(&this).look_for_doubted());
         let (close, closing) = watch::channel(false);
         // Created once, so that the delay does not restart with each accepted connection.
         let mut stopped = std::pin::pin!(wait_for_drain(&mut stop));
@@ -138,6 +143,22 @@
         }
     }
 
+    /// Looks for servers that may have ended. One box looks for each, since others are told what it finds; requests that are
+    /// sent there tell as well.
+    async fn look_for_doubted(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(DOUBT_CHECK_INTERVAL).await;
+            let unreached = self.shared.placement().unreached();
+            for server in unreached {
+                let key = Fingerprint(routing::rank(self.shared.secret, &server.id));
+                let began = self.shared.now();
+                if self.shared.peer_client.ranks_first(key) && self.connections.reaches(&server).await {
+                    self.shared.on_instance_answered(&server.id, began);
+                }
+            }
+        }
+    }
+
     fn accept(self: &Rc<Self>, stream: TcpStream, closing: &watch::Receiver<bool>) {
         if self.open_connections.get() >= self.max_connections {
             metrics::counter!("cleatshelf_connections_refused_total").increment(1);
@@ -282,6 +303,7 @@
             traits: OnceCell::new(),
             version: None,
             may_go_on: true,
+            unidentified: None,
             tried: Vec::new(),
             crash_probe: None,
             sends: 0,
--- a/crates/relay/src/slot_guard.rs
+++ b/crates/relay/src/slot_guard.rs
@@ -111,11 +111,13 @@
 
     /// Records that the server answered, which is liveness evidence.
     ///
-    /// Skipped for servers whose instance id differs from their name: a newer instance, of which this box doesn't know
-    /// yet, may have sent the answer.
+    /// Where the instance id differs from the name, a newer instance of which this box doesn't know yet may have sent the
+    /// answer.
     fn on_server_answered(&self) {
         if self.server.id == self.server.name {
             self.shared.on_server_answered(&self.server.id);
+        } else {
+            self.shared.on_instance_answered(&self.server.id, self.sent);
         }
     }
 
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -124,6 +124,7 @@
             }
             if !whole.is_empty() {
                 self.on_first_event(slot);
+                self.exchange.identify();
                 self.exchange.record_part_survivals(slot);
                 self.record_event_time(slot);
                 if self.caller.send(Ok(Frame::data(whole))).await.is_err() {
@@ -166,6 +167,8 @@
                 exchange.may_go_on = exchange.shared.placement().is_identified(&slot.server.id);
                 if exchange.may_go_on {
                     exchange.record_origin();
+                } else {
+                    exchange.unidentified = Some(slot.server.id.clone());
                 }
                 log_taken_up(&exchange.call, &slot.server);
             }
@@ -175,6 +178,7 @@
     async fn resume_elsewhere(&mut self, why: &str) -> Option<(Answer, SlotGuard)> {
         let exchange = &mut self.exchange;
         exchange.may_have_run = true;
+        exchange.identify();
         self.events.discard_partial();
         let last = self.events.last_id().or(exchange.call.last_event);
         let _ = write!(exchange.trail, "=broke after {last:?} ({why})");
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -2,8 +2,10 @@
 
 use crate::crash::LostRequest;
 use crate::Shared;
-use placement::{Change, Fingerprint, LivenessEvidence, Quarantine, Scope, SuspectRecord, Termination, Trait, Verdict};
-use std::collections::HashSet;
+use placement::{
+    Change, Fingerprint, LivenessEvidence, Millis, Quarantine, Scope, SuspectRecord, Termination, Trait, Verdict,
+};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::fmt::Write;
 use std::sync::{MutexGuard, PoisonError};
 use telemetry::Event;
@@ -17,7 +19,7 @@
     /// Records that a server terminated while it had these requests, and broadcasts what is new.
     pub(crate) fn on_server_terminated(&self, server: &str, requests: &[LostRequest]) {
         let now = self.now();
-        self.placement().record_ended(server);
+        self.doubt(server, now);
         let changes: Vec<Change> = {
             let mut quarantine = self.quarantine();
             let end = |lost: &LostRequest| Termination {
@@ -62,6 +64,50 @@
         }
     }
 
+    /// Records that an instance was seen to end at `at`.
+    fn doubt(&self, instance: &str, at: Millis) {
+        if self.placement().record_ended(instance, at) {
+            let ago = self.now().saturating_sub(at);
+            telemetry::emit(Event::LifeDoubted, format_args!("server={instance} ago={ago}"));
+        }
+    }
+
+    /// Records that an instance accepted a connection or request of this box at `sent`, and answers.
+    pub(crate) fn on_instance_answered(&self, instance: &str, sent: Millis) {
+        let now = self.now();
+        // Bound first: the guard must not be held while the quarantine is locked.
+        let is_alive = self.placement().record_answer(instance, sent, now);
+        if is_alive {
+            self.on_instance_alive(instance, now);
+        }
+    }
+
+    /// Records that the list of servers is complete, except for `lapsed`, the names of servers that are kept although their
+    /// entries are gone.
+    pub fn on_list_complete(&self, lapsed: &BTreeSet<String>) {
+        let alive = self.placement().record_listed(lapsed, self.now());
+        for (instance, at) in alive {
+            self.on_instance_alive(&instance, at);
+        }
+    }
+
+    /// Corrects what was believed because an instance was taken to have ended, here and at all boxes.
+    fn on_instance_alive(&self, instance: &str, at: Millis) {
+        let now = self.now();
+        let evidence = LivenessEvidence { server: instance.to_owned(), ago: now.saturating_sub(at) };
+        telemetry::emit(Event::LifeConfirmed, format_args!("server={instance} from=Own"));
+        let changes = self.quarantine().on_liveness_evidence(&evidence, now);
+        changes.iter().for_each(log_change);
+        self.peer_client.broadcast_suspects(Vec::new(), vec![evidence]);
+    }
+
+    /// Returns the servers that are taken to have ended.
+    pub(crate) fn ended_servers(&self) -> HashSet<String> {
+        let mut ended = self.quarantine().terminated_servers().clone();
+        ended.extend(self.placement().doubted().into_iter().map(|server| server.id.clone()));
+        ended
+    }
+
     /// Records what another box reported about requests and servers. Returns the evidence that contradicts it, for that
     /// box.
     #[must_use]
@@ -73,9 +119,18 @@
         let now = self.now();
         {
             // Most records of a message name the same few servers.
-            let ended: HashSet<&str> = records.iter().flat_map(|r| &r.ends).map(|end| end.server.as_str()).collect();
-            let mut placement = self.placement();
-            ended.into_iter().for_each(|server| placement.record_ended(server));
+            let mut ended: HashMap<&str, Millis> = HashMap::new();
+            for end in records.iter().flat_map(|record| &record.ends) {
+                let at = ended.entry(&end.server).or_default();
+                *at = now.saturating_sub(end.ago).max(*at);
+            }
+            ended.into_iter().for_each(|(server, at)| self.doubt(server, at));
+        }
+        for item in &evidence {
+            let at = now.saturating_sub(item.ago);
+            if self.placement().record_alive(&item.server, at) {
+                telemetry::emit(Event::LifeConfirmed, format_args!("server={} from=Peer", item.server));
+            }
         }
         let mut quarantine = self.quarantine();
         let mut changes = Vec::new();
--- a/crates/relay/src/take_up.rs
+++ b/crates/relay/src/take_up.rs
@@ -65,6 +65,16 @@
         Some(Stream::of(self.shared.secret, customer, first))
     }
 
+    /// Lets the stream go on if the instance that began it was in doubt and turns out to live on.
+    pub(crate) fn identify(&mut self) {
+        let Some(instance) = &self.unidentified else { return };
+        if self.shared.placement().is_proved(instance) {
+            self.unidentified = None;
+            self.may_go_on = true;
+            self.record_origin();
+        }
+    }
+
     /// Records what began the stream, for callers that take it up again. They come back within their own time limit or
     /// that of the route.
     pub(crate) fn record_origin(&self) {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -146,6 +146,10 @@
     ServersBrittle = 519, Warn;
     /// A caller takes up a stream that an earlier attempt began.
     StreamTakenUp = 520, Info;
+    /// A listed server was seen to end: another one may answer in its name.
+    LifeDoubted = 521, Info;
+    /// A server that was seen to end has lived on.
+    LifeConfirmed = 522, Info;
     /// The count of leases granted no longer equals those held, returned and expired.
     LeaseCountBroken = 900, Error;
     /// A grant exceeded the class's floor while a more urgent request was waiting.
