relay: a life is proved by the age of the connection, not of the request

The time at which a connection was opened now goes with its answer. Proofs are told to other boxes by one box only, since all boxes that hear one watcher have theirs at the same moment.

--- a/crates/placement/src/lives.rs
+++ b/crates/placement/src/lives.rs
@@ -14,7 +14,7 @@
 /// and a box hears of changes at most some tenths of a second after the watchers.
 const ENTRY_DELAY: Millis = 2_000;
 
-/// Time after an observed end from which an answer to an earlier request disproves it. Data sent before the end may be read
+/// Time after an observed end from which an answer on an older connection disproves it. Data sent before the end may be read
 /// late, by a box that had no processor time for some tenths of a second.
 const LATE_READ_LIMIT: Millis = 1_000;
 
@@ -61,13 +61,13 @@
         }
     }
 
-    /// Records an answer, at `now`, to a request that was sent to the instance at `sent`, or a connection that was opened
-    /// then. Returns true if this proves that it has not ended.
-    pub(crate) fn record_answer(&mut self, instance: &str, sent: Millis, now: Millis) -> bool {
+    /// Records an answer of the instance, at `now`, on a connection that was opened at `opened`. Returns true if this proves
+    /// that it has not ended.
+    pub(crate) fn record_answer(&mut self, instance: &str, opened: Millis, now: Millis) -> bool {
         let Some(report) = self.reported.get_mut(instance) else { return false };
         match report {
             Report::Doubted { since, .. } if now < *since + LATE_READ_LIMIT => false,
-            Report::Doubted { since, accepted } if sent > *since => {
+            Report::Doubted { since, accepted } if opened > *since => {
                 accepted.get_or_insert(now);
                 false
             }
@@ -125,7 +125,7 @@
         self.reported.get(instance).is_some_and(Report::is_doubt)
     }
 
-    /// True if the instance was reported to have ended, and was proved to be alive after that.
+    /// True if the instance was proved to be alive after its end was reported.
     pub(crate) fn is_proved(&self, instance: &str) -> bool {
         matches!(self.reported.get(instance), Some(Report::Alive(_)))
     }
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -296,7 +296,7 @@
     /// Records that an instance was seen to end at `at`. If a later life may have its id, it isn't known any more who answers
     /// in its name, nor which software version, until the list tells. Returns true if that is new.
     pub fn record_ended(&mut self, instance: &str, at: Millis) -> bool {
-        if self.listed(instance).is_none_or(|server| server.id == server.name) {
+        if !self.may_return(instance) {
             return false;
         }
         let is_new = self.lives.record_ended(instance, at);
@@ -306,11 +306,16 @@
         is_new
     }
 
-    /// Records an answer, at `now`, to a request that was sent to the instance at `sent`, or a connection that was opened
-    /// then. Returns true if this proves that the instance has not ended as it was seen to.
+    /// True if a later life of a listed instance may have its id.
+    fn may_return(&self, instance: &str) -> bool {
+        self.listed(instance).is_some_and(|server| server.id != server.name)
+    }
+
+    /// Records an answer of the instance, at `now`, on a connection that was opened at `opened`. Returns true if this proves
+    /// that the instance has not ended as it was seen to.
     #[must_use]
-    pub fn record_answer(&mut self, instance: &str, sent: Millis, now: Millis) -> bool {
-        let is_alive = self.lives.record_answer(instance, sent, now);
+    pub fn record_answer(&mut self, instance: &str, opened: Millis, now: Millis) -> bool {
+        let is_alive = self.lives.record_answer(instance, opened, now);
         if is_alive {
             self.set_doubted(instance, false);
         }
@@ -319,7 +324,7 @@
 
     /// Records another box's proof that the instance was alive at `at`. Returns true if it was in doubt.
     pub fn record_alive(&mut self, instance: &str, at: Millis) -> bool {
-        if self.listed(instance).is_none() {
+        if !self.may_return(instance) {
             return false;
         }
         let is_alive = self.lives.record_alive(instance, at);
--- a/crates/placement/tests/lives.rs
+++ b/crates/placement/tests/lives.rs
@@ -85,7 +85,7 @@
 
 /// Guards against late reads: data from before the end proves nothing, an answer on an older connection does later.
 #[test]
-fn an_answer_to_an_earlier_request_proves_the_instance_unless_it_was_read_late() {
+fn an_answer_on_an_older_connection_proves_the_instance_unless_it_was_read_late() {
     let mut placement = doubting();
     assert!(!placement.record_answer(LIFE, END - 50, END + 500));
     assert!(placement.record_answer(LIFE, END - 50, END + 1_500));
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -209,6 +209,11 @@
         }
     }
 
+    /// Returns when its connection was opened.
+    pub(crate) fn opened(&self) -> Millis {
+        self.connection.opened
+    }
+
     /// Reads the whole body and returns the connection to the pool.
     pub(crate) async fn collect(self, connections: &Connections) -> Result<(response::Parts, Bytes), String> {
         let Self { parts, body, connection, instance } = self;
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -57,6 +57,8 @@
     idle_timeout: Duration,
     /// The box that it goes through; `None` for a direct one.
     pub(crate) via: Option<SocketAddr>,
+    /// When it was opened, or shortly after.
+    pub(crate) opened: Millis,
     /// Set while an exchange is in progress. The connection is reset if it is dropped in that state.
     busy: Rc<Cell<bool>>,
 }
@@ -129,7 +131,7 @@
     async fn open_last(&self, server: &Server) -> Result<Connection, ConnectError> {
         let no_path = |why: std::io::Error| ConnectError::NoPath(why.to_string());
         let stream = self.dialer.dial_within(server, LAST_TIMEOUT).await.map_err(no_path)?;
-        start_connection(stream, server.address, None).await.map_err(no_path)
+        start_connection(stream, server.address, None, self.shared.now()).await.map_err(no_path)
     }
 
     /// Opens a direct connection, or one through another box if the direct one fails since this box has lost its path.
@@ -143,7 +145,7 @@
 
     async fn open_direct(&self, server: &Server) -> std::io::Result<Connection> {
         let stream = self.dialer.dial(server).await?;
-        start_connection(stream, server.address, None).await
+        start_connection(stream, server.address, None, self.shared.now()).await
     }
 
     async fn open_tunnel(&self, server: &Server) -> Result<Connection, ConnectError> {
@@ -155,8 +157,11 @@
         candidates: &[SocketAddr],
         server: &Server,
     ) -> Result<Connection, ConnectError> {
+        let opened = self.shared.now();
         let (stream, via) = self.dialer.dial_tunnel(candidates, server).await?;
-        start_connection(stream, server.address, Some(via)).await.map_err(|why| ConnectError::NoPath(why.to_string()))
+        start_connection(stream, server.address, Some(via), opened)
+            .await
+            .map_err(|why| ConnectError::NoPath(why.to_string()))
     }
 
     /// Waits for an answer of a server, and checks this box's path if no server is heard meanwhile.
@@ -408,6 +413,7 @@
     stream: impl Socket + 'static,
     address: SocketAddr,
     via: Option<SocketAddr>,
+    opened: Millis,
 ) -> std::io::Result<Connection> {
     let busy = Rc::new(Cell::new(true));
     let handshake = hyper::client::conn::http1::Builder::new()
@@ -422,5 +428,5 @@
         }
     });
     metrics::counter!("cleatshelf_connections_opened_total").increment(1);
-    Ok(Connection { sender, task: task.abort_handle(), idle_timeout: IDLE_TIMEOUT, via, busy })
+    Ok(Connection { sender, task: task.abort_handle(), idle_timeout: IDLE_TIMEOUT, via, opened, busy })
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -101,7 +101,8 @@
 /// The result of a send with the body of a non-streamed answer.
 enum Fetched {
     Stream(Box<Answer>),
-    Complete(Box<http::response::Parts>, Bytes),
+    /// With the time at which its connection was opened.
+    Complete(Box<http::response::Parts>, Bytes, Millis),
     Nothing(SendOutcome),
 }
 
@@ -161,8 +162,8 @@
         }
         match fetched {
             Fetched::Stream(answer) => Some(Reply::Stream(answer, slot)),
-            Fetched::Complete(parts, bytes) => {
-                slot.on_prefill_done();
+            Fetched::Complete(parts, bytes, opened) => {
+                slot.on_prefill_done(opened);
                 self.on_whole_answer(*parts, bytes, slot)
             }
             Fetched::Nothing(sent) => self.on_failed_send(sent, slot),
@@ -175,10 +176,13 @@
             SendOutcome::Answer(answer) if self.route.kind.is_stream() && answer.parts.status.is_success() => {
                 Fetched::Stream(answer)
             }
-            SendOutcome::Answer(answer) => match answer.collect(&self.connections).await {
-                Ok((parts, bytes)) => Fetched::Complete(Box::new(parts), bytes),
-                Err(why) => Fetched::Nothing(SendOutcome::Broken(why)),
-            },
+            SendOutcome::Answer(answer) => {
+                let opened = answer.opened();
+                match answer.collect(&self.connections).await {
+                    Ok((parts, bytes)) => Fetched::Complete(Box::new(parts), bytes, opened),
+                    Err(why) => Fetched::Nothing(SendOutcome::Broken(why)),
+                }
+            }
             sent => Fetched::Nothing(sent),
         }
     }
--- a/crates/relay/src/frontend.rs
+++ b/crates/relay/src/frontend.rs
@@ -17,7 +17,6 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
-use placement::Fingerprint;
 use routing::{Access, Table};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::convert::Infallible;
@@ -150,9 +149,8 @@
             tokio::time::sleep(DOUBT_CHECK_INTERVAL).await;
             let unreached = self.shared.placement().unreached();
             for server in unreached {
-                let key = Fingerprint(routing::rank(self.shared.secret, &server.id));
                 let began = self.shared.now();
-                if self.shared.peer_client.ranks_first(key) && self.connections.reaches(&server).await {
+                if self.shared.looks_for(&server.id) && self.connections.reaches(&server).await {
                     self.shared.on_instance_answered(&server.id, began);
                 }
             }
--- a/crates/relay/src/slot_guard.rs
+++ b/crates/relay/src/slot_guard.rs
@@ -19,6 +19,8 @@
     prefill_done: bool,
     /// When the first event came, or the whole answer; `None` before.
     answering_since: Option<Millis>,
+    /// When the connection was opened on which it came.
+    connection_opened: Option<Millis>,
     /// True once the request's parts were recorded as survived.
     survival_recorded: bool,
     /// True once a pause between events exceeded the gap limit.
@@ -48,6 +50,7 @@
             work,
             prefill_done: false,
             answering_since: None,
+            connection_opened: None,
             survival_recorded: false,
             late: false,
             pause_ms: 0,
@@ -69,11 +72,12 @@
         self.assigned = Some(assigned);
     }
 
-    /// Records the end of prefill. Returns true on the first call.
-    pub(crate) fn on_prefill_done(&mut self) -> bool {
+    /// Records the end of prefill, told on a connection that was opened at `opened`. Returns true on the first call.
+    pub(crate) fn on_prefill_done(&mut self, opened: Millis) -> bool {
         let first = !std::mem::replace(&mut self.prefill_done, true);
         if first {
             self.answering_since = Some(self.shared.now());
+            self.connection_opened = Some(opened);
             self.on_server_answered();
             self.shared.placement().record_prefilled(&self.service, &self.server.id, self.work);
             self.report(SendUpdate::Read);
@@ -116,8 +120,8 @@
     fn on_server_answered(&self) {
         if self.server.id == self.server.name {
             self.shared.on_server_answered(&self.server.id);
-        } else {
-            self.shared.on_instance_answered(&self.server.id, self.sent);
+        } else if let Some(opened) = self.connection_opened {
+            self.shared.on_instance_answered(&self.server.id, opened);
         }
     }
 
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -13,7 +13,7 @@
 use http::{header, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use placement::Ending;
+use placement::{Ending, Millis};
 use routing::{Server, Version};
 use std::fmt::Write;
 use telemetry::Event;
@@ -123,7 +123,7 @@
                 return StreamEnd::ConnectionLost("an event without end".to_owned());
             }
             if !whole.is_empty() {
-                self.on_first_event(slot);
+                self.on_first_event(slot, answer.opened());
                 self.exchange.identify();
                 self.exchange.record_part_survivals(slot);
                 self.record_event_time(slot);
@@ -149,8 +149,8 @@
     }
 
     /// Handles the first event of a server, which marks the end of prefill.
-    fn on_first_event(&mut self, slot: &mut SlotGuard) {
-        if slot.on_prefill_done() {
+    fn on_first_event(&mut self, slot: &mut SlotGuard, opened: Millis) {
+        if slot.on_prefill_done(opened) {
             let exchange = &mut self.exchange;
             let version = &slot.server.version;
             if let Some(prompt) = &exchange.call.prompt {
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -72,11 +72,11 @@
         }
     }
 
-    /// Records that an instance accepted a connection or request of this box at `sent`, and answers.
-    pub(crate) fn on_instance_answered(&self, instance: &str, sent: Millis) {
+    /// Records that an instance answers on a connection that was opened at `opened`.
+    pub(crate) fn on_instance_answered(&self, instance: &str, opened: Millis) {
         let now = self.now();
         // Bound first: the guard must not be held while the quarantine is locked.
-        let is_alive = self.placement().record_answer(instance, sent, now);
+        let is_alive = self.placement().record_answer(instance, opened, now);
         if is_alive {
             self.on_instance_alive(instance, now);
         }
@@ -91,14 +91,22 @@
         }
     }
 
-    /// Corrects what was believed because an instance was taken to have ended, here and at all boxes.
+    /// True on the one box that looks for an instance which may have ended, and tells the others what it finds. All boxes
+    /// that watch one list have their proofs at the same moment.
+    pub(crate) fn looks_for(&self, instance: &str) -> bool {
+        self.peer_client.ranks_first(Fingerprint(routing::rank(self.secret, instance)))
+    }
+
+    /// Corrects what was believed because an instance was taken to have ended.
     fn on_instance_alive(&self, instance: &str, at: Millis) {
         let now = self.now();
         let evidence = LivenessEvidence { server: instance.to_owned(), ago: now.saturating_sub(at) };
         telemetry::emit(Event::LifeConfirmed, format_args!("server={instance} from=Own"));
         let changes = self.quarantine().on_liveness_evidence(&evidence, now);
         changes.iter().for_each(log_change);
-        self.peer_client.broadcast_suspects(Vec::new(), vec![evidence]);
+        if self.looks_for(instance) {
+            self.peer_client.broadcast_suspects(Vec::new(), vec![evidence]);
+        }
     }
 
     /// Returns the servers that are taken to have ended.
