--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -237,7 +237,7 @@
                 Ok(true) => return ProbeOutcome::Reached,
                 Ok(false) => {
                     let opened = self.open_tunnel(server).await;
-                    let is_reached = opened.is_ok_and(|connection| self.keep(server, connection));
+                    let is_reached = opened.map(|connection| self.keep(server, connection)).is_ok();
                     return if is_reached { ProbeOutcome::Reached } else { ProbeOutcome::Refused };
                 }
                 Err(why) if why.kind() != ErrorKind::ConnectionRefused => {
@@ -261,7 +261,10 @@
             }
         });
         let why = match opened {
-            Ok(connection) => return Ok(self.keep(server, connection)),
+            Ok(connection) => {
+                self.keep(server, connection);
+                return Ok(true);
+            }
             Err(why) if why.kind() != ErrorKind::ConnectionRefused => return Err(why),
             Err(why) => why,
         };
@@ -314,17 +317,16 @@
 
     /// Opens a connection without a request, on any way, to find out whether a server is there.
     pub(crate) async fn reaches(&self, server: &Server) -> bool {
-        self.open_any(server).await.is_ok_and(|connection| self.keep(server, connection))
+        self.open_any(server).await.map(|connection| self.keep(server, connection)).is_ok()
     }
 
     async fn reaches_directly(&self, server: &Server) -> bool {
-        self.open_direct(server).await.is_ok_and(|connection| self.keep(server, connection))
+        self.open_direct(server).await.map(|connection| self.keep(server, connection)).is_ok()
     }
 
-    /// Keeps a new connection in the pool. Returns true.
-    fn keep(&self, server: &Server, connection: Connection) -> bool {
+    /// Keeps a new connection in the pool.
+    fn keep(&self, server: &Server, connection: Connection) {
         self.release(&server.id, connection, &HeaderMap::new());
-        true
     }
 
     /// Returns servers that may show whether a refusal comes from the network: first those that this box has idle
@@ -333,11 +335,10 @@
         let view = self.shared.view();
         let suits = |server: &&Arc<Server>| server.id != instance && may_witness(&server.id);
         let mut witnesses: Vec<Arc<Server>> = view.directory.servers.values().filter(suits).cloned().collect();
-        let count = witnesses.len().min(MAX_WITNESSES);
         let idle = self.idle.borrow();
         witnesses.shuffle(&mut rand::rng());
         witnesses.sort_by_key(|server| !idle.contains_key(&server.id));
-        witnesses.truncate(count);
+        witnesses.truncate(MAX_WITNESSES);
         witnesses
     }
 
