--- a/review/stands-2/src/cases.rs
+++ b/review/stands-2/src/cases.rs
@@ -35,6 +35,7 @@
     let held = match name {
         "reborn" => reborn(&record, &temporary.0, router, trouble),
         "silent" => silent(&record, &temporary.0, router, trouble),
+        "restarted" => restarted(&record, &temporary.0, router, trouble),
         "left" => left(&record, &temporary.0, router, trouble),
         "pages" => pages(&record, &temporary.0, router, trouble),
         "foreign" => foreign(&record, &temporary.0, router, trouble),
@@ -268,6 +269,57 @@
     check_order(record, &log, &machines, &replies)
 }
 
+/// ORDER: while the store is down, a server crashes, which the machines see, and comes back under its id with another version
+/// of its software. One machine is killed and starts again. Then another server crashes, whose streams go on there.
+fn restarted(record: &Record, folder: &Path, router: &Path, trouble: bool) -> Option<bool> {
+    let log = folder.join("runs.txt");
+    let store = Store::start(500);
+    store.put("op/config", &config(3, 64));
+    let (mut servers, mut processes) = model_servers(&store, &log, 64);
+    let mut machines = machines(folder, router, &store, &["hall-a", "hall-b"]);
+    start(record, &mut machines)?;
+    let mut calls = send_all(&machines, 16, "POST", "/chat/1", "first", stream_headers);
+    pause(700);
+    if trouble {
+        store.set_down(true);
+        record.line("the store is down");
+        pause(200);
+        processes[0].kill();
+        record.line("m-1 (v1) crashes");
+        pause(500);
+        servers[0].version = "v2";
+        processes[0] = start_servers(&log, &[servers[0].spec()]);
+        record.line("m-1 starts again under its id, with v2; the store doesn't take its entry");
+        pause(300);
+        machines[0].kill();
+        pause(300);
+        machines[0].start();
+        record.line(&format!("{} was killed and starts again", machines[0].name));
+    }
+    if !machines[0].wait_ready(Duration::from_secs(3)) {
+        record.line("the machine isn't ready");
+        return None;
+    }
+    record.line(&format!("{} is ready", machines[0].name));
+    pause(500);
+    // Traffic goes on at that machine.
+    for round in 0..7 {
+        let headers = |number| stream_headers(100 + round * 10 + number);
+        calls.extend(send_all(&machines[..1], 5, "POST", "/chat/1", &format!("later-{round}"), headers));
+        pause(300);
+    }
+    if trouble {
+        processes[1].kill();
+        record.line("m-2 (v1) crashes; its streams go on elsewhere");
+        pause(700);
+        store.set_down(false);
+        store.put("servers/m-1", &servers[0].entry("ready", now_ms()));
+        record.line("the store is back and takes the entry of m-1");
+    }
+    let replies = join(record, calls);
+    check_order(record, &log, &machines, &replies)
+}
+
 /// LOST: most machines are taken away as planned. Then one of the two that are left is killed, whose clients take their
 /// streams up at the other one.
 fn left(record: &Record, folder: &Path, router: &Path, trouble: bool) -> Option<bool> {
