--- a/crates/cleatshelf/tests/starting.rs
+++ b/crates/cleatshelf/tests/starting.rs
@@ -93,3 +93,43 @@
         );
     }
 }
+
+/// Names of entries of other writers that sort before all servers, among them, and after all, and hold characters that
+/// have a meaning in a URL.
+const FOREIGN_NAMES: [&str; 8] = ["!&a=b", "#1", "%41", "+", "i-4 x", "i-8?%zz", "~ é\u{1f600}", "~&pathPrefix=op/"];
+
+/// Guards against an entry of another writer that keeps starting boxes from the list of servers: its key was put into a
+/// query as it is, so that boxes served with a sample for as long as it stood. If the entry was the copy of a server's
+/// entry, all requests could go to the address in it.
+#[test]
+fn boxes_that_start_use_all_servers_beside_entries_under_odd_names() {
+    let store = store();
+    let copy = server_entry(start_server("not a server of the platform", 0), "ready");
+    // Each of them ends a page and begins one in some of the runs.
+    for page_size in [SERVERS_PER_PAGE, 1 + SERVERS_PER_PAGE / 2] {
+        store.set_page_size(page_size);
+        for name in FOREIGN_NAMES {
+            let key = format!("servers/{name}");
+            store.put(&key, &copy);
+            let address = free_address();
+            let one = start(&store, address, &[address]);
+            wait_until("the box is ready", || one.is_ready());
+            let served = (0..20).filter(|_| one.get("/x/1") == (200, "first".to_owned())).count();
+            assert_eq!(served, 20, "requests served beside {name:?} with pages of {page_size}");
+            wait_until("the full list is known", || knows_servers(&one, SERVERS));
+            store.remove(&key);
+        }
+    }
+}
+
+#[test]
+fn entries_of_other_writers_do_not_shape_samples() {
+    let store = store();
+    for name in FOREIGN_NAMES {
+        store.put(&format!("servers/{name}"), "not a server");
+    }
+    for draw in 0..10_u64 {
+        let sample = sample(&store, draw.wrapping_mul(0x9e37_79b9));
+        assert!((16..SERVERS as usize / 2).contains(&sample.servers.len()), "{} servers", sample.servers.len());
+    }
+}
