--- a/crates/cleatshelf/src/router/cluster_state.rs
+++ b/crates/cleatshelf/src/router/cluster_state.rs
@@ -320,6 +320,11 @@
             // Changes can't be applied to a list of another era.
             return;
         }
+        if until <= since {
+            // A late response to this box's own watch: the list already has these changes and later ones, which they
+            // would revert.
+            return;
+        }
         self.confirm_instances(&changes);
         let changes = state.directory.changes_to_forward(changes);
         let changed = state.directory.apply(changes.clone(), until);
