peers: boxes that have left are no longer counted on

Cause: members were never removed. The origins of streams were told to boxes that had left, and every other ranking counted them too.

Evidence: the box logs why=origin_unknown for each refused stream.

Fix: a member is a life (address and incarnation) with a status. One that says that it leaves is out of rankings wherever it is heard, one that is silent to the watchers of its hall after 20 s; reports are ordered as in SWIM, so that an older roster brings nobody back. The layout of messages is raised to version 12.

--- a/crates/cleatshelf/src/router/owner_service.rs
+++ b/crates/cleatshelf/src/router/owner_service.rs
@@ -423,11 +423,20 @@
 
     /// Tells the boxes that keep the records of these streams, other than this one, what began them.
     pub(super) fn tell_origins(&self, records: Vec<Record>) {
+        self.send_origins(records, false);
+    }
+
+    /// Hands the origins of streams on to the boxes that keep them once this one has left.
+    pub(super) fn hand_on_origins(&self, records: Vec<Record>) {
+        self.send_origins(records, true);
+    }
+
+    fn send_origins(&self, records: Vec<Record>, leaving: bool) {
         let mut messages: HashMap<SocketAddr, Vec<Record>> = HashMap::new();
         {
             let state = self.state();
             for record in records {
-                for keeper in state.record_keepers(record.stream.0).told_by(self.me) {
+                for keeper in state.record_keepers(record.stream.0, leaving.then_some(self.me)).told_by(self.me) {
                     messages.entry(keeper).or_default().push(record.clone());
                 }
             }
@@ -480,10 +489,10 @@
     }
 
     /// Returns the boxes that keep the record of a stream.
-    fn record_keepers(&self, stream: u64) -> Keepers {
+    fn record_keepers(&self, stream: u64, except: Option<SocketAddr>) -> Keepers {
         let boxes =
             self.halls.iter().flat_map(|(hall, boxes)| boxes.iter().map(move |address| (hall.as_str(), *address)));
-        Keepers::of(stream, &boxes)
+        Keepers::of(stream, &boxes.filter(|(_, address)| Some(*address) != except))
     }
 
     /// Returns a number for a query.
@@ -617,7 +626,7 @@
         let mut state = service.state();
         let number = state.next_number();
         // Any boxes may know whether a stream that isn't named can have another origin.
-        let keepers = state.record_keepers(stream.map_or(number, |stream| stream.0));
+        let keepers = state.record_keepers(stream.map_or(number, |stream| stream.0), None);
         let mut receivers = Vec::new();
         let mut messages = Vec::new();
         for keeper in keepers.asked_by(service.me) {
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -47,7 +47,7 @@
                 Message::Lacking(_) => "lacking",
                 Message::Excerpt(_) => "excerpt",
                 Message::Changes { .. } => "changes",
-                Message::Leave => "leave",
+                Message::Leave { .. } => "leave",
             },
             Self::Owners(message) => message.kind(),
         }
@@ -167,7 +167,7 @@
         while let Some((to, message)) = messages.recv().await {
             let boxes = match to {
                 Destination::One(to) => vec![to],
-                Destination::AllDirect => self.peers.borrow().other_boxes().collect(),
+                Destination::AllDirect => self.peers.borrow().other_boxes(self.shared.now()).collect(),
                 Destination::AllViaWatchers => self.peers.borrow().forward_targets(None, self.shared.now()),
             };
             self.send_all(&boxes, &Envelope::Owners(message));
@@ -210,7 +210,7 @@
             peers.set_known_versions(self.cluster_state.known_versions());
             peers.set_publisher_reachable(self.health.is_healthy());
             let mut actions: Vec<Action> =
-                updates.iter().flat_map(|update| broadcast_actions(&peers, update)).collect();
+                updates.iter().flat_map(|update| broadcast_actions(&peers, update, self.shared.now())).collect();
             actions.extend(peers.tick(self.shared.now()));
             actions
         };
@@ -224,7 +224,7 @@
 
     /// Tells the boxes that keep the records of streams what began those that other boxes can't know otherwise.
     fn tell_origins(&self) {
-        if self.peers.borrow().other_boxes().next().is_none() {
+        if self.peers.borrow().box_count() == 1 {
             // Kept until there is a box to tell.
             return;
         }
@@ -275,10 +275,12 @@
         self.tick();
     }
 
-    /// Announces to other boxes that this one is leaving.
+    /// Announces to other boxes that this one is leaving, and hands on the records of streams that it keeps.
     pub(super) fn announce_leaving(&self) {
-        let actions = self.peers.borrow().leave();
+        let actions = self.peers.borrow_mut().leave(self.shared.now());
         self.run_actions(actions);
+        let records = self.shared.origins().told(self.shared.now());
+        self.owner_service.hand_on_origins(records);
     }
 
     pub(super) fn set_seeds(&self, seeds: &[SocketAddr]) {
@@ -382,14 +384,14 @@
 
 /// Returns the actions by which a watcher broadcasts an update to its hall. Other boxes don't broadcast, and so need
 /// not compress anything.
-fn broadcast_actions(peers: &Peers, update: &Update) -> Vec<Action> {
+fn broadcast_actions(peers: &Peers, update: &Update, now: Millis) -> Vec<Action> {
     if !peers.is_watching() {
         return Vec::new();
     }
     match update {
-        Update::Table => peers.broadcast_table(),
+        Update::Table => peers.broadcast_table(now),
         // The next heartbeat announces that the list is available.
         Update::Directory => Vec::new(),
-        Update::Changes { since, until, changes } => peers.broadcast_changes(*since, *until, &encode(changes)),
+        Update::Changes { since, until, changes } => peers.broadcast_changes(*since, *until, &encode(changes), now),
     }
 }
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -18,7 +18,7 @@
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use telemetry::{Event, JsonLogger, PrometheusRecorder};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
@@ -174,7 +174,9 @@
     }
     let listener = into_tokio(bind(settings.boxes)?)?;
     let tunnel_port = settings.tunnels.map_or(0, |address| address.port());
-    let profile = Profile { hall: settings.hall.clone(), capacity: settings.capacity, tunnel_port };
+    // A clock that was set back makes this number too small only until another box reports a later one.
+    let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    let profile = Profile { hall: settings.hall.clone(), capacity: settings.capacity, tunnel_port, incarnation };
     let peers = Peers::new(settings.boxes, profile, &settings.seeds);
     let key = wire::Key::new(&settings.link_key);
     let peering = Peering::new(Dependencies {
--- a/crates/origins/src/origins.rs
+++ b/crates/origins/src/origins.rs
@@ -38,6 +38,12 @@
         self.records.take_untold(|route| history.sole(route, now).is_none(), now)
     }
 
+    /// Returns the records that other boxes were told, here or by others. A box that leaves hands them on.
+    #[must_use]
+    pub fn told(&self, now: Millis) -> Vec<Record> {
+        self.records.told(now)
+    }
+
     /// Returns what this box knows about a stream of this route. `None` stands for a stream that its caller doesn't name.
     #[must_use]
     pub fn answer(&self, stream: Option<Stream>, route: &str, now: Millis) -> Answer {
--- a/crates/origins/src/records.rs
+++ b/crates/origins/src/records.rs
@@ -1,7 +1,7 @@
 //! Origins of single streams.
 
 use crate::{Millis, Origin, Record, Stream};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Most records, at about 150 bytes each: more than a box began or was told in a minute on the largest fleet.
 const MAX_RECORDS: usize = 32_768;
@@ -76,6 +76,14 @@
         due.into_iter().filter_map(|stream| self.record(stream, now)).collect()
     }
 
+    /// Returns the records of which other boxes were told, or which they told this one.
+    #[must_use]
+    pub fn told(&self, now: Millis) -> Vec<Record> {
+        let untold: HashSet<&Stream> = self.untold.values().flatten().collect();
+        let told = self.entries.keys().filter(|stream| !untold.contains(stream));
+        told.filter_map(|stream| self.record(*stream, now)).collect()
+    }
+
     /// Returns the number of records.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -191,3 +191,19 @@
     origins.begin(Stream(2), ROUTE, &origin("v2"), 33_000, 21_000);
     assert_eq!(origins.take_untold(21_200).len(), 1);
 }
+
+/// Guards against records that end with the box that keeps them: streams can't go on once both keepers have left.
+#[test]
+fn a_leaving_box_hands_on_what_others_told_it_and_what_it_told_others() {
+    let mut records = Records::default();
+    records.on_record(&Record { stream: Stream(1), origin: origin("v1"), left_ms: 2_000 }, 0);
+    records.on_record(&Record { stream: Stream(2), origin: origin("v2"), left_ms: 500 }, 0);
+    records.begin(Stream(3), ROUTE, &origin("v1"), 3_000, 0);
+    records.begin(Stream(4), "other", &origin("v1"), 3_000, 0);
+    // Other boxes know stream 4 by the list alone.
+    assert_eq!(records.take_untold(|route| route == ROUTE, 0).len(), 1);
+    let mut told = records.told(1_000);
+    told.sort_unstable_by_key(|record| record.stream.0);
+    let told: Vec<(u64, u32)> = told.iter().map(|record| (record.stream.0, record.left_ms)).collect();
+    assert_eq!(told, [(1, 1_000), (3, 2_000)]);
+}
--- a/crates/peers/examples/tick.rs
+++ b/crates/peers/examples/tick.rs
@@ -18,7 +18,7 @@
 }
 
 fn profile(index: u16) -> Profile {
-    Profile { hall: format!("hall-of-the-fleet-{}", index % HALLS), capacity: 120, tunnel_port: 7_355 }
+    Profile { hall: format!("hall-of-the-fleet-{}", index % HALLS), capacity: 120, tunnel_port: 7_355, incarnation: 1 }
 }
 
 /// Returns the mean time of a tick, in microseconds, for a box that receives the heartbeats of two watchers,
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -34,7 +34,7 @@
     pub directory: Position,
     /// Evacuated halls that it knows.
     pub evacuations: Evacuations,
-    /// Digest of the boxes that it knows.
+    /// Digest of the lives of boxes that it counts on.
     pub members: u32,
     /// Digest of the suspect requests that it knows.
     pub suspects: u64,
@@ -51,6 +51,9 @@
     pub capacity: u32,
     /// Port at its address at which it opens connections to servers for other boxes; 0 if it opens none.
     pub tunnel_port: u16,
+    /// Distinguishes the lives of the box at one address: the Unix time of its start in milliseconds, or a later
+    /// number, with which it contradicts reports that this life is silent or has left.
+    pub incarnation: u64,
 }
 
 /// A message between two boxes.
@@ -60,7 +63,7 @@
     Hello {
         /// The sender.
         profile: Profile,
-        /// Digest of the boxes that it knows.
+        /// Digest of the lives of boxes that it counts on.
         members: u32,
     },
     /// Bootstrap message, which announces the sender's versions to a new box so that it need not read the
@@ -77,7 +80,7 @@
     Heartbeat(Heartbeat),
     /// Requests data from the receiver.
     Want(Subject),
-    /// Boxes that the sender knows.
+    /// What the sender knows about boxes, itself included.
     Members(Roster),
     /// A configuration as published.
     Table(Vec<u8>),
@@ -95,5 +98,8 @@
         packed: Vec<u8>,
     },
     /// The sender is shutting down.
-    Leave,
+    Leave {
+        /// Its incarnation.
+        incarnation: u64,
+    },
 }
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -2,12 +2,13 @@
 
 mod broadcast;
 mod exchange;
+mod membership;
 mod watching;
 
 use crate::member::Member;
-use crate::{Action, Message, Millis, Profile, Roster};
-use routing::{rank_address, Evacuations, Position};
-use std::collections::BTreeMap;
+use crate::{Action, Message, Millis, Profile, Subject};
+use routing::{Evacuations, Position};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// One in this many heartbeats is also sent to silent boxes.
@@ -44,12 +45,22 @@
     is_seed: bool,
     /// Other boxes by the address where they listen for peers. Never contains this box.
     members: BTreeMap<SocketAddr, Member>,
-    /// Number of `members` in this box's hall.
+    /// Number of `members` in this box's hall that are alive.
     hall_peers: usize,
     /// Incremented whenever `members` may have changed.
     generation: u64,
-    /// Digest of `members` and this box.
+    /// Digest of the `members` that are alive, and of this box unless it is leaving.
     digest: u32,
+    /// Members that have changed since this box, as a watcher, last passed such changes on.
+    changed_members: BTreeSet<SocketAddr>,
+    /// This box is shutting down.
+    leaving: bool,
+    /// Time of the last tick.
+    last_tick: Option<Millis>,
+    /// Time of the next check for silent boxes.
+    next_review: Millis,
+    /// Time since which this box would hear from all boxes of its hall: it watches, and the publisher answers it.
+    judging_since: Option<Millis>,
     known: KnownVersions,
     /// This box watches the publisher, or tries to.
     watching: bool,
@@ -74,7 +85,7 @@
     /// Creates the state of a box that other boxes reach at `me`. It starts by listening for watchers.
     #[must_use]
     pub fn new(me: SocketAddr, profile: Profile, seeds: &[SocketAddr]) -> Self {
-        Self {
+        let mut peers = Self {
             me,
             profile,
             seeds: seeds.iter().copied().filter(|seed| *seed != me).collect(),
@@ -82,7 +93,12 @@
             members: BTreeMap::new(),
             hall_peers: 0,
             generation: 0,
-            digest: rank_address(0, &me) as u32,
+            digest: 0,
+            changed_members: BTreeSet::new(),
+            leaving: false,
+            last_tick: None,
+            next_review: 0,
+            judging_since: None,
             known: KnownVersions::default(),
             watching: false,
             reachable: false,
@@ -94,7 +110,9 @@
             heartbeats: 0,
             next_hello: 0,
             last_requested: BTreeMap::new(),
-        }
+        };
+        peers.on_members_changed();
+        peers
     }
 
     /// Replaces the seeds after a change of the settings.
@@ -102,16 +120,22 @@
         self.seeds = seeds.iter().copied().filter(|seed| *seed != self.me).collect();
     }
 
-    /// Returns the number of known boxes, including this one.
+    /// Returns the number of boxes that take part, including this one.
     #[must_use]
     pub fn box_count(&self) -> usize {
-        self.members.len() + 1
+        self.alive().count() + 1
     }
 
-    /// Returns all known boxes, including this one.
+    /// Returns the number of boxes about which this one knows something: also those that have left or are silent.
+    #[must_use]
+    pub fn known_count(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Returns the boxes that take part, including this one.
     #[must_use]
     pub fn members(&self) -> Vec<(SocketAddr, Profile)> {
-        let others = self.members.iter().map(|(address, member)| (*address, member.profile.clone()));
+        let others = self.alive().map(|(address, member)| (*address, member.profile.clone()));
         others.chain([(self.me, self.profile.clone())]).collect()
     }
 
@@ -121,9 +145,9 @@
         &self.profile.hall
     }
 
-    /// Returns the addresses of the other known boxes.
-    pub fn other_boxes(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        self.members.keys().copied()
+    /// Returns the addresses of the other boxes that may run, which includes those that have left lately.
+    pub fn other_boxes(&self, now: Millis) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.reachable(now).map(|(address, _)| *address)
     }
 
     /// Returns true once this box knows all others: one of them knows the same boxes, or there is none to ask.
@@ -173,7 +197,13 @@
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         let mut actions = Vec::new();
         self.update_watching(now, &mut actions);
+        self.review_members(now);
+        if self.leaving {
+            // Nobody relies on this box any more. It receives updates for a while without asking.
+            return actions;
+        }
         if self.watching && now >= self.next_heartbeat {
+            self.send_changed_members(now, &mut actions);
             self.send_heartbeats(now, &mut actions);
         }
         if now >= self.next_hello {
@@ -193,6 +223,8 @@
                 self.compare_digest(members, now);
                 if self.record_contact(from, &profile, now, &mut actions) {
                     self.send_bootstrap(from, now, &mut actions);
+                } else if self.watching && members != self.digest {
+                    self.request(from, Subject::Members, now, &mut actions);
                 }
             }
             Message::Welcome { table, directory, evacuations } => {
@@ -201,68 +233,20 @@
             }
             Message::Heartbeat(heartbeat) => self.on_heartbeat(from, heartbeat, now, &mut actions),
             Message::Want(subject) => self.on_want(from, subject, &mut actions),
-            Message::Members(roster) => self.add_members(roster, now),
+            Message::Members(roster) => self.merge_roster(roster, now),
             Message::Table(bytes) => actions.push(Action::Table(bytes)),
             Message::Lacking(digests) => actions.push(Action::SendDirectory(from, digests)),
             Message::Excerpt(packed) => actions.push(Action::Excerpt(packed)),
             Message::Changes { since, until, packed } => {
                 self.on_changes(from, since, until, packed, now, &mut actions);
             }
-            Message::Leave => {
-                if let Some(member) = self.members.get_mut(&from) {
-                    member.last_watching = None;
-                    member.last_heartbeat = None;
-                    member.reading_since = None;
-                    member.last_contact = 0;
-                }
-            }
+            Message::Leave { incarnation } => self.on_leave(from, incarnation, now),
         }
         actions
     }
 
-    /// Returns the other boxes of this box's hall.
+    /// Returns the other boxes of this box's hall that take part.
     fn hall_peers(&self) -> impl Iterator<Item = (&SocketAddr, &Member)> + Clone {
-        self.members.iter().filter(|(_, member)| member.same_hall)
-    }
-
-    /// Records a message from a box. Returns true if the box or its profile is new.
-    fn record_contact(&mut self, from: SocketAddr, profile: &Profile, now: Millis, actions: &mut Vec<Action>) -> bool {
-        let known = self.members.get(&from).is_some_and(|m| m.profile == *profile);
-        let member = self.members.entry(from).or_insert_with(|| Member::new(profile, &self.profile, now));
-        member.last_contact = now;
-        if !known {
-            *member =
-                Member { profile: profile.clone(), same_hall: profile.hall == self.profile.hall, ..member.clone() };
-            self.next_heartbeat = 0;
-            self.on_members_changed();
-            actions.push(Action::Send(from, Message::Members(Roster::new(self.members()))));
-        }
-        !known
-    }
-
-    /// Compares the digest of the boxes known to another box. Shortly after a start, it is ignored because
-    /// two boxes that know only a few others may agree.
-    fn compare_digest(&mut self, members: u32, now: Millis) {
-        let elapsed = self.started.is_some_and(|at| now >= at + MIN_CONVERGENCE_DELAY);
-        self.converged |= elapsed && members == self.digest;
-    }
-
-    fn add_members(&mut self, roster: Roster, now: Millis) {
-        let known = self.members.len();
-        for (address, profile) in roster.into_boxes().filter(|(address, _)| *address != self.me) {
-            self.members.entry(address).or_insert_with(|| Member::new(&profile, &self.profile, now));
-        }
-        if self.members.len() > known {
-            self.on_members_changed();
-        }
-    }
-
-    /// Updates derived state after a change to the known boxes or their profiles.
-    fn on_members_changed(&mut self) {
-        self.generation += 1;
-        self.hall_peers = self.hall_peers().count();
-        // The digest is equal on all boxes that know the same set, which includes the computing box.
-        let hash = |address: &SocketAddr| rank_address(0, address) as u32;
-        self.digest = self.members.keys().chain([&self.me]).map(hash).fold(0, u32::wrapping_add);
+        self.alive().filter(|(_, member)| member.same_hall)
     }
 }
--- a/crates/peers/src/peers/broadcast.rs
+++ b/crates/peers/src/peers/broadcast.rs
@@ -2,7 +2,7 @@
 
 use super::{KnownVersions, Peers, FULL_HEARTBEAT_EVERY};
 use crate::member::Member;
-use crate::{Action, Heartbeat, Message, Millis};
+use crate::{Action, Heartbeat, Message, Millis, Status};
 use routing::Position;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,16 +33,16 @@
     /// Returns the actions that send a new configuration to the hall's other boxes, if this box watches for
     /// them.
     #[must_use]
-    pub fn broadcast_table(&self) -> Vec<Action> {
-        self.hall_targets().map(Action::SendTable).collect()
+    pub fn broadcast_table(&self, now: Millis) -> Vec<Action> {
+        self.hall_targets(now).map(Action::SendTable).collect()
     }
 
     /// Returns the actions that send changes of servers to the hall's other boxes, if this box watches for
     /// them.
     #[must_use]
-    pub fn broadcast_changes(&self, since: Position, until: Position, packed: &[u8]) -> Vec<Action> {
+    pub fn broadcast_changes(&self, since: Position, until: Position, packed: &[u8], now: Millis) -> Vec<Action> {
         let message = Message::Changes { since, until, packed: packed.to_vec() };
-        self.hall_targets().map(|to| Action::Send(to, message.clone())).collect()
+        self.hall_targets(now).map(|to| Action::Send(to, message.clone())).collect()
     }
 
     /// Returns the recipients of a message for all boxes that is new to this one, received `from` another box
@@ -52,7 +52,7 @@
     /// data, since heartbeats contain its digest.
     #[must_use]
     pub fn forward_targets(&self, from: Option<SocketAddr>, now: Millis) -> Vec<SocketAddr> {
-        let others = || self.members.iter().filter(|(address, _)| Some(**address) != from);
+        let others = || self.reachable(now).filter(|(address, _)| Some(**address) != from);
         let all = || others().map(|(address, _)| *address).collect();
         if self.members.len() < MAX_DIRECT_BROADCAST_BOXES {
             return if from.is_none() { all() } else { Vec::new() };
@@ -73,24 +73,10 @@
         others().filter(is_target).map(|(address, _)| *address).collect()
     }
 
-    /// Returns the messages that announce a planned shutdown to the boxes that may rely on this one or send
-    /// to it on their own initiative.
-    #[must_use]
-    pub fn leave(&self) -> Vec<Action> {
-        let watches = |member: &Member| member.last_heartbeat.is_some();
-        let is_target = |(_, member): &(&SocketAddr, &Member)| {
-            if self.watching {
-                member.same_hall || watches(member)
-            } else {
-                member.same_hall && watches(member)
-            }
-        };
-        self.members.iter().filter(is_target).map(|(to, _)| Action::Send(*to, Message::Leave)).collect()
-    }
-
-    /// Returns the hall's other boxes while this box watches, and no boxes otherwise.
-    pub(super) fn hall_targets(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        self.hall_peers().filter(|_| self.watching).map(|(address, _)| *address)
+    /// Returns the hall's other boxes that may run while this box watches, and no boxes otherwise.
+    pub(super) fn hall_targets(&self, now: Millis) -> impl Iterator<Item = SocketAddr> + '_ {
+        let in_hall = self.reachable(now).filter(|(_, member)| member.same_hall);
+        in_hall.filter(|_| self.watching).map(|(address, _)| *address)
     }
 
     pub(super) fn send_heartbeats(&mut self, now: Millis, actions: &mut Vec<Action>) {
@@ -109,8 +95,8 @@
         });
         let all = self.heartbeats.is_multiple_of(FULL_HEARTBEAT_EVERY);
         let preferred = if all { self.preferred_watchers() } else { BTreeSet::new() };
-        for (address, member) in &self.members {
-            let active = now < member.last_contact + SILENCE_TIMEOUT;
+        for (address, member) in self.reachable(now) {
+            let active = now < member.last_contact + SILENCE_TIMEOUT || member.status == Status::Left;
             // Includes watchers that the publisher rejects, whose halls receive updates only from other halls.
             let other_watcher = self.is_recent(member.last_heartbeat, now) || preferred.contains(address);
             if (member.same_hall && (active || all)) || (!member.same_hall && other_watcher) {
@@ -122,7 +108,7 @@
     /// Returns the preferred watcher of each hall, as far as this box knows.
     pub(super) fn preferred_watchers(&self) -> BTreeSet<SocketAddr> {
         let mut preferred: BTreeMap<&str, (Reverse<u32>, SocketAddr)> = BTreeMap::new();
-        for (address, member) in &self.members {
+        for (address, member) in self.alive() {
             let preference = (Reverse(member.profile.capacity), *address);
             preferred
                 .entry(&member.profile.hall)
@@ -138,7 +124,7 @@
             self.hall_peers().filter(|(_, m)| self.is_watcher(m, now)).map(|(a, _)| *a).collect();
         let alone = watchers.is_empty();
         let mut to = watchers;
-        if alone || self.members.is_empty() {
+        if alone {
             to.extend(self.seeds.iter().filter(|seed| !to.contains(seed)).copied().collect::<Vec<_>>());
         }
         let unknown = self.seeds.iter().any(|seed| !self.members.contains_key(seed));
--- a/crates/peers/src/peers/exchange.rs
+++ b/crates/peers/src/peers/exchange.rs
@@ -1,7 +1,7 @@
 //! Requests for data that another box has, and responses to such requests.
 
 use super::Peers;
-use crate::{Action, Heartbeat, Message, Millis, Roster, Subject};
+use crate::{Action, Heartbeat, Message, Millis, Subject};
 use routing::{Evacuations, Position};
 use std::net::SocketAddr;
 
@@ -46,7 +46,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.record_contact(from, &heartbeat.profile, now, actions);
-        if let Some(member) = self.members.get_mut(&from) {
+        if let Some(member) = self.members.get_mut(&from).filter(|member| member.is_alive()) {
             member.last_heartbeat = Some(now);
             member.last_watching = heartbeat.watches.then_some(now);
             member.reading_since =
@@ -102,7 +102,7 @@
             Subject::Table => Action::SendTable(to),
             // Requested by separate messages that contain the requester's state.
             Subject::Directory | Subject::Suspects | Subject::Notices => return,
-            Subject::Members => Action::Send(to, Message::Members(Roster::new(self.members()))),
+            Subject::Members => Action::Send(to, Message::Members(self.roster())),
         });
     }
 
--- a/crates/peers/tests/heartbeat.rs
+++ b/crates/peers/tests/heartbeat.rs
@@ -13,7 +13,7 @@
 }
 
 fn profile() -> Profile {
-    Profile { hall: "here".to_owned(), capacity: 250, tunnel_port: 0 }
+    Profile { hall: "here".to_owned(), capacity: 250, tunnel_port: 0, incarnation: 1 }
 }
 
 fn on_heartbeat(known: &KnownVersions, table: u64, table_until: Position) -> Vec<Action> {
@@ -210,7 +210,7 @@
     let boxes = (2..82).map(|index| (address(index), profile()));
     peers.handle(address(2), Message::Members(Roster::new(boxes)), 0);
     assert_eq!(interval(&mut peers, 0), 800, "80 others");
-    let elsewhere = Profile { hall: "there".to_owned(), capacity: 250, tunnel_port: 0 };
+    let elsewhere = Profile { hall: "there".to_owned(), capacity: 250, tunnel_port: 0, incarnation: 1 };
     for index in 2..62 {
         peers.handle(address(index), Message::Hello { profile: elsewhere.clone(), members: 0 }, 6_000);
     }
--- a/crates/peers/tests/world.rs
+++ b/crates/peers/tests/world.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use routing::{Directory, Evacuations, Position};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 
 /// Interval between ticks, as in the program.
@@ -82,15 +82,24 @@
     &mut known.notices
 }
 
+impl Box {
+    fn new(me: SocketAddr, seeds: &[SocketAddr], incarnation: u64) -> Self {
+        let profile = Profile { hall: hall_of(&me), capacity: 250, tunnel_port: 0, incarnation };
+        let peers = Peers::new(me, profile, seeds);
+        Self { peers, known: KnownVersions::default(), watching: false, frozen: false, reachable: true }
+    }
+
+    /// Returns the addresses of the boxes that it counts on, itself included.
+    fn counted(&self) -> BTreeSet<SocketAddr> {
+        self.peers.members().into_iter().map(|(address, _)| address).collect()
+    }
+}
+
 impl World {
     fn new(seed: u64, halls: usize, each: usize) -> Self {
         let seeds: Vec<SocketAddr> = (0..halls.min(3)).map(|hall| address(hall, 1)).collect();
         let all = (0..halls).flat_map(|hall| (1..=each).map(move |index| address(hall, index)));
-        let boxes = all.map(|me| {
-            let profile = Profile { hall: hall_of(&me), capacity: 250, tunnel_port: 0 };
-            let peers = Peers::new(me, profile, &seeds);
-            (me, Box { peers, known: KnownVersions::default(), watching: false, frozen: false, reachable: true })
-        });
+        let boxes = all.map(|me| (me, Box::new(me, &seeds, 1)));
         Self {
             boxes: boxes.collect(),
             messages: Vec::new(),
@@ -242,6 +251,23 @@
         self.messages.push((self.now + delay, from, to, message));
     }
 
+    /// Starts the planned shutdown of a box. It runs on until it is removed.
+    fn leave(&mut self, leaver: SocketAddr) {
+        let actions = self.boxes.get_mut(&leaver).expect("a box").peers.leave(self.now);
+        self.carry_out(leaver, actions);
+    }
+
+    /// Starts a box that knows these seeds.
+    fn start(&mut self, me: SocketAddr, seeds: &[SocketAddr]) {
+        self.boxes.insert(me, Box::new(me, seeds, self.now));
+    }
+
+    /// Returns the boxes that count on others than these.
+    fn mistaken(&self, expected: &BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
+        let mistaken = |(address, one): &(&SocketAddr, &Box)| expected.contains(address) && one.counted() != *expected;
+        self.boxes.iter().filter(mistaken).map(|(address, _)| *address).collect()
+    }
+
     fn watchers(&self) -> usize {
         self.boxes.values().filter(|b| b.watching).count()
     }
@@ -493,7 +519,8 @@
     let mut world = World::new(3, 3, 6);
     world.run(10_000);
     let leaver = *world.boxes.iter().find(|(_, b)| b.watching).expect("a watcher").0;
-    let actions = world.boxes[&leaver].peers.leave();
+    let now = world.now;
+    let actions = world.boxes.get_mut(&leaver).expect("a box").peers.leave(now);
     world.carry_out(leaver, actions);
     world.boxes.get_mut(&leaver).expect("a box").frozen = true;
     world.publish();
@@ -513,7 +540,124 @@
 #[test]
 fn a_box_ignores_messages_from_its_own_address() {
     let me = address(0, 1);
-    let mut peers = Peers::new(me, Profile { hall: "hall-0".to_owned(), capacity: 1, tunnel_port: 0 }, &[me]);
-    assert!(peers.handle(me, Message::Leave, 0).is_empty());
+    let mut peers =
+        Peers::new(me, Profile { hall: "hall-0".to_owned(), capacity: 1, tunnel_port: 0, incarnation: 1 }, &[me]);
+    assert!(peers.handle(me, Message::Leave { incarnation: 1 }, 0).is_empty());
     assert_eq!(peers.box_count(), 1);
 }
+
+/// Time within which all boxes must know that one has left: the shortest `contactMs` of the users' sites.
+const MAX_DEPARTURE_MS: u64 = 3_000;
+
+/// Replaces all boxes twice, some at a time, by boxes at other addresses.
+fn replace_all(halls: usize, each: usize, at_once: usize) -> World {
+    let mut world = World::new(11, halls, each);
+    world.run(10_000);
+    for round in 1..=2 {
+        let former: Vec<SocketAddr> = world.boxes.keys().copied().collect();
+        for group in former.chunks(at_once) {
+            let seeds: Vec<SocketAddr> = world.boxes.keys().filter(|a| !group.contains(a)).take(2).copied().collect();
+            for leaver in group {
+                world.leave(*leaver);
+                let index = usize::from(leaver.port()) - 8000 + 1;
+                let mut newcomer = *leaver;
+                newcomer.set_port(8000 + index as u16);
+                world.start(newcomer, &seeds);
+            }
+            world.run(700);
+            group.iter().for_each(|leaver| drop(world.boxes.remove(leaver)));
+            world.run(300);
+        }
+        world.run(MAX_DEPARTURE_MS);
+        let expected: BTreeSet<SocketAddr> = world.boxes.keys().copied().collect();
+        assert_eq!(expected.len(), halls * each);
+        assert_eq!(world.mistaken(&expected), Vec::<SocketAddr>::new(), "{halls} halls of {each}, round {round}");
+    }
+    world
+}
+
+/// Guards against boxes that stay members after they have left: what others keep was told to them, and what they own
+/// was asked of them, for as long as any box ran.
+#[test]
+fn boxes_that_are_replaced_are_no_longer_counted_on() {
+    replace_all(2, 2, 1);
+    replace_all(4, 10, 2);
+}
+
+/// Guards against state and rosters that grow with every restart.
+#[test]
+fn what_is_known_of_replaced_boxes_is_dropped_in_time() {
+    let mut world = replace_all(2, 3, 1);
+    world.run(700_000);
+    // Seeds are never forgotten. Each box was given two.
+    let most = world.boxes.values().map(|one| one.peers.known_count()).max();
+    assert!(most <= Some(6 - 1 + 2), "{most:?} other boxes are known of 5");
+}
+
+#[test]
+fn a_large_fleet_is_replaced() {
+    replace_all(3, 100, 30);
+}
+
+#[test]
+fn two_boxes_that_are_left_of_many_count_on_each_other_only() {
+    for (halls, each) in [(3, 3), (3, 30)] {
+        let mut world = World::new(12, halls, each);
+        world.run(10_000);
+        let leavers: Vec<SocketAddr> = world.boxes.keys().skip(2).copied().collect();
+        for group in leavers.chunks(each / 3) {
+            group.iter().for_each(|leaver| world.leave(*leaver));
+            world.run(200);
+        }
+        world.run(MAX_DEPARTURE_MS);
+        let left: BTreeSet<SocketAddr> = world.boxes.keys().take(2).copied().collect();
+        assert_eq!(world.mistaken(&left), Vec::<SocketAddr>::new(), "{halls} halls of {each}");
+    }
+}
+
+/// A box that is killed says nothing. Those that are frozen or cut off for less than the stated time stay members.
+#[test]
+fn a_killed_box_is_dropped_after_its_silence_and_a_frozen_one_comes_back() {
+    let mut world = World::new(13, 3, 6);
+    world.run(10_000);
+    let all: BTreeSet<SocketAddr> = world.boxes.keys().copied().collect();
+    let (killed, frozen) = (address(0, 3), address(1, 1));
+    world.boxes.remove(&killed);
+    world.boxes.get_mut(&frozen).expect("a box").frozen = true;
+    world.run(15_000);
+    let mut expected = all.clone();
+    expected.remove(&killed);
+    assert!(world.boxes[&address(2, 2)].counted().contains(&killed), "it may come back");
+    world.run(15_000);
+    expected.remove(&frozen);
+    assert_eq!(world.mistaken(&expected), Vec::<SocketAddr>::new());
+    world.boxes.get_mut(&frozen).expect("a box").frozen = false;
+    // Hellos are sent every three seconds.
+    world.run(2 * MAX_DEPARTURE_MS);
+    expected.insert(frozen);
+    assert_eq!(world.mistaken(&expected), Vec::<SocketAddr>::new(), "the frozen box is back");
+    // The killed box starts again at its address with a clock that was set back.
+    world.boxes.insert(killed, Box::new(killed, &[address(0, 1)], 0));
+    world.run(2 * MAX_DEPARTURE_MS);
+    assert_eq!(world.mistaken(&all), Vec::<SocketAddr>::new(), "the killed box is back");
+}
+
+#[test]
+fn halls_that_are_cut_off_from_each_other_for_minutes_count_on_each_other_again() {
+    for seed in 0..4 {
+        let mut world = World::new(seed, 3, 4);
+        world.run(10_000);
+        let all: BTreeSet<SocketAddr> = world.boxes.keys().copied().collect();
+        world.partitioned.insert("hall-1".to_owned());
+        world.run(240_000);
+        assert_eq!(world.mistaken(&all), Vec::<SocketAddr>::new(), "seed {seed}, while cut off");
+        // One box leaves meanwhile, which the other side learns later.
+        world.leave(address(1, 2));
+        world.run(2_000);
+        world.boxes.remove(&address(1, 2));
+        world.partitioned.clear();
+        world.run(MAX_DEPARTURE_MS);
+        let expected: BTreeSet<SocketAddr> = world.boxes.keys().copied().collect();
+        assert_eq!(world.mistaken(&expected), Vec::<SocketAddr>::new(), "seed {seed}, connected again");
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,4 +15,4 @@
 pub use listener::Listener;
 
 /// Version of frames and messages. Boxes with different versions refuse each other's links.
-pub const VERSION: u32 = 11;
+pub const VERSION: u32 = 12;
--- a/crates/wire/tests/version.rs
+++ b/crates/wire/tests/version.rs
@@ -20,7 +20,7 @@
 
 #[actix_rt::test]
 async fn links_of_other_versions_are_refused() {
-    assert_eq!(VERSION, 11);
+    assert_eq!(VERSION, 12);
     assert_eq!(respond_to(VERSION).await, 200);
     for version in [VERSION - 1, VERSION + 1] {
         assert_eq!(respond_to(version).await, 426, "version {version}");
