relay: an answer whose framing is not understood is no answer

Callers got answers of a server in trouble as complete, with a body that was not the server's (MIXED): the head was spoilt where it tells the body's length.

Cause: whatever framing the HTTP library doesn't understand ends with the connection, so that the sizes of chunks became content. Statuses above 599 were passed on, and a refusal in such a head was believed.

Evidence: of the five new tests four fail on the code before, with 200 for an empty Transfer-Encoding, 503 for a spoilt refusal, 600, and a stream that begins with the size of a chunk. Names, lines and lengths that are malformed were refused before.

Fix: Framing reads the parsed head and accepts one chunked coding or one numeric length or neither; a garbled name of such a field and a body in chunks without a field are refused as well.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::connect_error::ConnectError;
 use crate::connections::{Connection, Connections};
+use crate::framing::{is_in_chunks, Framing};
 use crate::header_codec::{Dispatch, Verdict};
 use crate::shared::Shared;
 use bytes::Bytes;
@@ -44,32 +45,12 @@
 pub(crate) struct Answer {
     pub(crate) parts: response::Parts,
     pub(crate) body: Incoming,
+    /// What ends the answer.
+    pub(crate) framing: Framing,
     connection: Connection,
     instance: String,
 }
 
-/// What ends an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Framing {
-    /// Its stated length.
-    Length,
-    /// Its last chunk.
-    Chunked,
-    /// The end of its connection only.
-    Connection,
-}
-
-impl Framing {
-    /// Returns the name for logs.
-    pub(crate) fn as_str(self) -> &'static str {
-        match self {
-            Self::Length => "length",
-            Self::Chunked => "chunked",
-            Self::Connection => "connection",
-        }
-    }
-}
-
 /// The request as it is sent to a server.
 pub(crate) struct OutgoingRequest<'a> {
     pub(crate) id: &'a str,
@@ -182,6 +163,11 @@
 ) -> SendOutcome {
     let (parts, body) = response.into_parts();
     let status = parts.status;
+    let framing = match Framing::of(&parts) {
+        Ok(framing) => framing,
+        // Nothing else in such a head is believed either, not even that the request did not run.
+        Err(why) => return SendOutcome::Broken(format!("status {status}: {why}")),
+    };
     let verdict = shared.header_codec.verdict(id, status, &parts.headers);
     if verdict != Verdict::Foreign {
         shared.on_notice(id, server, sent, shared.header_codec.notice(status, &parts.headers));
@@ -191,24 +177,12 @@
         Verdict::Foreign => SendOutcome::Broken(format!("status {status} is not this request's answer")),
         Verdict::NotRun => SendOutcome::NotRun(format!("status {status}")),
         Verdict::Answer => {
-            SendOutcome::Answer(Box::new(Answer { parts, body, connection, instance: server.id.clone() }))
+            SendOutcome::Answer(Box::new(Answer { parts, body, framing, connection, instance: server.id.clone() }))
         }
     }
 }
 
 impl Answer {
-    /// Returns what ends the answer.
-    pub(crate) fn framing(&self) -> Framing {
-        let headers = &self.parts.headers;
-        if headers.contains_key(header::TRANSFER_ENCODING) {
-            Framing::Chunked
-        } else if headers.contains_key(header::CONTENT_LENGTH) {
-            Framing::Length
-        } else {
-            Framing::Connection
-        }
-    }
-
     /// Returns when its connection was opened.
     pub(crate) fn opened(&self) -> Millis {
         self.connection.opened
@@ -216,10 +190,13 @@
 
     /// Reads the whole body and returns the connection to the pool.
     pub(crate) async fn collect(self, connections: &Connections) -> Result<(response::Parts, Bytes), String> {
-        let Self { parts, body, connection, instance } = self;
-        let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await.map_err(|why| why.to_string())?;
+        let Self { parts, body, framing, connection, instance } = self;
+        let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await.map_err(|why| why.to_string())?.to_bytes();
+        if framing == Framing::Connection && is_in_chunks(&whole) {
+            return Err("chunks without transfer-encoding".to_owned());
+        }
         connections.release(&instance, connection, &parts.headers);
-        Ok((parts, whole.to_bytes()))
+        Ok((parts, whole))
     }
 
     /// Returns the connection to the pool after the body was read to its end.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -228,7 +228,7 @@
             let _ = write!(self.trail, " via {via}");
         }
         if let SendOutcome::Answer(answer) = &sent {
-            let _ = write!(self.trail, " framing={}", answer.framing().as_str());
+            let _ = write!(self.trail, " framing={}", answer.framing.as_str());
         }
         sent
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod ending;
 mod event_splitter;
 mod exchange;
+mod framing;
 mod frontend;
 mod header_codec;
 mod intake;
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -1,9 +1,10 @@
 //! Forwards the events of a stream as they arrive, and resumes the stream at another server where the route allows it.
 
 use crate::answer::strip_hop_by_hop;
-use crate::attempt::{Answer, Framing};
+use crate::attempt::Answer;
 use crate::event_splitter::EventSplitter;
 use crate::exchange::Exchange;
+use crate::framing::{begins_with_chunk, Framing};
 use crate::header_codec::Call;
 use crate::outcome::Outcome;
 use crate::slot_guard::SlotGuard;
@@ -102,6 +103,7 @@
     }
 
     async fn forward_events(&mut self, answer: &mut Answer, slot: &mut SlotGuard) -> StreamEnd {
+        let mut may_be_chunk = answer.framing == Framing::Connection;
         loop {
             let frame = tokio::select! {
                 frame = answer.body.frame() => frame,
@@ -109,7 +111,7 @@
                 () = tokio::time::sleep_until(self.exchange.deadline) => return StreamEnd::DeadlineExceeded,
             };
             let bytes = match frame {
-                None if answer.framing() == Framing::Connection && !slot.has_answered() => {
+                None if answer.framing == Framing::Connection && !slot.has_answered() => {
                     return StreamEnd::ConnectionLost("ended before its first event".to_owned());
                 }
                 None if self.events.is_complete() => return StreamEnd::Complete,
@@ -118,6 +120,12 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             self.exchange.connections.record_heard();
+            if may_be_chunk && !bytes.is_empty() {
+                may_be_chunk = false;
+                if begins_with_chunk(&bytes) {
+                    return StreamEnd::ConnectionLost("chunks without transfer-encoding".to_owned());
+                }
+            }
             let whole = self.events.feed(&bytes);
             if self.events.is_oversized() {
                 return StreamEnd::ConnectionLost("an event without end".to_owned());
