relay: bounds for answers without end

Requests that met a server which sends interim responses without end waited for their time limit (504), and bodies without end took up to 270 MB in a box.

Cause: the HTTP library skips interim responses for ever, and each answer could take 32 MB with no bound for all of them together.

Fix: a connection fails after 256 kB without the head of an answer. Buffered answers share a quarter of the box's memory, which the settings state.

--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -57,6 +57,9 @@
         secret: rank(0, &settings.link_key),
         clock,
     });
+    if let Some(bytes) = settings.memory {
+        shared.answer_memory.set_box_memory(bytes);
+    }
     let (stop, stopped) = watch::channel(false);
     let (done, mut traffic_done) = watch::channel(false);
     let traffic = actix::Arbiter::new();
--- a/crates/cleatshelf/src/router/settings.rs
+++ b/crates/cleatshelf/src/router/settings.rs
@@ -35,6 +35,8 @@
     pub stop_timeout: Duration,
     /// Maximum number of files and connections that the process may hold.
     pub max_files: usize,
+    /// Memory of this box, in bytes; `None` if it isn't known.
+    pub memory: Option<usize>,
     /// Capacity of this box to serve other boxes: the lesser of its CPU share in thousandths of a core and its link
     /// speed in tenths of Mbit/s.
     pub capacity: u32,
@@ -104,6 +106,7 @@
             link_key: reader.string("link_key"),
             stop_timeout: Duration::from_secs_f64(reader.number("stop_seconds", &(1.0..=86_400.0))),
             max_files: reader.integer("files_most", &(256..=1_000_000)) as usize,
+            memory: reader.number_opt("memory_mb", &(16.0..=1_048_576.0)).map(|mb| (mb * f64::from(1 << 20)) as usize),
             capacity: read_capacity(&mut reader),
             retry_ratio: reader.number("retry_ratio", &(0.0..=10.0)),
             retry_slack: reader.number("retry_slack", &(0.0..=1_000_000.0)),
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,13 +1,14 @@
 //! One attempt to send a request to one server.
 
+use crate::answer_memory::{AnswerMemory, Reservation, ReservedBytes};
 use crate::connect_error::ConnectError;
 use crate::connections::{Connection, Connections};
 use crate::framing::{is_in_chunks, Framing};
 use crate::header_codec::{Dispatch, Verdict};
 use crate::shared::Shared;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{header, request, response, HeaderMap, HeaderValue, Request};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use placement::Millis;
 use routing::Server;
@@ -15,10 +16,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Size limit of an answer that isn't a stream. Such answers are buffered completely, so that a truncated one is never
-/// forwarded.
-const MAX_ANSWER_BYTES: usize = 32 << 20;
-
 /// Maximum number of stale connections (closed by the server while idle) that one send may try before the server counts
 /// as unreached.
 const MAX_STALE_CONNECTIONS: usize = 3;
@@ -91,6 +88,7 @@
         let answer = connection.sender.try_send_request(request);
         match connections.watch_silence(server, sent, answer).await {
             Ok(response) => {
+                connection.on_head();
                 let sent = classify_answer(shared, server, message.id, sent, response, connection);
                 in_flight.set(!matches!(sent, SendOutcome::NotRun(_)));
                 return sent;
@@ -188,15 +186,28 @@
         self.connection.opened
     }
 
-    /// Reads the whole body and returns the connection to the pool.
-    pub(crate) async fn collect(self, connections: &Connections) -> Result<(response::Parts, Bytes), String> {
-        let Self { parts, body, framing, connection, instance } = self;
-        let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await.map_err(|why| why.to_string())?.to_bytes();
+    /// Reads the whole body and returns the connection to the pool. An answer that isn't a stream is buffered, so that a
+    /// truncated one is never forwarded.
+    pub(crate) async fn collect(
+        self,
+        connections: &Connections,
+        memory: &Arc<AnswerMemory>,
+    ) -> Result<(response::Parts, Bytes), String> {
+        let Self { parts, mut body, framing, connection, instance } = self;
+        let mut whole = BytesMut::new();
+        let mut reservation = Reservation::new(memory);
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|why| why.to_string())?.into_data() else { continue };
+            if !reservation.grow(data.len()) {
+                return Err(format!("more than {} bytes are too many to buffer", whole.len()));
+            }
+            whole.extend_from_slice(&data);
+        }
         if framing == Framing::Connection && is_in_chunks(&whole) {
             return Err("chunks without transfer-encoding".to_owned());
         }
         connections.release(&instance, connection, &parts.headers);
-        Ok((parts, whole))
+        Ok((parts, Bytes::from_owner(ReservedBytes { bytes: whole, _reservation: reservation })))
     }
 
     /// Returns the connection to the pool after the body was read to its end.
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -2,6 +2,7 @@
 
 use crate::connect_error::ConnectError;
 use crate::dialer::Dialer;
+use crate::exchange_state::ExchangeState;
 use crate::resettable_stream::{ResettableStream, Socket};
 use crate::Shared;
 use bytes::Bytes;
@@ -11,7 +12,7 @@
 use placement::{Millis, Way};
 use rand::seq::SliceRandom;
 use routing::Server;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
 use std::io::ErrorKind;
@@ -59,13 +60,20 @@
     pub(crate) via: Option<SocketAddr>,
     /// When it was opened, or shortly after.
     pub(crate) opened: Millis,
-    /// Set while an exchange is in progress. The connection is reset if it is dropped in that state.
-    busy: Rc<Cell<bool>>,
+    /// State of the exchange that is in progress on it.
+    state: Rc<ExchangeState>,
+}
+
+impl Connection {
+    /// Records that the head of the answer is complete.
+    pub(crate) fn on_head(&self) {
+        self.state.on_head();
+    }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        if self.busy.get() {
+        if self.state.is_busy() {
             self.task.abort();
         }
     }
@@ -363,7 +371,7 @@
         if connections.is_empty() {
             idle.remove(instance);
         }
-        taken.inspect(|connection| connection.busy.set(true))
+        taken.inspect(|connection| connection.state.begin())
     }
 
     /// Returns true if a connection that is idle since `since` may still be used. One through a box that has left would
@@ -376,7 +384,7 @@
     /// Returns a connection to the pool after its exchange, unless the server wants it closed.
     pub(crate) fn release(&self, instance: &str, mut connection: Connection, headers: &HeaderMap) {
         let Some(idle_timeout) = idle_timeout(headers) else { return };
-        connection.busy.set(false);
+        connection.state.end();
         if connection.via.is_some() && !self.is_lost_to(instance) {
             return;
         }
@@ -416,10 +424,10 @@
     via: Option<SocketAddr>,
     opened: Millis,
 ) -> std::io::Result<Connection> {
-    let busy = Rc::new(Cell::new(true));
+    let state = Rc::new(ExchangeState::new());
     let handshake = hyper::client::conn::http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake::<_, Full<Bytes>>(ResettableStream::new(stream, Rc::clone(&busy)))
+        .handshake::<_, Full<Bytes>>(ResettableStream::new(stream, Rc::clone(&state)))
         .await;
     let (sender, connection) = handshake.map_err(std::io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
@@ -429,5 +437,5 @@
         }
     });
     metrics::counter!("cleatshelf_connections_opened_total").increment(1);
-    Ok(Connection { sender, task: task.abort_handle(), idle_timeout: IDLE_TIMEOUT, via, opened, busy })
+    Ok(Connection { sender, task: task.abort_handle(), idle_timeout: IDLE_TIMEOUT, via, opened, state })
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -178,7 +178,7 @@
             }
             SendOutcome::Answer(answer) => {
                 let opened = answer.opened();
-                match answer.collect(&self.connections).await {
+                match answer.collect(&self.connections, &self.shared.answer_memory).await {
                     Ok((parts, bytes)) => Fetched::Complete(Box::new(parts), bytes, opened),
                     Err(why) => Fetched::Nothing(SendOutcome::Broken(why)),
                 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 //! disconnected.
 
 mod answer;
+mod answer_memory;
 mod attempt;
 mod caller_stream;
 mod choose;
@@ -20,6 +21,7 @@
 mod ending;
 mod event_splitter;
 mod exchange;
+mod exchange_state;
 mod framing;
 mod frontend;
 mod header_codec;
@@ -44,6 +46,7 @@
 mod tunnel_boxes;
 mod tunnel_connector;
 
+pub use answer_memory::AnswerMemory;
 pub use connect_timeout::ConnectTimeout;
 pub use event_splitter::EventSplitter;
 pub use frontend::Frontend;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by the traffic threads and the control thread.
 
-use crate::{HeaderCodec, Network, PeerClient, Returns};
+use crate::{AnswerMemory, HeaderCodec, Network, PeerClient, Returns};
 use clock::Clock;
 use origins::Origins;
 use placement::{Millis, Placement, Quarantine, Snapshot};
@@ -66,6 +66,8 @@
     pub running: AtomicUsize,
     /// Names of unknown response headers that were already reported to operators.
     pub(crate) reported_headers: SeenNames,
+    /// Memory that buffered answers take.
+    pub answer_memory: Arc<AnswerMemory>,
 }
 
 impl Shared {
@@ -90,6 +92,7 @@
             slot_numbers: AtomicU64::new(u64::from(rand::random::<u32>())),
             running: AtomicUsize::new(0),
             reported_headers: SeenNames::default(),
+            answer_memory: Arc::default(),
         })
     }
 
