relay: a planned stop ends no request without an answer

Cause: only the control thread knew when the process ends; admission and exchanges went by the request's time limit. A connection with the beginning of a request stays open beyond the drain delay.

Fix: after the drain delay a request that may not be finished is refused as not run, and 0.2 s before the end each exchange is answered, with 503 if nothing was sent and 504 otherwise.

--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -82,13 +82,13 @@
     telemetry::emit(Event::BoxStarted, format_args!("name={} hall={}", settings.name, settings.hall));
     wait_for_stop(&hangup).await?;
     telemetry::emit(Event::StopBegun, format_args!("running={}", shared.running.load(Ordering::Relaxed)));
-    shared.begin_stop();
+    let timeout = settings.stop_timeout.saturating_sub(STOP_MARGIN);
+    shared.begin_stop(timeout);
     peering.announce_leaving();
     owner_service.begin_stop();
     let began = Instant::now();
     // The front end holds the receiver until it has finished.
     let _ = stop.send(true);
-    let timeout = settings.stop_timeout.saturating_sub(STOP_MARGIN);
     let clean = tokio::time::timeout(timeout, traffic_done.wait_for(|done| *done)).await.is_ok();
     let (event, cut) =
         if clean { (Event::StopClean, 0) } else { (Event::StopCut, shared.running.load(Ordering::Relaxed)) };
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -2,6 +2,7 @@
 
 use crate::answer;
 use crate::exchange::Exchange;
+use crate::frontend::STOP_RETRY_DELAY;
 use crate::not_sent::NotSent;
 use crate::outcome::Outcome;
 use crate::retry_delay::{Cause, Queue};
@@ -160,6 +161,16 @@
         answer::plain(StatusCode::GATEWAY_TIMEOUT, "its time is over")
     }
 
+    /// Answers a request that is in progress when the box ends.
+    pub(crate) fn on_stop(&mut self) -> Response<Body> {
+        if self.may_have_run || self.in_flight.get() {
+            self.finish(Outcome::Unknown);
+            return answer::plain(StatusCode::GATEWAY_TIMEOUT, "the router is shutting down");
+        }
+        self.finish(Outcome::Refused);
+        answer::refused("the router is shutting down", Some(STOP_RETRY_DELAY))
+    }
+
     /// Returns what the request got nothing for, if that has to do with load.
     fn loss(&self, outcome: Outcome) -> Option<Loss> {
         if self.lacked_path || self.connections.is_lost() {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -113,8 +113,17 @@
 }
 
 impl Exchange {
-    /// Sends the request until there is an outcome or the beginning of a stream.
+    /// Sends the request until there is an outcome or the beginning of a stream, or until a planned stop ends.
     pub(crate) async fn run(&mut self) -> Reply {
+        let shared = Arc::clone(&self.shared);
+        tokio::select! {
+            reply = self.send_until_answered() => return reply,
+            () = shared.wait_for_last_answer() => {}
+        }
+        Reply::Complete(self.on_stop())
+    }
+
+    async fn send_until_answered(&mut self) -> Reply {
         if let Verdict::Held { retry_ms } = self.verdict() {
             return Reply::Complete(self.not_sent(&NotSent::Quarantined { retry_ms }));
         }
--- a/crates/relay/src/frontend.rs
+++ b/crates/relay/src/frontend.rs
@@ -52,6 +52,9 @@
 /// Retry delay for callers of a box without a configuration. A start takes about a second.
 const START_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Retry delay for callers of a box that is stopping. Another box takes a new connection at once.
+pub(crate) const STOP_RETRY_DELAY: Duration = Duration::ZERO;
+
 /// Accepts callers' connections on one traffic thread.
 pub struct Frontend {
     shared: Arc<Shared>,
@@ -60,6 +63,8 @@
     /// Maximum number of simultaneous callers' connections.
     max_connections: usize,
     open_connections: Rc<Cell<usize>>,
+    /// The drain delay of a planned stop has passed.
+    drained: Cell<bool>,
     /// The requests that are being read.
     intake: Rc<RefCell<Intake>>,
     /// Sequence that distributes requests over the services of a route.
@@ -87,6 +92,7 @@
             crash_detector: CrashDetector::default(),
             max_connections,
             open_connections: Rc::default(),
+            drained: Cell::new(false),
             intake: Rc::default(),
             draws: Rc::new(RefCell::new(DrawSequence(0.3))),
         }
@@ -126,6 +132,7 @@
             }
         }
         drop(listener);
+        this.drained.set(true);
         // Fails if all connections are closed already.
         let _ = close.send(true);
         while this.open_connections.get() > 0 {
@@ -250,6 +257,12 @@
         }
     }
 
+    /// Returns true if a request with this deadline has come after callers have left for other boxes, and may take longer
+    /// than this box runs.
+    fn is_too_late(&self, deadline: Instant) -> bool {
+        self.drained.get() && self.shared.last_answer().is_some_and(|last| deadline > last)
+    }
+
     fn admit(
         &self,
         table: &Table,
@@ -283,6 +296,13 @@
             return Err(Box::new(answer::plain(StatusCode::UNAUTHORIZED, "no such key")));
         };
         let time = call.timeout.map_or(route.timeout, |time| time.min(route.timeout));
+        if self.is_too_late(started + time) {
+            telemetry::emit(
+                Event::RequestRejected,
+                format_args!("id={} why=stopping route={} ms={}", call.id, route.name, time.as_millis()),
+            );
+            return Err(Box::new(answer::refused("the router is shutting down", Some(STOP_RETRY_DELAY))));
+        }
         let service = route.service(self.draws.borrow_mut().next()).to_owned();
         Ok(Exchange {
             shared: Arc::clone(&self.shared),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -5,9 +5,15 @@
 use origins::Origins;
 use placement::{Millis, Placement, Quarantine, Snapshot};
 use routing::{Directory, Evacuations, Table};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
 use telemetry::SeenNames;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Time that the last answers of a planned stop have to reach their callers.
+const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
 /// The configuration and servers in force. Replaced as a whole.
 #[derive(Clone, Debug, Default)]
@@ -56,7 +62,8 @@
     clock: Arc<dyn Clock>,
     /// Time of creation by `clock`.
     started: Millis,
-    stopping: AtomicBool,
+    /// Time of the last answers of a planned stop; `None` until one has begun.
+    last_answer: watch::Sender<Option<Instant>>,
     /// Next number of a status query, permit request or lease; unique within this process.
     pub(crate) numbers: AtomicU64,
     /// Next number of a slot request. Begins at a random number: a dispatcher may remember requests of a former process
@@ -87,7 +94,7 @@
             secret,
             started: clock.now(),
             clock,
-            stopping: AtomicBool::new(false),
+            last_answer: watch::Sender::new(None),
             numbers: AtomicU64::new(0),
             slot_numbers: AtomicU64::new(u64::from(rand::random::<u32>())),
             running: AtomicUsize::new(0),
@@ -133,15 +140,32 @@
         self.returns.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Marks the beginning of a planned stop.
-    pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Begins a planned stop, after which nothing can be answered.
+    pub fn begin_stop(&self, ends_in: Duration) {
+        let last_answer = Instant::now() + ends_in.saturating_sub(LAST_ANSWER_MARGIN);
+        self.last_answer.send_replace(Some(last_answer));
     }
 
     /// Returns true once a planned stop has begun.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.last_answer.borrow().is_some()
+    }
+
+    /// Returns the time of the last answers of a planned stop, once it has begun.
+    pub(crate) fn last_answer(&self) -> Option<Instant> {
+        *self.last_answer.borrow()
+    }
+
+    /// Waits until the last answers of a planned stop are due.
+    pub(crate) async fn wait_for_last_answer(&self) {
+        let mut last_answer = self.last_answer.subscribe();
+        // The sender is a field of `self`, so it is never dropped meanwhile.
+        let at = last_answer.wait_for(Option::is_some).await.ok().and_then(|at| *at);
+        match at {
+            Some(at) => tokio::time::sleep_until(at).await,
+            None => std::future::pending().await,
+        }
     }
 
     /// Returns true when the balancer may send callers to this box.
