router: a port in use no longer ends a box

A box that was down didn't come back while an outgoing connection held one of its ports, be it that of its metrics: it ended at each start.

Cause: each listener was bound once, and any failure ended the process.

Evidence: the new test takes four ports of a killed box in turn; on the code before the process ended at the first.

Fix: Port waits until the port is free and logs it (event 108). Callers are served as soon as their own port is free; readiness follows it.

--- a/crates/cleatshelf/src/router.rs
+++ b/crates/cleatshelf/src/router.rs
@@ -11,6 +11,7 @@
 mod operators;
 mod owner_service;
 mod peering;
+mod port;
 mod reload;
 mod serve;
 mod settings;
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -5,15 +5,15 @@
 use super::operators::Operators;
 use super::owner_service::{Destination, Message, OwnerClient, OwnerService};
 use super::peering::{Dependencies, Peering};
+use super::port::{serve_at, Port};
 use super::reload::Reloader;
 use super::{Host, Settings};
-use eyre::WrapErr;
 use peers::{Peers, Profile, WatchRole};
 use placement::{Placement, RetryBudget};
 use relay::{Frontend, ReadinessServer, Shared};
 use routing::{rank, Publisher, Subject};
 use std::cell::RefCell;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -75,7 +75,7 @@
         listed_customers: RefCell::default(),
         logger,
     };
-    actix_rt::spawn(operators.run(into_tokio(bind(settings.operators)?)?));
+    actix_rt::spawn(serve_at(Port::open(settings.operators)?, |listener| operators.run(listener)));
     let hangup = Rc::new(tokio::sync::Notify::new());
     let reloader = Reloader { path, settings: settings.clone(), peering: Rc::clone(&peering) };
     actix_rt::spawn(reloader.run(Rc::clone(&hangup)));
@@ -104,26 +104,33 @@
     stopped: watch::Receiver<bool>,
     done: watch::Sender<bool>,
 ) -> eyre::Result<()> {
-    let callers = bind(settings.callers)?;
-    let ready = bind(settings.ready)?;
-    let tunnels = settings.tunnels.map(bind).transpose()?;
+    let callers = Port::open(settings.callers)?;
+    let ready = Port::open(settings.ready)?;
+    let tunnels = settings.tunnels.map(Port::open).transpose()?;
     let tunnel_key = wire::Key::new(&settings.link_key);
     let tunnel_address = settings.tunnels;
     let max_connections = settings.max_files.saturating_sub(RESERVED_FILES).max(RESERVED_FILES / 4);
     let shared = Arc::clone(shared);
     traffic.spawn_fn(move || {
-        let tunnels = tunnels.map(into_tokio).transpose();
-        let (Ok(callers), Ok(ready), Ok(tunnels)) = (into_tokio(callers), into_tokio(ready), tunnels) else {
-            telemetry::emit(Event::StartFailed, format_args!("why=\"listeners\""));
-            return;
-        };
         let readiness = ReadinessServer { shared: Arc::clone(&shared), path: platform::READY_PATH.to_owned() };
-        actix_rt::spawn(readiness.run(ready));
         let front = Frontend::new(shared, max_connections).with_tunnels(tunnel::Client::new(tunnel_key.clone()));
         let tunnels =
-            tunnels.zip(tunnel_address).map(|(listener, address)| start_tunnels(listener, tunnel_key, address, &front));
+            tunnels.zip(tunnel_address).map(|(port, address)| start_tunnels(port, tunnel_key, address, &front));
         actix_rt::spawn(async move {
-            front.run(callers, stopped).await;
+            let mut stop = stopped.clone();
+            let listener = tokio::select! {
+                listener = callers.listener() => listener,
+                // Nothing has been accepted. An error means that the control thread has ended.
+                _ = stop.wait_for(|stop| *stop) => Err(std::io::ErrorKind::Interrupted.into()),
+            };
+            match listener {
+                Ok(listener) => {
+                    // The balancer sends callers to a box that answers here.
+                    actix_rt::spawn(serve_at(ready, |listener| readiness.run(listener)));
+                    front.run(listener, stopped).await;
+                }
+                Err(why) => telemetry::emit(Event::StartFailed, format_args!("why=\"no listener: {why}\"")),
+            }
             if let Some(tunnels) = tunnels {
                 tunnels.wait_until_closed().await;
             }
@@ -135,26 +142,15 @@
 }
 
 /// Starts to open connections to servers for other boxes.
-fn start_tunnels(
-    listener: tokio::net::TcpListener,
-    key: wire::Key,
-    address: SocketAddr,
-    front: &Frontend,
-) -> tunnel::Listener {
+fn start_tunnels(port: Port, key: wire::Key, address: SocketAddr, front: &Frontend) -> tunnel::Listener {
     let tunnels = tunnel::Listener::new(key, address, front.tunnel_connector());
-    actix_rt::spawn(tunnels.clone().run(listener));
+    actix_rt::spawn(serve_at(port, {
+        let tunnels = tunnels.clone();
+        |listener| tunnels.run(listener)
+    }));
     tunnels
 }
 
-fn into_tokio(listener: TcpListener) -> std::io::Result<tokio::net::TcpListener> {
-    listener.set_nonblocking(true)?;
-    tokio::net::TcpListener::from_std(listener)
-}
-
-fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address).wrap_err_with(|| format!("can't listen on {address}"))
-}
-
 fn start_control(
     settings: &Settings,
     shared: &Arc<Shared>,
@@ -175,7 +171,7 @@
         };
         actix_rt::spawn(follower.run());
     }
-    let listener = into_tokio(bind(settings.boxes)?)?;
+    let port = Port::open(settings.boxes)?;
     let tunnel_port = settings.tunnels.map_or(0, |address| address.port());
     // A clock that was set back makes this number too small only until another box reports a later one.
     let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
@@ -192,7 +188,8 @@
         watch_role,
         owner_service,
     });
-    actix_rt::spawn(Rc::clone(&peering).listen(listener));
+    let listening = Rc::clone(&peering);
+    actix_rt::spawn(serve_at(port, |listener| listening.listen(listener)));
     actix_rt::spawn(Rc::clone(&peering).run());
     actix_rt::spawn(Rc::clone(&peering).forward_owner_messages(messages));
     let (updated_state, notified_peering) = (Rc::clone(&cluster_state), Rc::clone(&peering));
--- a/crates/cleatshelf/tests/starting.rs
+++ b/crates/cleatshelf/tests/starting.rs
@@ -133,3 +133,45 @@
         assert!((16..SERVERS as usize / 2).contains(&sample.servers.len()), "{} servers", sample.servers.len());
     }
 }
+
+/// An outgoing connection that has taken a port while nobody listened there.
+fn take_port(address: SocketAddr) -> (std::net::TcpStream, std::net::TcpListener) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    // The port may be in TIME_WAIT. Outgoing connections don't share theirs.
+    socket.set_reuse_address(true).expect("an option");
+    socket.bind(&address.into()).expect("the port is free");
+    socket.set_reuse_address(false).expect("an option");
+    socket.connect(&listener.local_addr().expect("an address").into()).expect("a connection");
+    (socket.into(), listener)
+}
+
+/// Guards against a box that doesn't come back because a connection took one of its ports while it was down: it ended at
+/// each start, for as long as the connection lasted and a minute more.
+#[test]
+fn a_box_comes_back_although_a_connection_has_taken_one_of_its_ports() {
+    let store = store();
+    let address = free_address();
+    let mut one = start(&store, address, &[address]);
+    wait_until("the box is ready", || one.is_ready());
+    for port in [one.operators, one.boxes, one.callers, one.ready] {
+        one.kill();
+        let (taken, _other) = take_port(port);
+        one.restart();
+        if port == one.operators || port == one.boxes {
+            // Callers need neither of these.
+            wait_until("the box is ready without the port", || one.is_ready());
+            assert_eq!(one.get("/x/1"), (200, "first".to_owned()));
+        } else {
+            std::thread::sleep(std::time::Duration::from_millis(500));
+            assert!(!one.is_ready(), "callers can't reach it");
+        }
+        assert_eq!(one.exited_cleanly(), None, "the process ended");
+        // A reset leaves no TIME_WAIT.
+        socket2::SockRef::from(&taken).set_linger(Some(std::time::Duration::ZERO)).expect("an option");
+        drop(taken);
+        wait_until("the box is ready with the port", || one.is_ready());
+        assert_eq!(one.get("/x/1"), (200, "first".to_owned()));
+        wait_until("all ports are open", || one.metrics().contains("cleatshelf_servers"));
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -52,6 +52,8 @@
     StartFailed = 106, Error;
     /// Log lines were dropped because their reader was too slow.
     LinesDropped = 107, Warn;
+    /// A port on which this box listens is in use.
+    PortInUse = 108, Warn;
     /// A release is in force on this box.
     ReleaseInForce = 200, Info;
     /// A release was refused; the previous one stays in force.
