router: keepers that start anew are told what they keep

Cause: records were told once, and a box that starts at its former address was the same member.

Fix: members are lives now, so that the box at which streams began tells those that have started, and those that follow a box that has gone. A leaving box grants no permits, since the others ask its successor already.

--- a/crates/cleatshelf/src/router/owner_service.rs
+++ b/crates/cleatshelf/src/router/owner_service.rs
@@ -194,6 +194,12 @@
     tunnel_boxes: Arc<TunnelBoxes>,
     /// Boxes by hall, including this one. No hall is empty.
     halls: HashMap<String, Vec<SocketAddr>>,
+    /// Incarnations of these boxes.
+    lives: HashMap<SocketAddr, u64>,
+    /// Boxes that may lack records of streams that they keep: they have started, or another keeper has gone.
+    uninformed: HashSet<SocketAddr>,
+    /// This box, once it is leaving.
+    leaving: Option<SocketAddr>,
     /// True once another box has reported the same set of boxes. Until then this box may wrongly consider itself the
     /// owner of servers that others own.
     converged: bool,
@@ -221,6 +227,9 @@
             slot_requests: PendingReplies::default(),
             tunnel_boxes: Arc::default(),
             halls: HashMap::new(),
+            lives: HashMap::new(),
+            uninformed: HashSet::new(),
+            leaving: None,
             converged: false,
             missed_replies: MissedReplies::default(),
             status_queries: PendingReplies::default(),
@@ -251,14 +260,24 @@
         self.clock.now().saturating_sub(self.began)
     }
 
-    /// Sets the known boxes.
-    pub(super) fn set_boxes(&self, boxes: Vec<(SocketAddr, Profile)>, converged: bool) {
-        let mut state = self.state();
+    /// Sets the known boxes. Returns true if the boxes that keep records of streams have changed.
+    pub(super) fn set_boxes(&self, boxes: Vec<(SocketAddr, Profile)>, converged: bool) -> bool {
+        let mut guard = self.state();
+        let state = &mut *guard;
         state.converged = converged;
         state.halls.clear();
+        let former = std::mem::take(&mut state.lives);
         for (address, profile) in boxes {
+            state.lives.insert(address, profile.incarnation);
             state.halls.entry(profile.hall).or_default().push(address);
         }
+        if former.keys().any(|address| !state.lives.contains_key(address)) {
+            // Any of the others may be the next keeper of what one that has gone kept.
+            state.uninformed.extend(state.lives.keys());
+        }
+        let started = state.lives.iter().filter(|(address, life)| former.get(address) != Some(life));
+        state.uninformed.extend(started.map(|(address, _)| *address));
+        !state.uninformed.is_empty()
     }
 
     /// Sets the boxes through which this one may reach servers.
@@ -289,8 +308,9 @@
         self.update_slots(|slots| slots.on_link_lost(to, now));
     }
 
-    /// Begins a planned stop: this box assigns no slots any more.
+    /// Begins a planned stop: this box assigns no slots and grants no permits any more.
     pub(super) fn begin_stop(&self) {
+        self.state().leaving = Some(self.me);
         self.update_slots(SlotAssignment::stop);
     }
 
@@ -423,20 +443,21 @@
 
     /// Tells the boxes that keep the records of these streams, other than this one, what began them.
     pub(super) fn tell_origins(&self, records: Vec<Record>) {
-        self.send_origins(records, false);
+        self.send_origins(records, |_| true);
     }
 
-    /// Hands the origins of streams on to the boxes that keep them once this one has left.
-    pub(super) fn hand_on_origins(&self, records: Vec<Record>) {
-        self.send_origins(records, true);
+    /// Tells the origins of streams to those of the boxes that keep them that may lack them.
+    pub(super) fn tell_new_keepers(&self, records: Vec<Record>) {
+        let uninformed = std::mem::take(&mut self.state().uninformed);
+        self.send_origins(records, |keeper| uninformed.contains(keeper));
     }
 
-    fn send_origins(&self, records: Vec<Record>, leaving: bool) {
+    fn send_origins(&self, records: Vec<Record>, is_told: impl Fn(&SocketAddr) -> bool) {
         let mut messages: HashMap<SocketAddr, Vec<Record>> = HashMap::new();
         {
             let state = self.state();
             for record in records {
-                for keeper in state.record_keepers(record.stream.0, leaving.then_some(self.me)).told_by(self.me) {
+                for keeper in state.record_keepers(record.stream.0).told_by(self.me).filter(|keeper| is_told(keeper)) {
                     messages.entry(keeper).or_default().push(record.clone());
                 }
             }
@@ -468,8 +489,11 @@
 
     /// Returns the only box that may grant permits for sends to a server, even if it is unresponsive. Two boxes that
     /// each considered the other unresponsive would together grant twice what the server can take.
+    ///
+    /// A box that is leaving grants none: the others ask its successor already.
     fn permit_owner_of(&self, server: &str, hall: &str) -> Option<SocketAddr> {
-        self.first_ranked(server, hall, |_| true)
+        let stays = |address: &SocketAddr| self.leaving != Some(*address);
+        self.first_ranked(server, hall, stays).or(self.leaving)
     }
 
     /// Returns the highest-ranked eligible box for a server: one of its hall, otherwise any.
@@ -489,10 +513,10 @@
     }
 
     /// Returns the boxes that keep the record of a stream.
-    fn record_keepers(&self, stream: u64, except: Option<SocketAddr>) -> Keepers {
+    fn record_keepers(&self, stream: u64) -> Keepers {
         let boxes =
             self.halls.iter().flat_map(|(hall, boxes)| boxes.iter().map(move |address| (hall.as_str(), *address)));
-        Keepers::of(stream, &boxes.filter(|(_, address)| Some(*address) != except))
+        Keepers::of(stream, &boxes.filter(|(_, address)| self.leaving != Some(*address)))
     }
 
     /// Returns a number for a query.
@@ -626,7 +650,7 @@
         let mut state = service.state();
         let number = state.next_number();
         // Any boxes may know whether a stream that isn't named can have another origin.
-        let keepers = state.record_keepers(stream.map_or(number, |stream| stream.0), None);
+        let keepers = state.record_keepers(stream.map_or(number, |stream| stream.0));
         let mut receivers = Vec::new();
         let mut messages = Vec::new();
         for keeper in keepers.asked_by(service.me) {
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -280,7 +280,7 @@
         let actions = self.peers.borrow_mut().leave(self.shared.now());
         self.run_actions(actions);
         let records = self.shared.origins().told(self.shared.now());
-        self.owner_service.hand_on_origins(records);
+        self.owner_service.tell_origins(records);
     }
 
     pub(super) fn set_seeds(&self, seeds: &[SocketAddr]) {
@@ -342,7 +342,10 @@
             owner_service::tunnel_boxes(self.me, peers.hall(), in_region)
         };
         self.owner_service.set_tunnel_boxes(tunnel_boxes);
-        self.owner_service.set_boxes(boxes, peers.has_converged());
+        if self.owner_service.set_boxes(boxes, peers.has_converged()) {
+            let records = self.shared.origins().told_by_me(self.shared.now());
+            self.owner_service.tell_new_keepers(records);
+        }
         self.owner_service.set_region_boxes(in_region, peers.has_converged());
     }
 
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -84,8 +84,8 @@
     telemetry::emit(Event::StopBegun, format_args!("running={}", shared.running.load(Ordering::Relaxed)));
     let timeout = settings.stop_timeout.saturating_sub(STOP_MARGIN);
     shared.begin_stop(timeout);
-    peering.announce_leaving();
     owner_service.begin_stop();
+    peering.announce_leaving();
     let began = Instant::now();
     // The front end holds the receiver until it has finished.
     let _ = stop.send(true);
--- a/crates/cleatshelf/tests/versions.rs
+++ b/crates/cleatshelf/tests/versions.rs
@@ -34,15 +34,23 @@
         Self { _store: store, servers, boxes }
     }
 
-    /// Starts long streams at the first box, which is killed while they run. Returns what their callers got.
-    fn streams_broken_by_a_kill(&mut self) -> Vec<(String, Vec<StreamEvent>)> {
+    /// Starts long streams at the first box, which is killed while they run. Returns what their callers got. The other
+    /// boxes are started anew before, once the streams have begun, if `keepers_start` is set.
+    fn streams_broken_by_a_kill(&mut self, keepers_start: bool) -> Vec<(String, Vec<StreamEvent>)> {
         let address = self.boxes[0].callers;
         let start = |number: usize| {
             let call = stream_call(&format!("first-{number}"), None);
             std::thread::spawn(move || (call.id.clone(), events(&call.send(address))))
         };
         let callers: Vec<_> = (0..STREAMS).map(start).collect();
-        std::thread::sleep(Duration::from_millis(700));
+        if keepers_start {
+            std::thread::sleep(Duration::from_millis(300));
+            self.boxes[1..].iter_mut().for_each(Process::restart);
+            // A stream takes two seconds.
+            std::thread::sleep(Duration::from_millis(1_300));
+        } else {
+            std::thread::sleep(Duration::from_millis(700));
+        }
         self.boxes[0].kill();
         let broken = callers.into_iter().map(|caller| caller.join().expect("a caller"));
         broken.filter(|(_, events)| !events.is_empty()).collect()
@@ -73,8 +81,19 @@
 /// Guards against streams that go on at another software version, or nowhere, after the box that began them was killed.
 #[test]
 fn streams_of_a_killed_box_go_on_at_the_version_that_began_them() {
+    check_streams_go_on(false);
+}
+
+/// Guards against records of streams that end with the boxes that keep them: what began a stream was told to its keepers
+/// once, and not again to one that had started anew.
+#[test]
+fn streams_go_on_although_the_boxes_that_keep_their_records_have_started_anew() {
+    check_streams_go_on(true);
+}
+
+fn check_streams_go_on(keepers_start: bool) {
     let mut world = World::start();
-    let broken = world.streams_broken_by_a_kill();
+    let broken = world.streams_broken_by_a_kill(keepers_start);
     assert!(broken.len() >= MIN_CONTINUED, "only {} streams began", broken.len());
     let take_up_at = |(number, (first, received)): (usize, &(String, Vec<StreamEvent>))| {
         let (address, first, received) = (world.boxes[1 + number % 2].callers, first.clone(), received.clone());
--- a/crates/origins/src/origins.rs
+++ b/crates/origins/src/origins.rs
@@ -44,6 +44,12 @@
         self.records.told(now)
     }
 
+    /// Returns the records that this box has told others, for those that may lack them since.
+    #[must_use]
+    pub fn told_by_me(&self, now: Millis) -> Vec<Record> {
+        self.records.told_by_me(now)
+    }
+
     /// Returns what this box knows about a stream of this route. `None` stands for a stream that its caller doesn't name.
     #[must_use]
     pub fn answer(&self, stream: Option<Stream>, route: &str, now: Millis) -> Answer {
--- a/crates/origins/src/records.rs
+++ b/crates/origins/src/records.rs
@@ -27,12 +27,17 @@
     /// `None` if two origins were recorded, so that neither counts.
     origin: Option<Origin>,
     expires: Millis,
+    /// The stream began at this box, or went on here.
+    began_here: bool,
 }
 
 impl Records {
     /// Records that a stream of this route began at this box. Its caller may come back until `expires`.
     pub fn begin(&mut self, stream: Stream, route: &str, origin: &Origin, expires: Millis, now: Millis) {
         self.insert(stream, origin, expires, now);
+        if let Some(entry) = self.entries.get_mut(&stream) {
+            entry.began_here = true;
+        }
         match self.untold.get_mut(route) {
             Some(streams) => streams.push(stream),
             None => drop(self.untold.insert(route.to_owned(), vec![stream])),
@@ -50,7 +55,11 @@
         if self.entries.len() >= MAX_RECORDS && !self.entries.contains_key(&stream) {
             self.evict();
         }
-        let entry = self.entries.entry(stream).or_insert_with(|| Entry { origin: Some(origin.clone()), expires });
+        let entry = self.entries.entry(stream).or_insert_with(|| Entry {
+            origin: Some(origin.clone()),
+            expires,
+            began_here: false,
+        });
         entry.expires = entry.expires.max(expires);
         if entry.origin.as_ref() != Some(origin) {
             entry.origin = None;
@@ -79,9 +88,19 @@
     /// Returns the records of which other boxes were told, or which they told this one.
     #[must_use]
     pub fn told(&self, now: Millis) -> Vec<Record> {
+        self.told_where(|_| true, now)
+    }
+
+    /// Returns the records of streams that began at this box and of which it told others.
+    #[must_use]
+    pub fn told_by_me(&self, now: Millis) -> Vec<Record> {
+        self.told_where(|entry| entry.began_here, now)
+    }
+
+    fn told_where(&self, is_wanted: impl Fn(&Entry) -> bool, now: Millis) -> Vec<Record> {
         let untold: HashSet<&Stream> = self.untold.values().flatten().collect();
-        let told = self.entries.keys().filter(|stream| !untold.contains(stream));
-        told.filter_map(|stream| self.record(*stream, now)).collect()
+        let told = self.entries.iter().filter(|(stream, entry)| is_wanted(entry) && !untold.contains(stream));
+        told.filter_map(|(stream, _)| self.record(*stream, now)).collect()
     }
 
     /// Returns the number of records.
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -206,4 +206,6 @@
     told.sort_unstable_by_key(|record| record.stream.0);
     let told: Vec<(u64, u32)> = told.iter().map(|record| (record.stream.0, record.left_ms)).collect();
     assert_eq!(told, [(1, 1_000), (3, 2_000)]);
+    let told_by_me: Vec<u64> = records.told_by_me(1_000).iter().map(|record| record.stream.0).collect();
+    assert_eq!(told_by_me, [3], "what others told it they tell new keepers themselves");
 }
