peers, router: links to boxes that are gone are closed

Found on a second reading: each box kept a link to every box that had ever left, which connects again and again, a box that doesn't watch collected the addresses of changed members, and a small fleet with many that had left sent urgent messages by its watchers only. A setting of no memory limit (0) was a fault.

--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -22,7 +22,7 @@
 /// Interval of the timer that drives `peers`.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Interval at which the state of unlisted servers is removed; each pass visits all servers.
+/// Interval at which the state of unlisted servers and gone boxes is removed; each pass visits all of them.
 const CLEANUP_INTERVAL_MS: Millis = 5_000;
 
 /// A message between router boxes.
@@ -204,7 +204,7 @@
     fn tick(&self) {
         self.cluster_state.expire();
         let updates = self.cluster_state.take_updates();
-        self.remove_unlisted_servers();
+        self.clean_up();
         let actions = {
             let mut peers = self.peers.borrow_mut();
             peers.set_known_versions(self.cluster_state.known_versions());
@@ -255,15 +255,19 @@
         self.owner_service.set_plain_servers(services);
     }
 
-    /// Removes the state of servers that are no longer listed, at most once per interval.
-    fn remove_unlisted_servers(&self) {
+    /// Removes the state of servers that are no longer listed and the links to boxes that are gone, at most once per
+    /// interval.
+    fn clean_up(&self) {
         let now = self.shared.now();
-        if now < self.last_cleanup.get() + CLEANUP_INTERVAL_MS
-            || !self.cluster_state.known_versions().directory.is_known()
-        {
+        if now < self.last_cleanup.get() + CLEANUP_INTERVAL_MS {
             return;
         }
         self.last_cleanup.set(now);
+        // A link connects again and again.
+        self.links.borrow_mut().retain(|address, _| !self.peers.borrow().is_gone(address, now));
+        if !self.cluster_state.known_versions().directory.is_known() {
+            return;
+        }
         let directory = self.cluster_state.directory();
         let instances = directory.instances();
         self.owner_service.retain_servers(&instances);
--- a/crates/cleatshelf/src/router/settings.rs
+++ b/crates/cleatshelf/src/router/settings.rs
@@ -58,6 +58,12 @@
     processor.min(link) as u32
 }
 
+/// Reads the memory of the box in bytes; 0 stands for no limit.
+fn read_memory(reader: &mut TableReader<'_>) -> Option<usize> {
+    let mb = reader.number_opt("memory_mb", &(0.0..=1_048_576.0)).filter(|mb| *mb > 0.0)?;
+    Some((mb * f64::from(1 << 20)) as usize)
+}
+
 fn read_cold_allowance(reader: &mut TableReader<'_>) -> ColdAllowance {
     let base = ColdAllowance::default();
     ColdAllowance {
@@ -106,7 +112,7 @@
             link_key: reader.string("link_key"),
             stop_timeout: Duration::from_secs_f64(reader.number("stop_seconds", &(1.0..=86_400.0))),
             max_files: reader.integer("files_most", &(256..=1_000_000)) as usize,
-            memory: reader.number_opt("memory_mb", &(16.0..=1_048_576.0)).map(|mb| (mb * f64::from(1 << 20)) as usize),
+            memory: read_memory(&mut reader),
             capacity: read_capacity(&mut reader),
             retry_ratio: reader.number("retry_ratio", &(0.0..=10.0)),
             retry_slack: reader.number("retry_slack", &(0.0..=1_000_000.0)),
--- a/crates/peers/src/peers/broadcast.rs
+++ b/crates/peers/src/peers/broadcast.rs
@@ -54,7 +54,7 @@
     pub fn forward_targets(&self, from: Option<SocketAddr>, now: Millis) -> Vec<SocketAddr> {
         let others = || self.reachable(now).filter(|(address, _)| Some(**address) != from);
         let all = || others().map(|(address, _)| *address).collect();
-        if self.members.len() < MAX_DIRECT_BROADCAST_BOXES {
+        if self.alive().count() < MAX_DIRECT_BROADCAST_BOXES {
             return if from.is_none() { all() } else { Vec::new() };
         }
         if !self.watching {
--- a/crates/peers/src/peers/membership.rs
+++ b/crates/peers/src/peers/membership.rs
@@ -51,6 +51,15 @@
             .filter(move |(_, member)| member.status != Status::Left || now < member.status_since + DEPARTURE_TIMEOUT)
     }
 
+    /// Returns true if no box runs at this address, as far as this box knows: it left some time ago, or was forgotten.
+    #[must_use]
+    pub fn is_gone(&self, address: &SocketAddr, now: Millis) -> bool {
+        match self.members.get(address) {
+            Some(member) => member.status == Status::Left && now >= member.status_since + DEPARTURE_TIMEOUT,
+            None => !self.seeds.contains(address),
+        }
+    }
+
     /// Returns all that this box knows about boxes, including itself.
     pub(super) fn roster(&self) -> Roster {
         let others = self.members.iter().map(|(address, member)| (*address, member.profile.clone(), member.status));
@@ -107,7 +116,7 @@
             let version = (profile.incarnation, status);
             if address == self.me {
                 if !self.leaving && version > (self.profile.incarnation, Status::Alive) {
-                    self.profile.incarnation = profile.incarnation + 1;
+                    self.profile.incarnation = profile.incarnation.saturating_add(1);
                     self.next_hello = 0;
                     self.next_heartbeat = 0;
                     changed = true;
@@ -192,6 +201,10 @@
         }
         self.next_review = now + REVIEW_INTERVAL;
         self.forget_members(now);
+        if !self.watching {
+            // Another box passes them on.
+            self.changed_members.clear();
+        }
         if judges {
             self.mark_silent(now);
         }
--- a/crates/peers/tests/world.rs
+++ b/crates/peers/tests/world.rs
@@ -610,8 +610,16 @@
             world.run(200);
         }
         world.run(MAX_DEPARTURE_MS);
+        let gone = |world: &World| {
+            let first = &world.boxes.values().next().expect("a box").peers;
+            leavers.iter().filter(|leaver| first.is_gone(leaver, world.now)).count()
+        };
+        assert_eq!(gone(&world), 0, "they may still serve");
         let left: BTreeSet<SocketAddr> = world.boxes.keys().take(2).copied().collect();
         assert_eq!(world.mistaken(&left), Vec::<SocketAddr>::new(), "{halls} halls of {each}");
+        leavers.iter().for_each(|leaver| drop(world.boxes.remove(leaver)));
+        world.run(30_000);
+        assert_eq!(gone(&world), leavers.len(), "links to them are closed");
     }
 }
 
