relay: bytes after a stated length make an answer none

Cause: the stated length ends an answer, and what follows was dropped with the connection, whatever it was.

Another answer right behind a whole one still belongs to no request.

Fix: a connection keeps the last bytes that have arrived; if something other than another answer stands behind the body, there is no answer.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -206,6 +206,9 @@
         if framing == Framing::Connection && is_in_chunks(&whole) {
             return Err("chunks without transfer-encoding".to_owned());
         }
+        if framing == Framing::Length && connection.has_surplus(&whole) {
+            return Err("bytes after the stated length".to_owned());
+        }
         connections.release(&instance, connection, &parts.headers);
         Ok((parts, Bytes::from_owner(ReservedBytes { bytes: whole, _reservation: reservation })))
     }
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -69,6 +69,11 @@
     pub(crate) fn on_head(&self) {
         self.state.on_head();
     }
+
+    /// Returns true if something other than another answer has arrived after this whole body of a stated length.
+    pub(crate) fn has_surplus(&self, body: &[u8]) -> bool {
+        self.state.has_surplus(body)
+    }
 }
 
 impl Drop for Connection {
--- a/crates/relay/src/resettable_stream.rs
+++ b/crates/relay/src/resettable_stream.rs
@@ -46,7 +46,7 @@
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if self.state.on_bytes(buf.filled().len() - before) {
+        if self.state.on_bytes(&buf.filled()[before..]) {
             polled
         } else {
             Poll::Ready(Err(io::Error::new(
