router: a box that gets the list is told which servers may have ended

Cause: doubts were broadcast when they arose and told to nobody later.

Fix: whoever sends a list of servers sends the doubts about them after it.

--- a/crates/cleatshelf/src/router/owner_service.rs
+++ b/crates/cleatshelf/src/router/owner_service.rs
@@ -6,7 +6,7 @@
 use origins::{Answer, Keepers, Record, Stream};
 use peers::{Millis, MissedReplies, Profile};
 use placement::{
-    Fingerprint, LimitUpdate, LivenessEvidence, Owner, PermitReply, PermitRequest, SendReport, SendUpdate,
+    Doubt, Fingerprint, LimitUpdate, LivenessEvidence, Owner, PermitReply, PermitRequest, SendReport, SendUpdate,
     ServerStatus, StatusQuery, SuspectRecord,
 };
 use relay::{DispatcherState, PeerClient, TunnelBoxes};
@@ -133,6 +133,8 @@
         #[serde(rename = "asks")]
         wants_reply: bool,
     },
+    /// Instances of the list that was sent before which may have ended.
+    Doubts(Vec<Doubt>),
 }
 
 impl Message {
@@ -157,6 +159,7 @@
             Self::OriginQuery { .. } => "origin_query",
             Self::OriginReply { .. } => "origin_reply",
             Self::Notices { .. } => "notices",
+            Self::Doubts(_) => "doubts",
         }
     }
 }
@@ -436,6 +439,7 @@
             // Handled by `Peering`, for the quarantine, the placement and the origins of streams.
             Message::Suspects { .. }
             | Message::Notices { .. }
+            | Message::Doubts(_)
             | Message::StreamOrigins(_)
             | Message::OriginQuery { .. } => None,
         }
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -140,6 +140,7 @@
                         this.send_notices(from, false);
                     }
                 }
+                Envelope::Owners(owner_service::Message::Doubts(doubts)) => this.shared.on_peer_doubts(&doubts),
                 Envelope::Owners(owner_service::Message::StreamOrigins(records)) => {
                     let now = this.shared.now();
                     let mut origins = this.shared.origins();
@@ -307,6 +308,7 @@
                 Action::SendDirectory(to, digests) => {
                     if let Some(compressed) = self.cluster_state.excerpt(&digests) {
                         self.send(to, &Envelope::Peers(Message::Excerpt(compressed.to_vec())));
+                        self.send_doubts(to);
                     }
                 }
                 Action::SyncSuspects(to) => self.send_suspects(to, Vec::new(), true),
@@ -359,6 +361,14 @@
         self.send(to, &Envelope::Owners(owner_service::Message::Suspects { records, evidence, wants_reply }));
     }
 
+    /// Tells a box that gets the list which of its servers may have ended: another life may answer in their names.
+    fn send_doubts(&self, to: SocketAddr) {
+        let doubts = self.shared.placement().doubts(self.shared.now());
+        if !doubts.is_empty() {
+            self.send(to, &Envelope::Owners(owner_service::Message::Doubts(doubts)));
+        }
+    }
+
     /// Sends a box the hints that servers addressed to all boxes; `wants_reply` requests its hints.
     fn send_notices(&self, to: SocketAddr, wants_reply: bool) {
         let (leaving, limits) = {
--- a/crates/cleatshelf/tests/versions.rs
+++ b/crates/cleatshelf/tests/versions.rs
@@ -1,8 +1,8 @@
 //! Streams that callers take up again at other boxes, while servers of several software versions serve side by side.
 
 use platform_lab::{
-    start_boxes, stream_config_json, BrokenStream, Call, Process, Reply, Servers, Store, StreamEvent,
-    EVENTS_PER_LONG_STREAM, LONG_STREAM_MARKER,
+    start_boxes, stream_config_json, wait_until, BrokenStream, Call, Process, Reply, Servers, Store, StoreMode,
+    StreamEvent, EVENTS_PER_LONG_STREAM, LONG_STREAM_MARKER,
 };
 use std::net::SocketAddr;
 use std::path::Path;
@@ -19,7 +19,7 @@
 
 /// Three boxes in two halls, and servers of two versions.
 struct World {
-    _store: Store,
+    store: Store,
     servers: Servers,
     boxes: Vec<Process>,
 }
@@ -31,7 +31,7 @@
         let servers = Servers::start_with_versions(&store, &["hall"], 6, &["v1", "v2"]);
         let halls = ["hall", "hall", "other"];
         let boxes = start_boxes(Path::new(env!("CARGO_BIN_EXE_cleatshelf")), &["route"], &store, &halls);
-        Self { _store: store, servers, boxes }
+        Self { store, servers, boxes }
     }
 
     /// Starts long streams at the first box, which is killed while they run. Returns what their callers got. The other
@@ -125,3 +125,27 @@
         assert!(world.servers.ledger.runs(&call.id).is_empty());
     }
 }
+
+/// Returns the number of servers that a box has logged as being in doubt (521) since its `start`th start (100).
+fn doubts_since_start(one: &Process, start: usize) -> usize {
+    let log = one.log();
+    log.split("\"event\":100,").nth(start).map_or(0, |lines| lines.matches("\"LifeDoubted\"").count())
+}
+
+/// Guards against a box that starts while the store is away, gets the list from another box and goes on with streams at a
+/// server that has ended since, under whose id a life of another version answers.
+#[test]
+fn a_box_that_gets_the_list_from_another_one_is_told_which_servers_may_have_ended() {
+    let mut world = World::start();
+    let address = world.boxes[0].callers;
+    let start = |number: usize| std::thread::spawn(move || stream_call(&format!("long-{number}"), None).send(address));
+    let callers: Vec<_> = (0..STREAMS).map(start).collect();
+    std::thread::sleep(Duration::from_millis(300));
+    world.store.set_mode(StoreMode::Unavailable);
+    world.servers.crash(0);
+    callers.into_iter().for_each(|caller| drop(caller.join().expect("a caller")));
+    wait_until("the server is in doubt", || world.boxes.iter().take(2).all(|one| doubts_since_start(one, 1) > 0));
+    world.boxes[1].restart();
+    wait_until("the box is ready", || world.boxes[1].is_ready());
+    wait_until("the box is told of the server", || doubts_since_start(&world.boxes[1], 2) > 0);
+}
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -5,8 +5,8 @@
 use crate::notices::Notices;
 use crate::pool::Pool;
 use crate::{
-    Choice, ColdAllowance, DemandReport, Ending, Limit, LimitUpdate, Loss, Millis, PlacementRequest, Prompt, Refusal,
-    RetryBudget, ServerStatus, Work,
+    Choice, ColdAllowance, DemandReport, Doubt, Ending, Limit, LimitUpdate, Loss, Millis, PlacementRequest, Prompt,
+    Refusal, RetryBudget, ServerStatus, Work,
 };
 use imbl::ordmap::DiffItem;
 use imbl::OrdMap;
@@ -306,6 +306,13 @@
         is_new
     }
 
+    /// Returns the listed instances that may have ended, for a box that has just got the list.
+    #[must_use]
+    pub fn doubts(&self, now: Millis) -> Vec<Doubt> {
+        let doubt = |(server, at): (&str, Millis)| Doubt { server: server.to_owned(), ago: now.saturating_sub(at) };
+        self.lives.ends().map(doubt).collect()
+    }
+
     /// True if a later life of a listed instance may have its id.
     fn may_return(&self, instance: &str) -> bool {
         self.listed(instance).is_some_and(|server| server.id != server.name)
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -3,7 +3,7 @@
 use crate::crash::LostRequest;
 use crate::Shared;
 use placement::{
-    Change, Fingerprint, LivenessEvidence, Millis, Quarantine, Scope, SuspectRecord, Termination, Trait, Verdict,
+    Change, Doubt, Fingerprint, LivenessEvidence, Millis, Quarantine, Scope, SuspectRecord, Termination, Trait, Verdict,
 };
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::fmt::Write;
@@ -72,6 +72,12 @@
         }
     }
 
+    /// Records that another box, which has sent the list of servers, saw instances end.
+    pub fn on_peer_doubts(&self, doubts: &[Doubt]) {
+        let now = self.now();
+        doubts.iter().for_each(|doubt| self.doubt(&doubt.server, now.saturating_sub(doubt.ago)));
+    }
+
     /// Records that an instance answers on a connection that was opened at `opened`.
     pub(crate) fn on_instance_answered(&self, instance: &str, opened: Millis) {
         let now = self.now();
