--- a/crates/cleatshelf/src/router/owner_service.rs
+++ b/crates/cleatshelf/src/router/owner_service.rs
@@ -199,8 +199,6 @@
     halls: HashMap<String, Vec<SocketAddr>>,
     /// Incarnations of these boxes.
     lives: HashMap<SocketAddr, u64>,
-    /// Boxes that may lack records of streams that they keep: they have started, or another keeper has gone.
-    uninformed: HashSet<SocketAddr>,
     /// This box, once it is leaving.
     leaving: Option<SocketAddr>,
     /// True once another box has reported the same set of boxes. Until then this box may wrongly consider itself the
@@ -231,7 +229,6 @@
             tunnel_boxes: Arc::default(),
             halls: HashMap::new(),
             lives: HashMap::new(),
-            uninformed: HashSet::new(),
             leaving: None,
             converged: false,
             missed_replies: MissedReplies::default(),
@@ -263,8 +260,9 @@
         self.clock.now().saturating_sub(self.began)
     }
 
-    /// Sets the known boxes. Returns true if the boxes that keep records of streams have changed.
-    pub(super) fn set_boxes(&self, boxes: Vec<(SocketAddr, Profile)>, converged: bool) -> bool {
+    /// Sets the known boxes. Returns those that may lack records of streams that they keep: they have started, or another
+    /// keeper has gone.
+    pub(super) fn set_boxes(&self, boxes: Vec<(SocketAddr, Profile)>, converged: bool) -> HashSet<SocketAddr> {
         let mut guard = self.state();
         let state = &mut *guard;
         state.converged = converged;
@@ -276,11 +274,10 @@
         }
         if former.keys().any(|address| !state.lives.contains_key(address)) {
             // Any of the others may be the next keeper of what one that has gone kept.
-            state.uninformed.extend(state.lives.keys());
+            return state.lives.keys().copied().collect();
         }
         let started = state.lives.iter().filter(|(address, life)| former.get(address) != Some(life));
-        state.uninformed.extend(started.map(|(address, _)| *address));
-        !state.uninformed.is_empty()
+        started.map(|(address, _)| *address).collect()
     }
 
     /// Sets the boxes through which this one may reach servers.
@@ -450,9 +447,8 @@
         self.send_origins(records, |_| true);
     }
 
-    /// Tells the origins of streams to those of the boxes that keep them that may lack them.
-    pub(super) fn tell_new_keepers(&self, records: Vec<Record>) {
-        let uninformed = std::mem::take(&mut self.state().uninformed);
+    /// Tells the origins of streams to those of the boxes that keep them that are among `uninformed`.
+    pub(super) fn tell_uninformed(&self, records: Vec<Record>, uninformed: &HashSet<SocketAddr>) {
         self.send_origins(records, |keeper| uninformed.contains(keeper));
     }
 
--- a/crates/cleatshelf/src/router/peering.rs
+++ b/crates/cleatshelf/src/router/peering.rs
@@ -348,9 +348,10 @@
             owner_service::tunnel_boxes(self.me, peers.hall(), in_region)
         };
         self.owner_service.set_tunnel_boxes(tunnel_boxes);
-        if self.owner_service.set_boxes(boxes, peers.has_converged()) {
+        let uninformed = self.owner_service.set_boxes(boxes, peers.has_converged());
+        if !uninformed.is_empty() {
             let records = self.shared.origins().told_by_me(self.shared.now());
-            self.owner_service.tell_new_keepers(records);
+            self.owner_service.tell_uninformed(records, &uninformed);
         }
         self.owner_service.set_region_boxes(in_region, peers.has_converged());
     }
--- a/crates/cleatshelf/src/router/serve.rs
+++ b/crates/cleatshelf/src/router/serve.rs
@@ -84,6 +84,7 @@
     telemetry::emit(Event::StopBegun, format_args!("running={}", shared.running.load(Ordering::Relaxed)));
     let timeout = settings.stop_timeout.saturating_sub(STOP_MARGIN);
     shared.begin_stop(timeout);
+    // Before the records of streams are handed on, so that this box is no longer among their keepers.
     owner_service.begin_stop();
     peering.announce_leaving();
     let began = Instant::now();
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -14,10 +14,6 @@
 /// One in this many heartbeats is also sent to silent boxes.
 const FULL_HEARTBEAT_EVERY: u64 = 8;
 
-/// Time after its start from which a box may take a matching digest as a sign that it knows all boxes. By
-/// then, boxes that start together know each other.
-const MIN_CONVERGENCE_DELAY: Millis = 1_000;
-
 /// The versions of the data that this box has.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct KnownVersions {
--- a/crates/peers/src/peers/membership.rs
+++ b/crates/peers/src/peers/membership.rs
@@ -12,6 +12,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+/// Time after its start from which a box may take a matching digest as a sign that it knows all boxes. By
+/// then, boxes that start together know each other.
+const MIN_CONVERGENCE_DELAY: Millis = 1_000;
+
 /// Interval between checks for silent boxes.
 const REVIEW_INTERVAL: Millis = 1_000;
 
@@ -105,7 +109,7 @@
     /// Compares the digest of the boxes known to another box. Shortly after a start, it is ignored because
     /// two boxes that know only a few others may agree.
     pub(super) fn compare_digest(&mut self, members: u32, now: Millis) {
-        let elapsed = self.started.is_some_and(|at| now >= at + super::MIN_CONVERGENCE_DELAY);
+        let elapsed = self.started.is_some_and(|at| now >= at + MIN_CONVERGENCE_DELAY);
         self.converged |= elapsed && members == self.digest;
     }
 
--- a/crates/placement/src/lives.rs
+++ b/crates/placement/src/lives.rs
@@ -130,18 +130,11 @@
         matches!(self.reported.get(instance), Some(Report::Alive(_)))
     }
 
-    /// Iterates over the instances that may have ended, each with the time at which it was last seen to.
-    pub(crate) fn ends(&self) -> impl Iterator<Item = (&str, Millis)> {
+    /// Iterates over the instances that may have ended, each with the time at which it was last seen to, and true if a
+    /// server accepts connections at its address.
+    pub(crate) fn doubted(&self) -> impl Iterator<Item = (&str, Millis, bool)> {
         self.reported.iter().filter_map(|(instance, report)| match report {
-            Report::Doubted { since, .. } => Some((instance.as_str(), *since)),
-            Report::Alive(_) => None,
-        })
-    }
-
-    /// Iterates over the instances that may have ended, each with true if a server accepts connections at its address.
-    pub(crate) fn doubted(&self) -> impl Iterator<Item = (&str, bool)> {
-        self.reported.iter().filter_map(|(instance, report)| match report {
-            Report::Doubted { accepted, .. } => Some((instance.as_str(), accepted.is_some())),
+            Report::Doubted { since, accepted } => Some((instance.as_str(), *since, accepted.is_some())),
             Report::Alive(_) => None,
         })
     }
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -309,8 +309,8 @@
     /// Returns the listed instances that may have ended, for a box that has just got the list.
     #[must_use]
     pub fn doubts(&self, now: Millis) -> Vec<Doubt> {
-        let doubt = |(server, at): (&str, Millis)| Doubt { server: server.to_owned(), ago: now.saturating_sub(at) };
-        self.lives.ends().map(doubt).collect()
+        let doubted = self.lives.doubted();
+        doubted.map(|(server, at, _)| Doubt { server: server.to_owned(), ago: now.saturating_sub(at) }).collect()
     }
 
     /// True if a later life of a listed instance may have its id.
@@ -361,14 +361,14 @@
     /// Returns the listed instances that may have ended.
     #[must_use]
     pub fn doubted(&self) -> Vec<Arc<Server>> {
-        self.lives.doubted().filter_map(|(instance, _)| self.listed(instance).cloned()).collect()
+        self.lives.doubted().filter_map(|(instance, ..)| self.listed(instance).cloned()).collect()
     }
 
     /// Returns those of them at whose address no server was found since.
     #[must_use]
     pub fn unreached(&self) -> Vec<Arc<Server>> {
-        let unreached = self.lives.doubted().filter(|(_, is_reached)| !is_reached);
-        unreached.filter_map(|(instance, _)| self.listed(instance).cloned()).collect()
+        let unreached = self.lives.doubted().filter(|(.., is_reached)| !is_reached);
+        unreached.filter_map(|(instance, ..)| self.listed(instance).cloned()).collect()
     }
 
     /// True if the instance was in doubt and is known to have lived on.
--- a/crates/relay/src/answer_memory.rs
+++ b/crates/relay/src/answer_memory.rs
@@ -1,5 +1,6 @@
 //! The memory that answers may take while they are buffered.
 
+use bytes::{Bytes, BytesMut};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
@@ -62,6 +63,11 @@
         let limit = self.memory.limit.load(Ordering::Relaxed);
         self.bytes <= ALWAYS_ACCEPTED_BYTES || (used <= limit && self.bytes <= limit / GREATEST_ANSWERS)
     }
+
+    /// Returns the content of the answer, which stays counted for as long as it is held.
+    pub(crate) fn hold(self, content: BytesMut) -> Bytes {
+        Bytes::from_owner(ReservedBytes { content, _reservation: self })
+    }
 }
 
 impl Drop for Reservation {
@@ -71,13 +77,13 @@
 }
 
 /// The content of an answer with its reservation.
-pub(crate) struct ReservedBytes {
-    pub(crate) bytes: bytes::BytesMut,
-    pub(crate) _reservation: Reservation,
+struct ReservedBytes {
+    content: BytesMut,
+    _reservation: Reservation,
 }
 
 impl AsRef<[u8]> for ReservedBytes {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        &self.content
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to send a request to one server.
 
-use crate::answer_memory::{AnswerMemory, Reservation, ReservedBytes};
+use crate::answer_memory::{AnswerMemory, Reservation};
 use crate::connect_error::ConnectError;
 use crate::connections::{Connection, Connections};
 use crate::framing::{is_in_chunks, Framing};
@@ -210,7 +210,7 @@
             return Err("bytes after the stated length".to_owned());
         }
         connections.release(&instance, connection, &parts.headers);
-        Ok((parts, Bytes::from_owner(ReservedBytes { bytes: whole, _reservation: reservation })))
+        Ok((parts, reservation.hold(whole)))
     }
 
     /// Returns the connection to the pool after the body was read to its end.
--- a/crates/relay/src/framing.rs
+++ b/crates/relay/src/framing.rs
@@ -85,21 +85,23 @@
     row[other.len()]
 }
 
-/// Returns true if a body without framing begins like one in chunks, whose head has lost the field that says so: with a
-/// line that is the size of a chunk, with or without extensions.
+/// Returns the digits of the line at the beginning of a body if that is the size of a chunk, with or without extensions.
+fn chunk_size(body: &[u8]) -> Option<&str> {
+    let (digits, rest) = body.split_at(body.iter().take_while(|byte| byte.is_ascii_hexdigit()).count());
+    let is_line = !digits.is_empty() && (rest.starts_with(b"\r\n") || rest.starts_with(b";"));
+    std::str::from_utf8(digits).ok().filter(|_| is_line)
+}
+
+/// Returns true if a body without framing begins like one in chunks, whose head has lost the field that says so.
 pub(crate) fn begins_with_chunk(body: &[u8]) -> bool {
-    let digits = body.iter().take_while(|byte| byte.is_ascii_hexdigit()).count();
-    let rest = &body[digits..];
-    digits > 0 && (rest.starts_with(b"\r\n") || rest.starts_with(b";"))
+    chunk_size(body).is_some()
 }
 
 /// Returns true if a body without framing consists of chunks up to the last one.
 pub(crate) fn is_in_chunks(mut body: &[u8]) -> bool {
-    while begins_with_chunk(body) {
-        let digits = body.iter().take_while(|byte| byte.is_ascii_hexdigit()).count();
-        let size = std::str::from_utf8(&body[..digits]).ok().and_then(|text| usize::from_str_radix(text, 16).ok());
+    while let Some(digits) = chunk_size(body) {
         let line = body.windows(2).position(|pair| pair == b"\r\n");
-        let (Some(size), Some(line)) = (size, line) else { return false };
+        let (Ok(size), Some(line)) = (usize::from_str_radix(digits, 16), line) else { return false };
         if size == 0 {
             return true;
         }
